--- a/cmd/magnoliafront/main.go
+++ b/cmd/magnoliafront/main.go
@@ -113,6 +113,7 @@
 		command     any
 	}{
 		{"entry", "Run an entry: the process that callers reach", &entryCommand{ctx: ctx}},
+		{"gateway", "Run an entry that calls its upstreams directly, on the users' platform", &gatewayCommand{ctx: ctx}},
 		{"agent", "Run an agent: the process beside one upstream", &agentCommand{ctx: ctx}},
 		{"emulate", "Run a stand-in for the platform, an engine or a service", &emulateCommand{ctx: ctx}},
 		{"timeline", "Show or explain what happened, over all processes", &timelineCommand{ctx: ctx}},
--- a/internal/connection/messenger/message.go
+++ b/internal/connection/messenger/message.go
@@ -30,6 +30,8 @@
 	MethodStrike       = "strike"
 	MethodFetchEvents  = "fetch_events"
 	MethodOrder        = "order"
+	MethodFetchState   = "fetch_state"
+	MethodState        = "state"
 )
 
 // Role tells what a process is.
--- a/internal/process/accessor/error.go
+++ b/internal/process/accessor/error.go
@@ -19,6 +19,11 @@
 	ErrorConflict
 	// ErrorTooLarge means that the value is larger than [MaxValue].
 	ErrorTooLarge
+	// ErrorCompacted means that the changes since a version are not kept any
+	// more, and a snapshot must be taken.
+	ErrorCompacted
+	// ErrorMissing means that there is no such object.
+	ErrorMissing
 )
 
 // Error is the error type of this package.
--- /dev/null
+++ b/internal/process/forwarder/carry.go
@@ -0,0 +1,197 @@
+package forwarder
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"magnoliafront.dev/magnoliafront/internal/connection/carrier"
+	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
+	"magnoliafront.dev/magnoliafront/internal/request/relayer"
+)
+
+// decide asks the dispatcher and carries out its actions.
+func (f *Forwarder) decide(now time.Time, e dispatcher.Event) {
+	for _, a := range f.dispatcher.Step(now, e) {
+		f.carryOut(now, a)
+	}
+}
+
+func (f *Forwarder) carryOut(now time.Time, a dispatcher.Action) {
+	switch a.Kind {
+	case dispatcher.ActionSend:
+		f.send(now, a)
+	case dispatcher.ActionFail:
+		f.fail(a)
+	case dispatcher.ActionDeliver:
+		if t := f.finished(a); t != nil {
+			t.job.Replies.Put(t.job.Context, t.held)
+		}
+	case dispatcher.ActionFinish:
+		f.finished(a)
+	case dispatcher.ActionForget:
+		if p := f.pools[a.Upstream.Identity()]; p != nil {
+			klog.InfoS("upstream dropped", "upstream", a.Upstream.Identity(), "service", a.Upstream.Service)
+			p.leaving = true
+			f.release(p)
+		}
+	case dispatcher.ActionSpread:
+		klog.InfoS("content struck", "strikes", len(a.Strikes), "fingerprint", a.Strikes[0].Fingerprint, "upstream", a.Strikes[0].Upstream, "cleared", a.Strikes[0].Cleared)
+		if f.options.Spread != nil {
+			f.options.Spread(a.Strikes)
+		}
+	}
+}
+
+// send sends an attempt over a kept connection, or over a new one.
+func (f *Forwarder) send(now time.Time, a dispatcher.Action) {
+	t := f.attempts[a.ID]
+	if t == nil {
+		return
+	}
+	identity := a.Upstream.Identity()
+	p := f.pools[identity]
+	if p == nil {
+		p = &pool{upstream: a.Upstream}
+		f.pools[identity] = p
+	}
+	ctx, cancel := context.WithCancel(t.job.Context)
+	t.cancel, t.pool, t.number = cancel, p, a.Attempt
+	t.call = carrier.Call{
+		Request: a.ID, Attempt: a.Attempt, Context: ctx,
+		Message: f.options.Codec.Encode(t.job, a, a.Until.Sub(now)), Body: t.job.Body,
+		DialTimeout: a.DialTimeout, Until: a.Until.Add(expiryGrace), Silence: a.Silence,
+		Stream: a.Stream, Begun: a.Begun, LastEvent: a.LastEvent,
+		Judge: f.options.Codec.Judge(a.ID), Replies: t.job.Replies,
+	}
+	if a.Attempt > 1 {
+		logDecision("request sent again", a)
+	}
+	f.call(now, t)
+}
+
+// expiryGrace is the time after the end of an attempt for which the upstream's
+// own answer to that is waited for.
+const expiryGrace = 100 * time.Millisecond
+
+// call hands the call of an attempt to a connection.
+func (f *Forwarder) call(now time.Time, t *attempt) {
+	c := t.pool.take(now)
+	if c == nil {
+		p := t.pool
+		p.open++
+		c = carrier.New(carrier.Options{
+			Address: p.upstream.Address, Clock: f.options.Clock,
+			Report: func(r carrier.Report) { f.put(event{kind: eventReport, pool: p, report: r}) },
+		})
+	}
+	c.Send(t.call)
+}
+
+// report takes in what a connection says about a call.
+func (f *Forwarder) report(now time.Time, p *pool, r carrier.Report) {
+	t := f.attempts[r.Request]
+	present := t != nil && t.number == r.Attempt
+	if !r.Ended {
+		if present {
+			f.decide(now, dispatcher.Event{
+				Kind: dispatcher.EventProgress, ID: r.Request, Attempt: r.Attempt, First: r.First,
+				Events: r.Events, Elapsed: r.Elapsed, Begun: r.Begun, LastEvent: r.LastEvent,
+			})
+		}
+		return
+	}
+	p.put(now, r)
+	if !present {
+		f.release(p)
+		return
+	}
+	if r.Outcome == carrier.OutcomeStale {
+		// Nothing has left, so the call goes over another connection.
+		f.call(now, t)
+		return
+	}
+	t.cancel()
+	t.held = r.Held
+	if r.Err != nil || r.Outcome != carrier.OutcomeAnswered {
+		klog.InfoS("attempt ended", "request", r.Request, "attempt", r.Attempt, "upstream", p.upstream.Identity(),
+			"address", p.upstream.Address, "outcome", outcomeName(r.Outcome), "status", r.Status, "begun", r.Begun, "err", r.Err)
+	}
+	f.decide(now, dispatcher.Event{
+		Kind: dispatcher.EventEnded, ID: r.Request, Attempt: r.Attempt, Ending: ending(r),
+		Begun: r.Begun, LastEvent: r.LastEvent, Elapsed: r.Elapsed,
+	})
+	f.release(p)
+}
+
+// ending translates the outcome of a call.
+func ending(r carrier.Report) dispatcher.Ending {
+	switch r.Outcome {
+	case carrier.OutcomeAnswered:
+		return dispatcher.EndingAnswered
+	case carrier.OutcomeFailed:
+		return dispatcher.EndingFailed
+	case carrier.OutcomeRefused:
+		return dispatcher.EndingRefused
+	case carrier.OutcomeNotSent, carrier.OutcomeStale:
+		return dispatcher.EndingUnreached
+	case carrier.OutcomeExpired:
+		return dispatcher.EndingExpired
+	case carrier.OutcomeCancelled:
+		return dispatcher.EndingCancelled
+	}
+	if r.Reset {
+		return dispatcher.EndingCrashed
+	}
+	return dispatcher.EndingLost
+}
+
+func outcomeName(o carrier.Outcome) string {
+	names := [...]string{"answered", "failed", "refused", "not_sent", "stale", "lost", "silent", "expired", "cancelled"}
+	if int(o) < len(names) {
+		return names[o]
+	}
+	return "unknown"
+}
+
+// fail tells a caller that its request has failed, or cuts off its answer.
+func (f *Forwarder) fail(a dispatcher.Action) {
+	t := f.finished(a)
+	if t == nil {
+		return
+	}
+	if a.Begun {
+		t.job.Replies.Close()
+		return
+	}
+	t.job.Replies.Put(t.job.Context, relayer.Reply{Kind: relayer.KindFailed, Failure: a.Failure})
+}
+
+// finished takes a request off the ones in flight and logs how it ended.
+func (f *Forwarder) finished(a dispatcher.Action) *attempt {
+	t := f.attempts[a.ID]
+	if t == nil {
+		return nil
+	}
+	delete(f.attempts, a.ID)
+	if t.cancel != nil {
+		t.cancel()
+	}
+	logDecision("request ended", a)
+	if f.options.Observe != nil {
+		f.options.Observe(Observation{Route: a.Summary.Route, Result: a.Summary.Reason, Elapsed: a.Summary.Elapsed})
+	}
+	return t
+}
+
+func logDecision(message string, a dispatcher.Action) {
+	s := a.Summary
+	status := 0
+	if a.Failure != nil {
+		status = a.Failure.Status
+	}
+	klog.InfoS(message, "request", a.ID, "route", s.Route, "service", s.Service, "organisation", s.Organisation,
+		"version", s.Version, "upstream", s.Upstream, "attempts", s.Attempts, "outstanding", s.Outstanding,
+		"pending_tokens", s.Pending, "elapsed", s.Elapsed, "outcome", s.Reason, "status", status)
+}
--- a/internal/process/loader/loader.go
+++ b/internal/process/loader/loader.go
@@ -73,6 +73,55 @@
 	UpstreamURL string `json:"upstream_url"`
 }
 
+// Gateway is the settings of an entry that calls its upstreams directly.
+type Gateway struct {
+	Common
+	// Listen is the IP address and port for callers, and ReadyListen that for the
+	// balancer.
+	Listen      string `json:"listen"`
+	ReadyListen string `json:"ready_listen"`
+	// GracePeriod is the time between the signal to stop and the end, a duration
+	// such as 8s.
+	GracePeriod string `json:"grace_period"`
+	// RetryShare is the number of further attempts for each request, and
+	// RetrySlack that of those on top, that all entries together may make.
+	RetryShare float64 `json:"retry_share"`
+	RetrySlack float64 `json:"retry_slack"`
+}
+
+// Grace returns GracePeriod as a duration.
+func (g Gateway) Grace() time.Duration {
+	d, err := time.ParseDuration(g.GracePeriod)
+	if err != nil {
+		return 0
+	}
+	return d
+}
+
+// ReadGateway reads the settings of an entry that calls its upstreams directly.
+func ReadGateway(path string) (Gateway, error) {
+	var g Gateway
+	if err := read(path, &g); err != nil {
+		return g, err
+	}
+	return g, g.Check()
+}
+
+// Check returns an error that names all wrong fields.
+func (g Gateway) Check() error {
+	var c check
+	c.common(g.Common)
+	c.address("listen", g.Listen)
+	c.address("ready_listen", g.ReadyListen)
+	if g.Metrics != "" {
+		c.address("metrics", g.Metrics)
+	}
+	c.require("grace_period", g.Grace() > 0, "a duration such as 8s")
+	c.require("retry_share", g.RetryShare >= 0, "a number of attempts for each request, not below zero")
+	c.require("retry_slack", g.RetrySlack >= 0, "a number of attempts, not below zero")
+	return c.err()
+}
+
 // minSecret is the shortest shared secret in bytes.
 const minSecret = 16
 
--- /dev/null
+++ b/internal/process/picker/backlog.go
@@ -0,0 +1,71 @@
+package picker
+
+import "time"
+
+const (
+	// tokenTime is the time in seconds in which an engine reads one prompt token,
+	// of the order of 100 to 200 tokens a millisecond that engines reach.
+	tokenTime = 7e-6
+	// runTime is the cost in seconds of a request in flight. It is the time by
+	// which one more run slows the others of a batch, or holds a slot of a plain
+	// service.
+	runTime = 0.0025
+	// otherZone is the cost in seconds of another availability zone. The latency
+	// between zones of a region is about 1 ms each way.
+	otherZone = 0.002
+	// errorCost is the cost in seconds of an upstream whose requests all fail
+	// while those of the others do not. It outweighs any queue that can still
+	// meet a target.
+	errorCost = 2
+	// errorMargin is the share of failures above that of the service that may be
+	// chance.
+	errorMargin = 0.1
+	// stallCost is the cost in seconds for each second of silence beyond
+	// stallGrace.
+	stallCost = 0.5
+	// preferredCached is the share of a prefix that the preferred upstream is
+	// expected to have in its cache before this entry has sent it there.
+	preferredCached = 0.9
+	// learnedCached is the weight of what this entry itself sent elsewhere.
+	// Copies of a prefix on many upstreams crowd out others.
+	learnedCached = 0.5
+)
+
+// LeastBacklog prefers the upstream with the least work of this entry in front
+// of a request: prompt tokens that wait to be read, and requests in flight. It
+// is for upstreams without an agent, whose load nobody reports, and keeps a
+// prompt prefix on one upstream as long as the backlog there is not longer than
+// reading the prefix elsewhere.
+type LeastBacklog struct{}
+
+// Sample implements [Policy].
+func (LeastBacklog) Sample() int { return 0 }
+
+// Usable implements [Policy].
+func (LeastBacklog) Usable(now time.Time, _ Query, _ *Fleet, u *Upstream) bool {
+	return !now.Before(u.AvoidUntil)
+}
+
+// Cost implements [Policy]. It is in seconds.
+func (LeastBacklog) Cost(now time.Time, q Query, f *Fleet, c Candidate) float64 {
+	cached := learnedCached * c.CachedTokens
+	if c.Preferred {
+		cached = max(cached, preferredCached*float64(q.PrefixTokens))
+	}
+	cost := (float64(c.Pending+q.PromptTokens) - cached) * tokenTime
+	cost += float64(c.Outstanding) * runTime
+	cost += errorCost * max(0, c.Errors-f.Errors-errorMargin)
+	if c.Outstanding > 0 {
+		cost += stallCost * max(0, (now.Sub(c.Progress)-stallGrace).Seconds())
+	}
+	if f.FirstToken > 0 {
+		cost += max(0, c.FirstToken-2*f.FirstToken) * fade(now.Sub(c.Progress), loadHalfLife)
+	}
+	if q.Suspect {
+		cost += sharedSuspects * float64(c.Suspects)
+	}
+	if c.AvailabilityZone != q.AvailabilityZone {
+		cost += otherZone
+	}
+	return cost
+}
--- a/internal/process/picker/picker.go
+++ b/internal/process/picker/picker.go
@@ -7,8 +7,9 @@
 // read the prefix again.
 //
 // The policy, a type parameter, gives each candidate a cost; the lowest wins.
-// [ExpectedFirstToken] is the one in use; [RoundRobin] and [LeastOutstanding]
-// are baselines.
+// [ExpectedFirstToken] is the one for upstreams with an agent, whose load is
+// reported; [LeastBacklog] is the one for upstreams that entries call directly;
+// [RoundRobin] and [LeastOutstanding] are baselines.
 //
 // A load report tells the past. The picker knows its own requests exactly, so
 // it takes from a report only the load of other entries and discounts that with
@@ -76,6 +77,13 @@
 	Prefix  uint64
 	Elapsed time.Duration
 	Tokens  int
+	// PromptTokens is the number of prompt tokens that the upstream has to read,
+	// with the events that begin a request, bring its first token or end it
+	// before that.
+	PromptTokens int
+	// Failed is true for a request that the upstream ended with an error of its
+	// own.
+	Failed bool
 	// Suspect is that of the query, with the kinds of events that begin and end
 	// a request.
 	Suspect bool
@@ -118,6 +126,9 @@
 	*Upstream
 	// CachedTokens is the expected number of prompt tokens in its cache.
 	CachedTokens float64
+	// Preferred is true for the upstream to which all entries send the prefix of
+	// the query while they can.
+	Preferred bool
 }
 
 // Picker holds the table of upstreams. Make it with [New].
@@ -130,8 +141,10 @@
 	sent      uint64
 	// near and far are the candidates that the present Pick has drawn.
 	near, far draw
-	// holders are the upstreams that served the prefix of the present Pick.
-	holders []*Upstream
+	// holders are the upstreams that served the prefix of the present Pick, and
+	// preferred is the one that ranks highest for it.
+	holders   []*Upstream
+	preferred *Upstream
 }
 
 // New returns a picker whose random choices follow seed.
@@ -157,19 +170,25 @@
 		p.sent++
 		u.send(now, p.sent)
 		u.suspect(e.Suspect, 1)
+		u.Pending += e.PromptTokens
 		p.prefixes.store(now, e.Prefix, u.Name)
 	case EventFirstToken:
 		u.addFirstToken(now, e.Elapsed)
+		u.read(e.PromptTokens)
 		p.fleet.addFirstToken(e.Elapsed)
 	case EventTokens:
 		p.fleet.addGap(e.Elapsed, e.Tokens)
 		u.addGap(now, e.Elapsed, e.Tokens, &p.fleet)
 	case EventEnded:
 		u.end(now, e.Tokens, &p.fleet)
+		u.read(e.PromptTokens)
+		u.addResult(e.Failed, &p.fleet)
 		u.suspect(e.Suspect, -1)
 		p.fleet.addAnswer(e.Tokens)
 	case EventLost:
 		u.lose(now)
+		u.read(e.PromptTokens)
+		u.addResult(true, &p.fleet)
 		u.suspect(e.Suspect, -1)
 	case EventConnected:
 		u.Connected, u.Leaving, u.AvailabilityZone = true, false, e.AvailabilityZone
@@ -184,6 +203,13 @@
 	}
 }
 
+// Forget drops an upstream that will not come back.
+func (p *Picker[P]) Forget(upstream string) { delete(p.upstreams, upstream) }
+
+// Upstream returns what is known of an upstream, nil if it is unknown. The
+// caller must not change it.
+func (p *Picker[P]) Upstream(name string) *Upstream { return p.upstreams[name] }
+
 // scanLimit is the number of candidates up to which Pick looks at each of
 // them. Above it Pick looks at as many drawn at random: a look at 3,500 known
 // upstreams costs about 130 ns, so that 512 looks took 69 µs, above the 50 µs
@@ -207,6 +233,7 @@
 		p.consider(now, q, p.upstreams[q.Candidates[i]], true)
 	}
 	p.findHolders(now, q)
+	p.findPreferred(now, q)
 	if len(p.near.kept)+len(p.far.kept)+len(p.holders) == 0 {
 		for _, name := range q.Candidates {
 			p.consider(now, q, p.upstreams[name], false)
@@ -248,11 +275,31 @@
 	}
 }
 
+// findPreferred finds the usable candidate that ranks highest for the prefix of
+// q by rendezvous hashing. Entries that see the same candidates agree on it
+// without a message.
+func (p *Picker[P]) findPreferred(now time.Time, q Query) {
+	p.preferred = nil
+	if q.Prefix == 0 {
+		return
+	}
+	highest := uint64(0)
+	for _, name := range q.Candidates {
+		u := p.upstreams[name]
+		if !p.open(q, u) || !p.policy.Usable(now, q, &p.fleet, u) {
+			continue
+		}
+		if rank := mix(q.Prefix ^ u.hash()); p.preferred == nil || rank > highest {
+			p.preferred, highest = u, rank
+		}
+	}
+}
+
 func (p *Picker[P]) cheapest(now time.Time, q Query) (string, bool) {
 	var best *Upstream
 	lowest, equal := 0.0, 0
 	weigh := func(u *Upstream) {
-		c := Candidate{Upstream: u, CachedTokens: p.prefixes.cached(now, q, u.Name)}
+		c := Candidate{Upstream: u, CachedTokens: p.prefixes.cached(now, q, u.Name), Preferred: u == p.preferred}
 		cost := p.policy.Cost(now, q, &p.fleet, c)
 		switch {
 		case best == nil || cost < lowest:
--- a/internal/process/picker/upstream.go
+++ b/internal/process/picker/upstream.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"hash/fnv"
 	"time"
 
 	"magnoliafront.dev/magnoliafront/internal/process/scheduler"
@@ -14,6 +15,10 @@
 	// firstTokenWeight is the weight of one request in the average of first
 	// token times.
 	firstTokenWeight = 0.2
+	// errorWeight is the weight of one request in the average of failures. An
+	// upstream that begins to fail half of its requests is noticed after about
+	// four.
+	errorWeight = 0.15
 	// gapLimit bounds one observation in averages of the fleet. The gap of a
 	// run that was preempted says nothing about the speed of the upstream.
 	gapLimit = 10
@@ -44,8 +49,10 @@
 	Reported time.Time
 	// Others is the number of runs of other entries at that time.
 	Others int
-	// Outstanding counts the requests of this entry that are in flight there.
+	// Outstanding counts the requests of this entry that are in flight there, and
+	// Pending the prompt tokens of those that wait for their first token.
 	Outstanding int
+	Pending     int
 	// Suspects counts those of them that were in flight in a crash before.
 	Suspects int
 	// LastSent is the time of the last dispatch and Sequence its number among
@@ -56,6 +63,8 @@
 	// observation.
 	Gap        float64
 	FirstToken float64
+	// Errors is the moving average of the share of requests that failed.
+	Errors float64
 	// Progress is the time of the last token or end of a request, or of the
 	// dispatch that found the upstream without requests of this entry.
 	Progress time.Time
@@ -65,6 +74,7 @@
 	// AvoidUntil is the end of the time without new work after a failure.
 	AvoidUntil time.Time
 	failures   int
+	hashed     uint64
 	marks      [marksKept]mark
 	marked     int
 }
@@ -112,6 +122,29 @@
 	u.setOutstanding(now, u.Outstanding+1)
 }
 
+// read takes the prompt of a request off the pending ones.
+func (u *Upstream) read(promptTokens int) { u.Pending = max(0, u.Pending-promptTokens) }
+
+// addResult takes in whether a request failed.
+func (u *Upstream) addResult(failed bool, f *Fleet) {
+	seen := 0.0
+	if failed {
+		seen = 1
+	}
+	u.Errors += errorWeight * (seen - u.Errors)
+	f.Errors += fleetWeight * (seen - f.Errors)
+}
+
+// hash returns a hash of the name.
+func (u *Upstream) hash() uint64 {
+	if u.hashed == 0 {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(u.Name))
+		u.hashed = max(1, h.Sum64())
+	}
+	return u.hashed
+}
+
 func (u *Upstream) suspect(is bool, change int) {
 	if is {
 		u.Suspects = max(0, u.Suspects+change)
@@ -166,6 +199,8 @@
 	Others float64
 	// Tokens is the length of an answer.
 	Tokens float64
+	// Errors is the share of requests that failed.
+	Errors float64
 }
 
 // fleetWeight is the weight of one observation in an average of the fleet.
--- a/internal/process/starter/error.go
+++ b/internal/process/starter/error.go
@@ -17,6 +17,8 @@
 	ErrorMethod
 	// ErrorNoAgent means that an entry has no connection to an agent.
 	ErrorNoAgent
+	// ErrorSettings means that the settings do not fit together.
+	ErrorSettings
 )
 
 // Error is the error type of this package.
--- /dev/null
+++ b/internal/process/starter/gateway.go
@@ -0,0 +1,192 @@
+package starter
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"k8s.io/klog/v2"
+
+	"magnoliafront.dev/magnoliafront/internal/connection/carrier"
+	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
+	"magnoliafront.dev/magnoliafront/internal/process/acceptor"
+	"magnoliafront.dev/magnoliafront/internal/process/detector"
+	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
+	"magnoliafront.dev/magnoliafront/internal/process/forwarder"
+	"magnoliafront.dev/magnoliafront/internal/process/linker"
+	"magnoliafront.dev/magnoliafront/internal/process/loader"
+	"magnoliafront.dev/magnoliafront/internal/process/meter"
+	"magnoliafront.dev/magnoliafront/internal/process/receiver"
+	"magnoliafront.dev/magnoliafront/internal/process/syncer"
+	"magnoliafront.dev/magnoliafront/pkg/buffer"
+	"magnoliafront.dev/magnoliafront/pkg/timer"
+	"magnoliafront.dev/magnoliafront/platform"
+)
+
+const (
+	// noticeTime is the time in which the balancer notices that an entry leaves:
+	// two questions, one each second, and some margin.
+	noticeTime = 3 * time.Second
+	// endMargin is the time before the end of the grace period at which a process
+	// ends by itself.
+	endMargin = 700 * time.Millisecond
+	// withdrawTimeout bounds the withdrawal of a leaving entry.
+	withdrawTimeout = time.Second
+	// storeConnections is the number of idle connections to the store that are
+	// kept: one for each kind of objects that is followed, and one for calls.
+	storeConnections = 4
+)
+
+// Gateway returns the options of an entry that calls its upstreams directly.
+func Gateway(s loader.Gateway) fx.Option {
+	return fx.Options(
+		fx.StopTimeout(s.Grace()),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Supply(s, messenger.Peer{Role: messenger.RoleEntry, Identity: s.Identity, AvailabilityZone: s.AvailabilityZone}),
+		fx.Provide(
+			func() timer.Clock { return timer.System{} },
+			func() *strikeLink { return &strikeLink{} },
+			newStore, newMeter, newForwarder, newPeers, newReceiver,
+		),
+		fx.Invoke(serveGatewayMetrics),
+		fx.Invoke(func(m *meter.Meter, f *forwarder.Forwarder, p *peers) error {
+			return m.WatchRings(func() []buffer.Stats { return append(f.Stats(), p.syncer.Stats()...) })
+		}),
+		fx.Invoke(drainGateway),
+	)
+}
+
+func newStore(s loader.Gateway) (*platform.Store, error) {
+	u, err := url.Parse(s.Platform)
+	if err != nil {
+		return nil, &Error{Op: "read the address of the platform", Kind: ErrorSettings, Err: err}
+	}
+	return &platform.Store{Address: u.Host, HTTP: &http.Client{Transport: &http.Transport{
+		DialContext:         carrier.Dialer().DialContext,
+		MaxIdleConnsPerHost: storeConnections,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}}}, nil
+}
+
+// peers joins the forwarder, the syncer and the connections to other entries.
+type peers struct {
+	syncer   *syncer.Syncer
+	linker   *linker.Linker
+	acceptor *acceptor.Acceptor
+}
+
+// strikeLink joins the forwarder to the syncer, which is started after it.
+type strikeLink struct {
+	syncer atomic.Pointer[syncer.Syncer]
+}
+
+func (l *strikeLink) spread(strikes []detector.Strike) {
+	if s := l.syncer.Load(); s != nil {
+		s.Spread(strikes)
+	}
+}
+
+func newForwarder(lc fx.Lifecycle, s loader.Gateway, c timer.Clock, link *strikeLink) *forwarder.Forwarder {
+	f := forwarder.New(forwarder.Options{
+		Clock: c, Codec: platform.Codec{}, Spread: link.spread,
+		Dispatcher: dispatcher.Settings{
+			AvailabilityZone: s.AvailabilityZone, Seed: uint64(c.Now().UnixNano()),
+			RetryShare: s.RetryShare, RetrySlack: s.RetrySlack,
+		},
+	})
+	lc.Append(fx.StopHook(f.Stop))
+	return f
+}
+
+func newPeers(lc fx.Lifecycle, s loader.Gateway, self messenger.Peer, c timer.Clock, store *platform.Store, f *forwarder.Forwarder, link *strikeLink) (*peers, error) {
+	p := &peers{}
+	ready := make(chan struct{})
+	handle := func(conn *messenger.Conn, m messenger.Message) (any, error) {
+		<-ready
+		return p.syncer.Handle(conn, m)
+	}
+	members := func() map[string]string {
+		<-ready
+		return p.syncer.Members()
+	}
+	p.linker = linker.New(linker.Options{Self: self, Secret: []byte(s.SharedSecret), Clock: c, Members: members, Handle: handle})
+	p.syncer = syncer.New(syncer.Options{
+		Self: self, Address: s.PeerListen, Seeds: s.Peers, Store: store, Clock: c, Forwarder: f,
+		Kinds: syncer.Kinds{Configuration: platform.KindConfiguration, Upstreams: platform.KindUpstreams, Entries: platform.KindEntries},
+		Decoder: syncer.Decoder{
+			Configuration: platform.DecodeConfiguration, Upstream: platform.DecodeUpstream, Name: platform.Name,
+		},
+		Send: p.linker.Send,
+	})
+	close(ready)
+	var err error
+	p.acceptor, err = acceptor.New(s.PeerListen, messenger.Options{Self: self, Secret: []byte(s.SharedSecret)}, acceptor.Routes{
+		messenger.MethodFetchState: handle, messenger.MethodStrike: handle,
+	})
+	if err != nil {
+		p.syncer.Stop()
+		p.linker.Stop()
+		return nil, err
+	}
+	link.syncer.Store(p.syncer)
+	lc.Append(fx.StopHook(func() {
+		p.acceptor.Stop()
+		p.syncer.Stop()
+		p.linker.Stop()
+	}))
+	return p, nil
+}
+
+func newReceiver(s loader.Gateway, c timer.Clock, f *forwarder.Forwarder) (*receiver.Receiver, error) {
+	return receiver.New(receiver.Options{
+		Listen: s.Listen, ReadyListen: s.ReadyListen, ReadyPath: platform.ReadyPath,
+		Codec: platform.Codec{}, Forwarder: f, Clock: c,
+	})
+}
+
+func serveGatewayMetrics(lc fx.Lifecycle, s loader.Gateway, m *meter.Meter) error {
+	if s.Metrics == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", s.Metrics)
+	if err != nil {
+		return &Error{Op: "listen on " + s.Metrics, Kind: ErrorListen, Err: err}
+	}
+	srv := &http.Server{Handler: m.Handler(), ReadHeaderTimeout: withdrawTimeout}
+	go func() { _ = srv.Serve(l) }()
+	lc.Append(fx.StopHook(func() { _ = srv.Close() }))
+	return nil
+}
+
+// drainGateway is the first step of stopping: the entry becomes unready and
+// accepts until the balancer has noticed. Then it finishes what is in flight, as
+// far as the grace period allows.
+func drainGateway(lc fx.Lifecycle, s loader.Gateway, c timer.Clock, r *receiver.Receiver, p *peers) {
+	lc.Append(fx.StopHook(func(ctx context.Context) error {
+		end := c.Now().Add(s.Grace() - endMargin)
+		klog.InfoS("stopping", "identity", s.Identity, "grace", s.Grace())
+		r.Leave()
+		withdraw, cancel := context.WithTimeout(ctx, withdrawTimeout)
+		if err := p.syncer.Leave(withdraw); err != nil {
+			klog.InfoS("entry not withdrawn", "identity", s.Identity, "err", err)
+		}
+		cancel()
+		wake, stop := c.After(min(noticeTime, s.Grace()/2))
+		defer stop()
+		select {
+		case <-wake:
+		case <-ctx.Done():
+		}
+		finish, cancel := context.WithTimeout(ctx, max(0, end.Sub(c.Now())))
+		defer cancel()
+		err := r.Stop(finish)
+		klog.InfoS("stopped", "identity", s.Identity, "err", err)
+		return nil
+	}))
+}
--- a/internal/request/responder/responder.go
+++ b/internal/request/responder/responder.go
@@ -219,11 +219,22 @@
 	return writeJSON(w, http.StatusOK, list)
 }
 
-// Fail writes a failure.
+// Fail writes a failure. The time after which another try may succeed is
+// rounded up to whole seconds.
 func Fail(w http.ResponseWriter, f *admitter.Failure) {
-	w.Header().Set(OutcomeHeader, string(f.Outcome))
+	after := ""
 	if f.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds()))))
+		after = strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds())))
+	}
+	FailAfter(w, f, after)
+}
+
+// FailAfter writes a failure with a text for the Retry-After header, which may
+// be empty.
+func FailAfter(w http.ResponseWriter, f *admitter.Failure, after string) {
+	w.Header().Set(OutcomeHeader, string(f.Outcome))
+	if after != "" {
+		w.Header().Set("Retry-After", after)
 	}
 	// The caller may be gone, in which case nobody reads this.
 	_ = writeJSON(w, f.Status, body(f))
--- a/internal/request/retrier/retrier.go
+++ b/internal/request/retrier/retrier.go
@@ -39,6 +39,12 @@
 	Lost    int
 	// Tokens is the number of tokens that the caller has.
 	Tokens int
+	// Failed counts the attempts that the upstream ran and ended with an error of
+	// its own.
+	Failed int
+	// MaxRuns is the number of upstreams that may run the request. Zero means
+	// that only MaxLost bounds it.
+	MaxRuns int
 	// Quarantined is true if the content crashes upstreams.
 	Quarantined bool
 }
@@ -65,6 +71,11 @@
 	// CauseAnswerNotKept means that a request with the key was run and its answer
 	// was too large to be kept.
 	CauseAnswerNotKept
+	// CauseFailed means that the upstream ran the attempt and answered with an
+	// error, which has not been passed on.
+	CauseFailed
+	// CauseExpired means that the time of the request is over.
+	CauseExpired
 )
 
 // Decision says what to do next.
@@ -72,6 +83,9 @@
 	// Failure is set if the request has failed; otherwise there is another
 	// attempt.
 	Failure *admitter.Failure
+	// Deliver is true if the upstream's own error is the best answer that the
+	// caller can get. Failure says then why there is no other attempt.
+	Deliver bool
 }
 
 // Next decides what follows when an attempt of f ended, f already counting it.
@@ -88,9 +102,15 @@
 		return fail(http.StatusUnprocessableEntity, "key_mismatch", "the idempotency key was used with another request", admitter.OutcomeNotRun)
 	case c == CauseAnswerNotKept:
 		return fail(http.StatusConflict, "answer_not_kept", "the request was run; its answer was too large to be kept", admitter.OutcomeRan)
+	case c == CauseExpired && outcome == admitter.OutcomeNotRun:
+		return fail(http.StatusServiceUnavailable, "expired", "no upstream could begin the request in time", outcome)
+	case c == CauseExpired:
+		return fail(http.StatusGatewayTimeout, "expired", "the upstream did not answer in time", outcome)
+	case c == CauseFailed && (!f.Repeatable || f.runs() >= f.maxRuns()):
+		return deliver("the upstream failed the request")
 	case c == CauseLost && !f.Repeatable:
 		return fail(http.StatusBadGateway, "upstream_lost", "the upstream was lost while the request may have been running", outcome)
-	case f.Lost >= MaxLost:
+	case f.Lost >= MaxLost || c == CauseLost && f.runs() >= f.maxRuns():
 		return fail(http.StatusBadGateway, "upstreams_lost", "several upstreams were lost while running the request", outcome)
 	case c == CauseNoUpstream && f.Refused > 0:
 		return fail(http.StatusServiceUnavailable, "overloaded", "the upstreams cannot meet the target of the class", outcome)
@@ -102,7 +122,27 @@
 	return Decision{}
 }
 
+// runs returns the number of upstreams that may have run the request.
+func (f Flight) runs() int { return f.Lost + f.Failed }
+
+func (f Flight) maxRuns() int {
+	if f.MaxRuns > 0 {
+		return f.MaxRuns
+	}
+	return MaxLost
+}
+
+func deliver(message string) Decision {
+	d := fail(http.StatusBadGateway, "upstream_failed", message, admitter.OutcomeRan)
+	d.Deliver = true
+	return d
+}
+
 func fail(status int, code, message string, o admitter.Outcome) Decision {
+	if status == http.StatusServiceUnavailable && o != admitter.OutcomeNotRun {
+		// 503 tells a caller that it may send the request again.
+		status = http.StatusBadGateway
+	}
 	f := &admitter.Failure{Status: status, Code: code, Message: message, Outcome: o}
 	if status == http.StatusServiceUnavailable {
 		f.RetryAfter = time.Second
