Let withdrawn strikes stay withdrawn

Cause: entries flood strikes and their withdrawals to each other. Over a full mesh the two overtake each other, and each brought the other back: the messages never died out.

Change: a withdrawal names its upstream and is remembered, so that strikes of other entries for it no longer count; an entry's own observation still does.

--- a/internal/process/detector/detector.go
+++ b/internal/process/detector/detector.go
@@ -39,11 +39,14 @@
 	Capacity = 1024
 )
 
-// Strike is evidence against one content.
+// Strike is evidence against one content: it was in flight when an upstream was
+// lost.
 type Strike struct {
 	Fingerprint string `json:"fingerprint"`
 	Upstream    string `json:"upstream"`
-	// Cleared withdraws all strikes against the content, because it was answered.
+	// Cleared withdraws the strike, because the content was answered. A strike
+	// that was withdrawn does not come back from another entry, whichever of the
+	// two messages arrives first.
 	Cleared bool `json:"cleared,omitempty"`
 }
 
@@ -88,7 +91,10 @@
 
 // content is what is known against one content.
 type content struct {
+	// upstreams are those of the strikes in force, and withdrawn those of the
+	// strikes that were withdrawn.
 	upstreams []string
+	withdrawn []string
 	last      time.Time
 }
 
@@ -104,16 +110,13 @@
 	case EventCrashed:
 		for _, f := range e.Fingerprints {
 			s := Strike{Fingerprint: f, Upstream: e.Upstream}
-			if d.strike(now, s) {
+			if d.strike(now, s, true) {
 				out = append(out, s)
 			}
 		}
 	case EventAnswered:
 		for _, f := range e.Fingerprints {
-			if c := d.contents[f]; c != nil && len(c.upstreams) < MaxStrikes {
-				delete(d.contents, f)
-				out = append(out, Strike{Fingerprint: f, Cleared: true})
-			}
+			out = append(out, d.answered(f)...)
 		}
 	case EventLearned:
 		if d.learn(now, e.Strike) {
@@ -127,7 +130,7 @@
 func (d *Detector) Verdict(now time.Time, fingerprint string) Verdict {
 	c := d.contents[fingerprint]
 	switch {
-	case c == nil:
+	case c == nil || len(c.upstreams) == 0:
 		return Unsuspected
 	case len(c.upstreams) >= MaxStrikes && now.Sub(c.last) < Quarantine:
 		return Quarantined
@@ -151,37 +154,66 @@
 	return out
 }
 
+// answered withdraws the strikes against a content, unless it is quarantined.
+func (d *Detector) answered(fingerprint string) []Strike {
+	c := d.contents[fingerprint]
+	if c == nil || len(c.upstreams) >= MaxStrikes {
+		return nil
+	}
+	var out []Strike
+	for _, u := range c.upstreams {
+		c.withdrawn = append(c.withdrawn, u)
+		out = append(out, Strike{Fingerprint: fingerprint, Upstream: u, Cleared: true})
+	}
+	c.upstreams = nil
+	return out
+}
+
 // learn takes in a strike of another entry and reports whether it was news. A
 // withdrawal does not lift a quarantine: the answer it reports may be older than
 // the second strike.
 func (d *Detector) learn(now time.Time, s Strike) bool {
 	if !s.Cleared {
-		return d.strike(now, s)
+		return d.strike(now, s, false)
 	}
-	c := d.contents[s.Fingerprint]
-	if c == nil || len(c.upstreams) >= MaxStrikes {
+	c := d.content(now, s.Fingerprint)
+	if slices.Contains(c.withdrawn, s.Upstream) || len(c.upstreams) >= MaxStrikes || len(c.withdrawn) >= maxWithdrawn {
 		return false
 	}
-	delete(d.contents, s.Fingerprint)
+	c.withdrawn = append(c.withdrawn, s.Upstream)
+	c.upstreams = slices.DeleteFunc(c.upstreams, func(u string) bool { return u == s.Upstream })
 	return true
 }
 
-// strike reports whether s was new.
-func (d *Detector) strike(now time.Time, s Strike) bool {
-	c := d.contents[s.Fingerprint]
-	if c == nil || now.Sub(c.last) >= Suspicion {
-		d.makeRoom(now)
-		c = &content{}
-		d.contents[s.Fingerprint] = c
-	}
+// maxWithdrawn bounds the withdrawn strikes that are remembered of one content.
+const maxWithdrawn = 32
+
+// strike reports whether s was new. One that was withdrawn counts again only if
+// this entry itself saw the crash.
+func (d *Detector) strike(now time.Time, s Strike, seen bool) bool {
+	c := d.content(now, s.Fingerprint)
 	if slices.Contains(c.upstreams, s.Upstream) || len(c.upstreams) >= MaxStrikes {
 		return false
 	}
+	if !seen && (slices.Contains(c.withdrawn, s.Upstream) || len(c.withdrawn) >= maxWithdrawn) {
+		return false
+	}
 	c.upstreams = append(c.upstreams, s.Upstream)
 	c.last = now
 	return true
 }
 
+// content returns what is known against a content, afresh if that is old.
+func (d *Detector) content(now time.Time, fingerprint string) *content {
+	c := d.contents[fingerprint]
+	if c == nil || now.Sub(c.last) >= Suspicion {
+		d.makeRoom(now)
+		c = &content{last: now}
+		d.contents[fingerprint] = c
+	}
+	return c
+}
+
 func (d *Detector) makeRoom(now time.Time) {
 	if len(d.contents) < Capacity {
 		return
--- a/internal/process/detector/detector_test.go
+++ b/internal/process/detector/detector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -87,3 +88,51 @@
 	t.Helper()
 	is.New(t).Equal(d.Verdict(now, fingerprint), want)
 }
+
+// Strikes and their withdrawals that overtake each other between entries must
+// die out. Each used to bring the other back: strikes of content that was
+// struck and answered went round for ever and took all processor time.
+func TestSpreadEnds(t *testing.T) {
+	for seed := range uint64(50) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			assertSpreadEnds(t, rand.New(rand.NewPCG(seed, 1)))
+		})
+	}
+}
+
+// assertSpreadEnds lets five entries pass strikes on to each other in random
+// order until none is left.
+func assertSpreadEnds(t *testing.T, r *rand.Rand) {
+	t.Helper()
+	const entries = 5
+	type message struct {
+		to     int
+		strike Strike
+	}
+	start := time.Unix(1000, 0)
+	var detectors [entries]Detector
+	var queue []message
+	spread := func(from int, strikes []Strike) {
+		for to := range entries {
+			for _, s := range strikes {
+				if to != from {
+					queue = append(queue, message{to, s})
+				}
+			}
+		}
+	}
+	for i := range 10 {
+		content := fmt.Sprint("content-", i%2)
+		spread(i%entries, crash(&detectors[i%entries], start, fmt.Sprint("desk-", i/5), content))
+		spread(i%entries, detectors[i%entries].Step(start, Event{Kind: EventAnswered, Fingerprints: []string{content}}))
+	}
+	delivered := 0
+	for ; len(queue) > 0 && delivered < 10_000; delivered++ {
+		i := r.IntN(len(queue))
+		m := queue[i]
+		queue[i] = queue[len(queue)-1]
+		queue = queue[:len(queue)-1]
+		spread(m.to, detectors[m.to].Step(start, Event{Kind: EventLearned, Strike: m.strike}))
+	}
+	is.New(t).Equal(len(queue), 0)
+}
