--- a/internal/process/detector/detector_test.go
+++ b/internal/process/detector/detector_test.go
@@ -123,7 +123,7 @@
 	}
 	for i := range 10 {
 		content := fmt.Sprint("content-", i%2)
-		spread(i%entries, crash(&detectors[i%entries], start, fmt.Sprint("desk-", i/5), content))
+		spread(i%entries, crash(&detectors[i%entries], start, fmt.Sprint("desk-", i%2), content))
 		spread(i%entries, detectors[i%entries].Step(start, Event{Kind: EventAnswered, Fingerprints: []string{content}}))
 	}
 	delivered := 0
