Keep patient streams apart from those with short pauses

Change: requests whose target of a pause is at least twice the shortest of the service go to a lane of upstreams of their own. Entries agree on its members by rendezvous hashing; its size follows the demand in prompt tokens. The entry also asks the store less: 0.7 s between waits for upstreams, waits of 2 s.

--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -109,7 +109,7 @@
 		Candidates: s.names, AvailabilityZone: d.settings.AvailabilityZone, Exclude: d.exclude(s, f),
 		Tier: f.admission.Priority + 1, TokenGapTarget: f.admission.Route.GapTarget,
 		Prefix: f.request.Prefix, PrefixTokens: f.request.PrefixTokens, PromptTokens: f.request.PromptTokens,
-		Suspect: f.suspect,
+		Suspect: f.suspect, Patient: d.table.Patient(f.admission.Route),
 	}
 	name, ok := s.picker.Pick(now, q)
 	if !ok {
@@ -121,7 +121,7 @@
 	u := s.picker.Upstream(name)
 	f.summary.Upstream, f.summary.Attempts = name, f.attempt
 	f.summary.Outstanding, f.summary.Pending = u.Outstanding, u.Pending
-	s.picker.Step(now, picker.Event{Kind: picker.EventSent, Upstream: name, Prefix: f.request.Prefix, Suspect: f.suspect, PromptTokens: f.reading})
+	s.picker.Step(now, picker.Event{Kind: picker.EventSent, Upstream: name, Prefix: f.request.Prefix, Suspect: f.suspect, Patient: q.Patient, PromptTokens: f.reading})
 	left := f.until.Sub(now)
 	return []Action{{
 		Kind: ActionSend, ID: f.request.ID, Attempt: f.attempt, Upstream: s.upstreams[name],
--- a/internal/process/picker/backlog.go
+++ b/internal/process/picker/backlog.go
@@ -23,6 +23,9 @@
 	// stallCost is the cost in seconds for each second of silence beyond
 	// stallGrace.
 	stallCost = 0.5
+	// laneCost is the cost in seconds of an upstream that belongs to requests of
+	// the other kind.
+	laneCost = 0.05
 	// preferredCached is the share of a prefix that the preferred upstream is
 	// expected to have in its cache before this entry has sent it there.
 	preferredCached = 0.9
@@ -64,6 +67,9 @@
 	if q.Suspect {
 		cost += sharedSuspects * float64(c.Suspects)
 	}
+	if !c.Fits {
+		cost += laneCost
+	}
 	if c.AvailabilityZone != q.AvailabilityZone {
 		cost += otherZone
 	}
--- a/internal/process/picker/picker.go
+++ b/internal/process/picker/picker.go
@@ -85,8 +85,9 @@
 	// own.
 	Failed bool
 	// Suspect is that of the query, with the kinds of events that begin and end
-	// a request.
+	// a request, and Patient that with EventSent.
 	Suspect bool
+	Patient bool
 }
 
 // Query asks for an upstream.
@@ -106,6 +107,9 @@
 	// Suspect is true for a request that was in flight on an upstream that
 	// crashed. It may have been the cause.
 	Suspect bool
+	// Patient is true for a request whose pauses may be much longer than those
+	// of others.
+	Patient bool
 }
 
 // Policy compares upstreams for a query.
@@ -129,6 +133,9 @@
 	// Preferred is true for the upstream to which all entries send the prefix of
 	// the query while they can.
 	Preferred bool
+	// Fits is false if the upstream belongs to requests of the other kind,
+	// patient or not.
+	Fits bool
 }
 
 // Picker holds the table of upstreams. Make it with [New].
@@ -145,6 +152,8 @@
 	// preferred is the one that ranks highest for it.
 	holders   []*Upstream
 	preferred *Upstream
+	lane      lane
+	usable    []*Upstream
 }
 
 // New returns a picker whose random choices follow seed.
@@ -171,6 +180,7 @@
 		u.send(now, p.sent)
 		u.suspect(e.Suspect, 1)
 		u.Pending += e.PromptTokens
+		p.lane.add(now, e.Patient, e.PromptTokens)
 		p.prefixes.store(now, e.Prefix, u.Name)
 	case EventFirstToken:
 		u.addFirstToken(now, e.Elapsed)
@@ -233,7 +243,9 @@
 		p.consider(now, q, p.upstreams[q.Candidates[i]], true)
 	}
 	p.findHolders(now, q)
-	p.findPreferred(now, q)
+	if len(q.Candidates) <= scanLimit {
+		p.findPreferred(now, q)
+	}
 	if len(p.near.kept)+len(p.far.kept)+len(p.holders) == 0 {
 		for _, name := range q.Candidates {
 			p.consider(now, q, p.upstreams[name], false)
@@ -275,18 +287,24 @@
 	}
 }
 
-// findPreferred finds the usable candidate that ranks highest for the prefix of
-// q by rendezvous hashing. Entries that see the same candidates agree on it
-// without a message.
+// findPreferred finds the members of the lane, and the usable candidate that
+// ranks highest for the prefix of q by rendezvous hashing among those where q
+// belongs. Entries that see the same candidates agree on it without a message.
 func (p *Picker[P]) findPreferred(now time.Time, q Query) {
 	p.preferred = nil
+	p.usable = p.usable[:0]
+	for _, name := range q.Candidates {
+		if u := p.upstreams[name]; p.open(q, u) && p.policy.Usable(now, q, &p.fleet, u) {
+			p.usable = append(p.usable, u)
+		}
+	}
+	p.lane.choose(p.usable)
 	if q.Prefix == 0 {
 		return
 	}
 	highest := uint64(0)
-	for _, name := range q.Candidates {
-		u := p.upstreams[name]
-		if !p.open(q, u) || !p.policy.Usable(now, q, &p.fleet, u) {
+	for _, u := range p.usable {
+		if !p.lane.fits(u, q.Patient) {
 			continue
 		}
 		if rank := mix(q.Prefix ^ u.hash()); p.preferred == nil || rank > highest {
@@ -299,7 +317,7 @@
 	var best *Upstream
 	lowest, equal := 0.0, 0
 	weigh := func(u *Upstream) {
-		c := Candidate{Upstream: u, CachedTokens: p.prefixes.cached(now, q, u.Name), Preferred: u == p.preferred}
+		c := Candidate{Upstream: u, CachedTokens: p.prefixes.cached(now, q, u.Name), Preferred: u == p.preferred, Fits: p.lane.fits(u, q.Patient)}
 		cost := p.policy.Cost(now, q, &p.fleet, c)
 		switch {
 		case best == nil || cost < lowest:
--- a/internal/process/subscriber/subscriber.go
+++ b/internal/process/subscriber/subscriber.go
@@ -30,7 +30,7 @@
 	// waitTime is the time for which the platform keeps a wait. A connection that
 	// has gone silent is noticed after it and waitMargin, so both together stay
 	// well below the time within which changes must be in force.
-	waitTime   = time.Second
+	waitTime   = 2 * time.Second
 	waitMargin = 400 * time.Millisecond
 	// retryFirst and retryLast bound the pause after a failure, which doubles
 	// from one failure to the next.
@@ -63,7 +63,7 @@
 	// Pause is the time between two waits. It gathers frequent changes into one
 	// call.
 	Pause time.Duration
-	// Wait is the time for which the platform keeps a wait. Zero means 1 s.
+	// Wait is the time for which the platform keeps a wait. Zero means 2 s.
 	Wait time.Duration
 	// Take is called on the duty with each update. It may wait.
 	Take func(Update)
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -132,7 +132,7 @@
 const (
 	// upstreamsPause gathers the renewals of upstreams. It delays the news that
 	// one leaves, for which there are 2 s.
-	upstreamsPause = 250 * time.Millisecond
+	upstreamsPause = 700 * time.Millisecond
 	// entriesWait is the longest time that a change of the entries goes unnoticed
 	// on a connection that has gone silent.
 	entriesWait = 20 * time.Second
--- a/internal/version/matcher/matcher.go
+++ b/internal/version/matcher/matcher.go
@@ -145,15 +145,22 @@
 	routes        map[string][]Route
 	services      map[string]Service
 	organisations map[string]Organisation
+	// gaps holds the shortest target of a pause of all streams of each service.
+	gaps map[string]time.Duration
 }
 
 // New indexes c, which must not be changed afterwards.
 func New(c Configuration) *Table {
 	t := &Table{
 		Configuration: c, routes: map[string][]Route{},
-		services: map[string]Service{}, organisations: map[string]Organisation{},
+		services: map[string]Service{}, organisations: map[string]Organisation{}, gaps: map[string]time.Duration{},
 	}
 	for _, r := range c.Routes {
+		for _, s := range r.Shares {
+			if gap := t.gaps[s.Service]; r.GapTarget > 0 && (gap == 0 || r.GapTarget < gap) {
+				t.gaps[s.Service] = r.GapTarget
+			}
+		}
 		host := strings.ToLower(r.Host)
 		t.routes[host] = append(t.routes[host], r)
 	}
@@ -201,6 +208,19 @@
 	return a, nil
 }
 
+// patience is the ratio of two targets of pauses from which requests with the
+// longer one are better kept apart from those with the shorter.
+const patience = 2
+
+// Patient reports whether the pauses of a stream of r may be much longer than
+// those of other streams of its service.
+func (t *Table) Patient(r Route) bool {
+	if len(r.Shares) == 0 || r.GapTarget == 0 {
+		return false
+	}
+	return r.GapTarget >= patience*t.gaps[r.Shares[0].Service]
+}
+
 func (t *Table) route(host, path string) (Route, bool) {
 	for _, r := range t.routes[hostname(host)] {
 		if strings.HasPrefix(path, r.PathPrefix) {
