Agree on the size of the lane, wait where the target allows, bound the logs

A caller that comes before there is a configuration is told to come back after up to 2 s. Failed calls of the store are tried again after 0.2 s at most.

--- a/cmd/magnoliafront/main.go
+++ b/cmd/magnoliafront/main.go
@@ -10,6 +10,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/go-faster/errors"
@@ -24,6 +25,7 @@
 	"magnoliafront.dev/magnoliafront/internal/process/starter"
 	"magnoliafront.dev/magnoliafront/internal/process/writer"
 	"magnoliafront.dev/magnoliafront/pkg/descriptor"
+	"magnoliafront.dev/magnoliafront/pkg/timer"
 )
 
 // The exit codes.
@@ -50,13 +52,24 @@
   7  no such record`
 
 func main() {
-	logger.Setup(os.Stderr)
+	lines := logger.NewWriter(logOutput(os.Args[1:]), timer.System{})
+	logger.Setup(lines)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
 	stop()
+	lines.Stop()
 	os.Exit(code)
 }
 
+// logOutput returns where the logs of a command go: those of a process of the
+// system to standard output, and those of a tool beside its results.
+func logOutput(args []string) *os.File {
+	if len(args) > 0 && slices.Contains([]string{"entry", "agent", "gateway"}, args[0]) {
+		return os.Stdout
+	}
+	return os.Stderr
+}
+
 // run runs one command and returns its exit code.
 func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	p, err := parser(ctx, stdout)
--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -199,6 +199,10 @@
 	// waiting at the upstream when the request was sent.
 	Outstanding int
 	Pending     int
+	// Prefix identifies the part of the prompt that others share, and Prompt is
+	// the number of tokens of the whole prompt.
+	Prefix uint64
+	Prompt int
 	// Reason says why.
 	Reason string
 }
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -27,10 +27,15 @@
 	// request.
 	maxUnreached = 4
 	// retryFraction is the part of the time that is left after which a caller may
-	// come again; maxRetryAfter bounds it.
+	// come again; minRetryAfter and maxRetryAfter bound it. Callers wait for a
+	// third of the time that they have left at most.
 	retryFraction = 5
 	maxRetryAfter = time.Second
 	minRetryAfter = 50 * time.Millisecond
+	// startFraction and startRetryAfter are the same while the entry knows no
+	// configuration, which takes longer to pass.
+	startFraction   = 3.2
+	startRetryAfter = 2 * time.Second
 	// connectionUse is the part of the connections of an upstream that the
 	// entries divide among them. The rest is for those that have just started.
 	connectionUse = 0.8
@@ -62,8 +67,8 @@
 
 func (d *Dispatcher) arrive(now time.Time, r Request) []Action {
 	a, failure := d.table.Admit(r.Query)
-	f := &flight{request: r, admission: a}
-	f.summary = Summary{Route: a.Route.Name, Service: a.Service.Name, Organisation: a.Organisation}
+	f := &flight{request: r, admission: a, until: r.Deadline}
+	f.summary = Summary{Route: a.Route.Name, Service: a.Service.Name, Organisation: a.Organisation, Prefix: r.Prefix, Prompt: r.PromptTokens}
 	if d.table != nil {
 		f.version = d.table.Configuration.Version
 	}
@@ -85,7 +90,6 @@
 		return []Action{d.failure(now, f, failure)}
 	}
 	f.state = retrier.Flight{Repeatable: a.Route.Repeatable(), MaxRuns: max(1, a.Route.MaxAttempts)}
-	f.until = r.Deadline
 	if end := r.Received.Add(a.Route.Timeout); a.Route.Timeout > 0 && (f.until.IsZero() || end.Before(f.until)) {
 		f.until = end
 	}
@@ -107,7 +111,7 @@
 	f.suspect = d.detector.Verdict(now, f.fingerprint()) == detector.Suspect
 	q := picker.Query{
 		Candidates: s.names, AvailabilityZone: d.settings.AvailabilityZone, Exclude: d.exclude(s, f),
-		Tier: f.admission.Priority + 1, TokenGapTarget: f.admission.Route.GapTarget,
+		Tier: f.admission.Priority + 1, TokenGapTarget: f.admission.Route.GapTarget, Target: f.admission.Route.Target,
 		Prefix: f.request.Prefix, PrefixTokens: f.request.PrefixTokens, PromptTokens: f.request.PromptTokens,
 		Suspect: f.suspect, Patient: d.table.Patient(f.admission.Route),
 	}
@@ -275,10 +279,7 @@
 		}
 	}
 	if told.Status == http.StatusServiceUnavailable {
-		told.RetryAfter = maxRetryAfter
-		if !f.until.IsZero() {
-			told.RetryAfter = min(maxRetryAfter, max(minRetryAfter, f.until.Sub(now)/retryFraction))
-		}
+		told.RetryAfter = d.retryAfter(now, f)
 	}
 	return Action{
 		Kind: ActionFail, ID: f.request.ID, Attempt: f.attempt, Begun: f.begun, Failure: &told,
@@ -286,6 +287,18 @@
 	}
 }
 
+// retryAfter returns the time after which the caller of f may come again.
+func (d *Dispatcher) retryAfter(now time.Time, f *flight) time.Duration {
+	fraction, limit := float64(retryFraction), maxRetryAfter
+	if d.table == nil {
+		fraction, limit = startFraction, startRetryAfter
+	}
+	if f.until.IsZero() {
+		return limit
+	}
+	return min(limit, max(minRetryAfter, time.Duration(float64(f.until.Sub(now))/fraction)))
+}
+
 func (f *flight) describe(now time.Time, reason string) Summary {
 	s := f.summary
 	s.Elapsed, s.Reason = now.Sub(f.request.Received), reason
--- a/internal/process/logger/logger.go
+++ b/internal/process/logger/logger.go
@@ -19,5 +19,13 @@
 
 // Setup sends the records of klog to w. A program calls it once, at its start.
 func Setup(w io.Writer) {
-	klog.SetSlogLogger(slog.New(slog.NewTextHandler(w, nil)))
+	klog.SetSlogLogger(slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{ReplaceAttr: plain})))
+}
+
+// plain writes errors without the stack trace that their detailed format has.
+func plain(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		a.Value = slog.StringValue(err.Error())
+	}
+	return a
 }
--- a/internal/process/picker/backlog.go
+++ b/internal/process/picker/backlog.go
@@ -29,6 +29,13 @@
 	// preferredCached is the share of a prefix that the preferred upstream is
 	// expected to have in its cache before this entry has sent it there.
 	preferredCached = 0.9
+	// preferredBonus is the worth in seconds of keeping a prefix in one place.
+	preferredBonus = 0.04
+	// waitShare is the part of the target that the backlog of this entry alone may
+	// take before it counts in full, and waitWeight its weight below that. The
+	// backlogs of the other entries come on top.
+	waitShare  = 0.125
+	waitWeight = 0.2
 	// learnedCached is the weight of what this entry itself sent elsewhere.
 	// Copies of a prefix on many upstreams crowd out others.
 	learnedCached = 0.5
@@ -55,7 +62,12 @@
 	if c.Preferred {
 		cached = max(cached, preferredCached*float64(q.PrefixTokens))
 	}
-	cost := (float64(c.Pending+q.PromptTokens) - cached) * tokenTime
+	wait := float64(c.Pending) * tokenTime
+	cost := waitWeight*wait + max(0, wait-waitShare*q.Target.Seconds())
+	cost += (float64(q.PromptTokens) - cached) * tokenTime
+	if c.Preferred {
+		cost -= preferredBonus
+	}
 	cost += float64(c.Outstanding) * runTime
 	cost += errorCost * max(0, c.Errors-f.Errors-errorMargin)
 	if c.Outstanding > 0 {
--- /dev/null
+++ b/internal/process/picker/backlog_test.go
@@ -0,0 +1,123 @@
+package picker
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// patient and hurried are queries of the two kinds of a service of engines.
+func patient(names []string, prefix uint64) Query {
+	return Query{
+		Candidates: names, Patient: true, Target: time.Second, TokenGapTarget: 800 * ms,
+		Prefix: prefix, PrefixTokens: 5000, PromptTokens: 12_000,
+	}
+}
+
+func hurried(names []string, prefix uint64) Query {
+	return Query{
+		Candidates: names, Target: 250 * ms, TokenGapTarget: 200 * ms,
+		Prefix: prefix, PrefixTokens: 200, PromptTokens: 800,
+	}
+}
+
+// run sends n requests of each kind, which end at once, and returns the
+// upstreams that got them.
+func run(p *Picker[LeastBacklog], names []string, n int) (long, short map[string]bool) {
+	long, short = map[string]bool{}, map[string]bool{}
+	now := start()
+	send := func(q Query, to map[string]bool) {
+		name, _ := p.Pick(now, q)
+		to[name] = true
+		p.Step(now, Event{Kind: EventSent, Upstream: name, Prefix: q.Prefix, Patient: q.Patient, PromptTokens: q.PromptTokens})
+		p.Step(now, Event{Kind: EventEnded, Upstream: name, Tokens: 10, PromptTokens: q.PromptTokens})
+	}
+	for i := range n {
+		now = now.Add(20 * ms)
+		send(patient(names, uint64(i%40+1)), long)
+		for j := range 4 {
+			send(hurried(names, uint64(1000+i%20*4+j)), short)
+		}
+	}
+	return long, short
+}
+
+func backlogPicker(seed uint64, n int) (*Picker[LeastBacklog], []string) {
+	p := New[LeastBacklog](seed)
+	names := make([]string, n)
+	for i := range names {
+		names[i] = fmt.Sprint("desk-", i)
+		p.Step(start(), Event{Kind: EventConnected, Upstream: names[i]})
+	}
+	return p, names
+}
+
+// Long prompts must not run beside requests whose pauses must be short.
+func TestLane(t *testing.T) {
+	t.Run("kinds are apart", func(t *testing.T) {
+		p, names := backlogPicker(1, 9)
+		run(p, names, 20) // the size follows the demand
+		long, short := run(p, names, 200)
+		for name := range long {
+			is.New(t).True(!short[name])
+		}
+	})
+	t.Run("entries agree", func(t *testing.T) {
+		a, names := backlogPicker(1, 9)
+		b, _ := backlogPicker(2, 9)
+		run(a, names, 50)
+		run(b, names, 70)
+		for prefix := range uint64(100) {
+			for _, q := range []Query{patient(names, prefix+1), hurried(names, prefix+1)} {
+				one, _ := a.Pick(start().Add(10*time.Second), q)
+				two, _ := b.Pick(start().Add(10*time.Second), q)
+				is.New(t).Equal(one, two)
+			}
+		}
+	})
+	t.Run("both kinds are served while few are left", func(t *testing.T) {
+		for n := 1; n <= 3; n++ {
+			p, names := backlogPicker(1, n)
+			long, short := run(p, names, 50)
+			is.New(t).True(len(long) > 0 && len(short) > 0)
+		}
+	})
+}
+
+// The choice must follow what this entry knows of the upstreams.
+func TestLeastBacklog(t *testing.T) {
+	names := []string{"a", "b"}
+	pick := func(events ...Event) string {
+		p := New[LeastBacklog](1)
+		for _, name := range names {
+			p.Step(start(), Event{Kind: EventConnected, Upstream: name})
+		}
+		for _, e := range events {
+			p.Step(start(), e)
+		}
+		name, _ := p.Pick(start(), Query{Candidates: names, PromptTokens: 100, Target: 100 * ms})
+		return name
+	}
+	t.Run("long prompt pending", func(t *testing.T) {
+		is.New(t).Equal(pick(Event{Kind: EventSent, Upstream: "a", PromptTokens: 50_000}), "b")
+	})
+	t.Run("long prompt read", func(t *testing.T) {
+		is.New(t).Equal(pick(
+			Event{Kind: EventSent, Upstream: "a", PromptTokens: 50_000}, Event{Kind: EventFirstToken, Upstream: "a", PromptTokens: 50_000},
+			Event{Kind: EventSent, Upstream: "b"}, Event{Kind: EventSent, Upstream: "b"},
+		), "a")
+	})
+	t.Run("requests fail", func(t *testing.T) {
+		var events []Event
+		for range 6 {
+			events = append(events, Event{Kind: EventSent, Upstream: "a"}, Event{Kind: EventEnded, Upstream: "a", Failed: true})
+		}
+		events = append(events, Event{Kind: EventSent, Upstream: "b"}, Event{Kind: EventSent, Upstream: "b"})
+		is.New(t).Equal(pick(events...), "b")
+	})
+	t.Run("connection lost", func(t *testing.T) {
+		is.New(t).Equal(pick(Event{Kind: EventSent, Upstream: "a"}, Event{Kind: EventLost, Upstream: "a"}), "b")
+	})
+}
--- a/internal/process/picker/lane.go
+++ b/internal/process/picker/lane.go
@@ -19,15 +19,18 @@
 	// laneKey is the key for which the members of the lane rank highest.
 	laneKey = 0x9e3779b97f4a7c15
 	// laneHalfLife is the time after which demand counts half.
-	laneHalfLife = 10 * time.Second
+	laneHalfLife = 15 * time.Second
 	// hurriedWeight is the weight of a prompt token of a request that is not
 	// patient. Its upstreams must be less busy to keep its pauses short.
-	hurriedWeight = 3
-	// laneSlack is the distance from the next size, in upstreams, within which
-	// the lane keeps its size. It keeps the lane from changing with every burst.
+	hurriedWeight = 2
+	// laneSlack is the distance in steps from the present size within which the
+	// lane keeps it, so that it does not change with every burst.
 	laneSlack = 0.75
 	// laneMinimum is the number of upstreams from which a lane pays.
 	laneMinimum = 3
+	// laneSteps is the number of steps between no lane and all upstreams. Few
+	// steps let entries agree on the size.
+	laneSteps = 4
 )
 
 // lane is the demand of patient and of other requests, and the size that
@@ -37,6 +40,7 @@
 	hurried float64
 	updated time.Time
 	size    int
+	step    int
 	// members are the upstreams of the lane at the present Pick.
 	members []*Upstream
 	ranked  []*Upstream
@@ -64,10 +68,12 @@
 		l.size = 0
 		return 0
 	}
-	ideal := float64(n) * l.patient / (l.patient + l.hurried)
-	if l.size == 0 || math.Abs(ideal-float64(l.size)) > laneSlack {
-		l.size = int(math.Round(ideal))
+	share := l.patient / (l.patient + l.hurried)
+	step := int(math.Round(share * laneSteps))
+	if l.step == 0 || math.Abs(share*laneSteps-float64(l.step)) > laneSlack {
+		l.step = min(max(step, 1), laneSteps-1)
 	}
+	l.size = int(math.Round(float64(n*l.step) / laneSteps))
 	l.size = min(max(l.size, 1), n-1)
 	return l.size
 }
--- a/internal/process/picker/picker.go
+++ b/internal/process/picker/picker.go
@@ -99,6 +99,9 @@
 	Tier    int
 	// TokenGapTarget is that of the class, zero without one.
 	TokenGapTarget time.Duration
+	// Target is the time to the first token, or to the whole answer, that counts
+	// as on time. Zero means that none is promised.
+	Target time.Duration
 	// Prefix identifies the first PrefixTokens of the prompt, zero if no other
 	// prompt shares them.
 	Prefix       uint64
--- a/internal/process/subscriber/subscriber.go
+++ b/internal/process/subscriber/subscriber.go
@@ -35,7 +35,7 @@
 	// retryFirst and retryLast bound the pause after a failure, which doubles
 	// from one failure to the next.
 	retryFirst = 50 * time.Millisecond
-	retryLast  = 400 * time.Millisecond
+	retryLast  = 200 * time.Millisecond
 	// resyncInterval is the time between two snapshots.
 	resyncInterval = 20 * time.Second
 )
