--- a/cmd/magnoliafront/main.go
+++ b/cmd/magnoliafront/main.go
@@ -10,7 +10,6 @@
 	"io"
 	"os"
 	"os/signal"
-	"slices"
 	"syscall"
 
 	"github.com/go-faster/errors"
@@ -61,10 +60,10 @@
 	os.Exit(code)
 }
 
-// logOutput returns where the logs of a command go: those of a process of the
-// system to standard output, and those of a tool beside its results.
+// logOutput returns where the logs of a command go: those of a gateway, as the
+// users' platform asks, to standard output, and all others beside the results.
 func logOutput(args []string) *os.File {
-	if len(args) > 0 && slices.Contains([]string{"entry", "agent", "gateway"}, args[0]) {
+	if len(args) > 0 && args[0] == "gateway" {
 		return os.Stdout
 	}
 	return os.Stderr
