Test the gateway against stand-ins of the store and of runners

Faults that these tests found, each mended here: - a leaving entry wrote its object into the store again (TestGatewayAnnouncesItself) - Connection: close never reached the callers of a leaving entry, since the headers of the connection were stripped after it was set (TestGatewayStops) - two goroutines used the headers of an answer at once (race detector) One run failed by a race of the test itself, which gave a fault to two requests; a fault now goes to exactly one.

Also: latency histogram by route and result; the time in which the balancer notices a leaving entry is a setting.

--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -46,6 +46,8 @@
 	first   bool
 	// wrote is true once the whole request has left.
 	wrote bool
+	// idleFor is the time for which the upstream keeps the connection.
+	idleFor time.Duration
 }
 
 func (c *Conn) run(call Call) Report {
@@ -163,6 +165,10 @@
 			continue
 		}
 		if a.call.Judge(resp) != Foreign {
+			// Whoever gets the headers owns them, so all that is needed of them here
+			// is taken before.
+			a.idleFor = keepAlive(resp.Header.Get("Keep-Alive"))
+			relayer.StripConnection(resp.Header, nil)
 			return resp, nil
 		}
 		if skipped++; skipped > maxForeign {
@@ -341,7 +347,7 @@
 // that was read to its end.
 func (c *Conn) reuse(a *attempt, r *Report, resp *http.Response, err error) {
 	r.Reusable = err == nil && a.wrote && !resp.Close && !unframed(resp) && c.reader.Buffered() == 0 && r.Outcome != OutcomeCancelled
-	r.IdleFor = keepAlive(resp.Header.Get("Keep-Alive"))
+	r.IdleFor = a.idleFor
 }
 
 // ended returns the report of a call.
--- a/internal/process/loader/loader.go
+++ b/internal/process/loader/loader.go
@@ -56,13 +56,7 @@
 }
 
 // Pause returns LeavingPause as a duration.
-func (e Entry) Pause() time.Duration {
-	d, err := time.ParseDuration(e.LeavingPause)
-	if err != nil {
-		return 0
-	}
-	return d
-}
+func (e Entry) Pause() time.Duration { return duration(e.LeavingPause) }
 
 // Agent is the settings of an agent.
 type Agent struct {
@@ -83,6 +77,9 @@
 	// GracePeriod is the time between the signal to stop and the end, a duration
 	// such as 8s.
 	GracePeriod string `json:"grace_period"`
+	// NoticePeriod is the time for which a leaving entry still accepts callers,
+	// until the balancer has noticed, a duration such as 3s.
+	NoticePeriod string `json:"notice_period"`
 	// RetryShare is the number of further attempts for each request, and
 	// RetrySlack that of those on top, that all entries together may make.
 	RetryShare float64 `json:"retry_share"`
@@ -90,8 +87,14 @@
 }
 
 // Grace returns GracePeriod as a duration.
-func (g Gateway) Grace() time.Duration {
-	d, err := time.ParseDuration(g.GracePeriod)
+func (g Gateway) Grace() time.Duration { return duration(g.GracePeriod) }
+
+// Notice returns NoticePeriod as a duration.
+func (g Gateway) Notice() time.Duration { return duration(g.NoticePeriod) }
+
+// duration returns zero for a text that is no duration.
+func duration(text string) time.Duration {
+	d, err := time.ParseDuration(text)
 	if err != nil {
 		return 0
 	}
@@ -126,6 +129,7 @@
 		c.address("metrics", g.Metrics)
 	}
 	c.require("grace_period", g.Grace() > 0, "a duration such as 8s")
+	c.require("notice_period", g.Notice() > 0 && g.Notice() < g.Grace(), "a duration such as 3s, shorter than the grace period")
 	c.require("retry_share", g.RetryShare >= 0, "a number of attempts for each request, not below zero")
 	c.require("retry_slack", g.RetrySlack >= 0, "a number of attempts, not below zero")
 	return c.err()
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -17,6 +17,7 @@
 	"fmt"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -42,7 +43,9 @@
 	dropped  metric.Int64ObservableCounter
 	// violations counts broken promises and peerRefused the connections and
 	// messages of peers that were refused.
-	violations  metric.Int64Counter
+	violations metric.Int64Counter
+	// requests holds the times from the arrival of a request to its end.
+	requests    metric.Float64Histogram
 	peerRefused metric.Int64ObservableCounter
 }
 
@@ -75,6 +78,13 @@
 	))
 }
 
+// Request counts the end of one request, with the time since its arrival.
+func (m *Meter) Request(route, result string, elapsed time.Duration) {
+	m.requests.Record(context.Background(), elapsed.Seconds(), metric.WithAttributes(
+		attribute.String("route", route), attribute.String("result", result),
+	))
+}
+
 // Control counts the bytes of one message of the control plane. The direction
 // is sent or received.
 func (m *Meter) Control(method, direction string, bytes int) {
@@ -137,6 +147,12 @@
 	return nil
 }
 
+// latencyBuckets are bounds in seconds, from a call of a plain service to the
+// longest stream.
+func latencyBuckets() []float64 {
+	return []float64{0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 20}
+}
+
 func (m *Meter) instruments() error {
 	var err error
 	if m.violations, err = m.meter.Int64Counter("magnoliafront_violations", metric.WithDescription("Broken promises.")); err != nil {
@@ -146,6 +162,11 @@
 	for i := 1; i <= 8; i++ {
 		m.violations.Add(context.Background(), 0, metric.WithAttributes(attribute.String("promise", fmt.Sprintf("P%d", i))))
 	}
+	if m.requests, err = m.meter.Float64Histogram("magnoliafront_request_seconds",
+		metric.WithDescription("Time from the arrival of a request to its end."),
+		metric.WithExplicitBucketBoundaries(latencyBuckets()...)); err != nil {
+		return err
+	}
 	if m.peerRefused, err = m.meter.Int64ObservableCounter("magnoliafront_peer_refused", metric.WithDescription("Connections and messages of peers that were refused.")); err != nil {
 		return err
 	}
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -33,9 +33,6 @@
 )
 
 const (
-	// noticeTime is the time in which the balancer notices that an entry leaves:
-	// two questions, one each second, and some margin.
-	noticeTime = 3 * time.Second
 	// endMargin is the time before the end of the grace period at which a process
 	// ends by itself.
 	endMargin = 700 * time.Millisecond
@@ -102,9 +99,10 @@
 	}
 }
 
-func newForwarder(lc fx.Lifecycle, s loader.Gateway, c timer.Clock, link *strikeLink) *forwarder.Forwarder {
+func newForwarder(lc fx.Lifecycle, s loader.Gateway, c timer.Clock, link *strikeLink, m *meter.Meter) *forwarder.Forwarder {
 	f := forwarder.New(forwarder.Options{
 		Clock: c, Codec: platform.Codec{}, Spread: link.spread,
+		Observe: func(o forwarder.Observation) { m.Request(o.Route, o.Result, o.Elapsed) },
 		Dispatcher: dispatcher.Settings{
 			AvailabilityZone: s.AvailabilityZone, Seed: uint64(c.Now().UnixNano()),
 			RetryShare: s.RetryShare, RetrySlack: s.RetrySlack,
@@ -206,7 +204,7 @@
 			klog.InfoS("entry not withdrawn", "identity", s.Identity, "err", err)
 		}
 		cancel()
-		wake, stop := c.After(min(noticeTime, s.Grace()/2))
+		wake, stop := c.After(s.Notice())
 		defer stop()
 		select {
 		case <-wake:
--- /dev/null
+++ b/internal/process/starter/gateway_rig_test.go
@@ -0,0 +1,252 @@
+package starter
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/fx"
+
+	"magnoliafront.dev/magnoliafront/internal/process/emulator"
+	"magnoliafront.dev/magnoliafront/internal/process/forwarder"
+	"magnoliafront.dev/magnoliafront/internal/process/loader"
+)
+
+// gatewayRig is a store, upstreams and entries that call them directly, all on
+// loopback.
+type gatewayRig struct {
+	t       *testing.T
+	store   *emulator.ObjectStore
+	url     string
+	runners []*emulator.Runner
+	version int
+}
+
+// patience bounds each wait of a test. It is far above what any takes.
+const patience = 20 * time.Second
+
+func newGatewayRig(t *testing.T, runners int) *gatewayRig {
+	t.Helper()
+	r := &gatewayRig{t: t, store: emulator.NewObjectStore()}
+	r.url = r.front(r.store).URL
+	t.Cleanup(r.store.Stop)
+	for i := range runners {
+		run, err := emulator.NewRunner(fmt.Sprint("i-", i))
+		is.New(t).NoErr(err)
+		t.Cleanup(run.Stop)
+		r.runners = append(r.runners, run)
+		r.store.Put("servers", run.ID, run.Entry("desk", "ready"))
+	}
+	r.configure(nil)
+	return r
+}
+
+// front serves a store at an address of its own.
+func (r *gatewayRig) front(s *emulator.ObjectStore) *httptest.Server {
+	srv := httptest.NewServer(s.Handler())
+	r.t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return srv
+}
+
+// configure writes the next version of the configuration, after change has
+// changed it.
+func (r *gatewayRig) configure(change func(c map[string]any)) {
+	r.version++
+	route := func(name, prefix, kind string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": "desk.example", "path_prefix": prefix, "route_type": kind, "service": "desk",
+			"timeout_ms": 15000, "target_latency_ms": 250, "target_gap_ms": 200, "priority": 1,
+			"max_attempts": attempts, "resumable": resumable, "public": false,
+		}
+	}
+	c := map[string]any{
+		"version": r.version,
+		"routes": []any{
+			route("chat", "/stream/chat/", "streaming", 2, true), route("brief", "/stream/brief/", "streaming", 1, false),
+			route("hold", "/hold/", "non_idempotent", 1, false), route("check", "/check/", "idempotent", 2, false),
+		},
+		"services": []any{map[string]any{"name": "desk", "health_check": "/health", "max_connections": 100}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants":  []any{map[string]any{"name": "guides", "api_keys": []any{"key"}}},
+	}
+	if change != nil {
+		change(c)
+	}
+	r.store.Put("config", "main", c)
+}
+
+// gateway is one entry of a rig.
+type gateway struct {
+	t       *testing.T
+	app     *fx.App
+	front   string
+	ready   string
+	peer    string
+	forward *forwarder.Forwarder
+}
+
+// entry starts an entry that finds the store at url.
+func (r *gatewayRig) entry(name, url string, peers ...string) *gateway {
+	r.t.Helper()
+	is := is.New(r.t)
+	g := &gateway{t: r.t, front: freeAddress(r.t), ready: freeAddress(r.t), peer: freeAddress(r.t)}
+	s := loader.Gateway{
+		Common: loader.Common{
+			Identity: name, AvailabilityZone: "z", PeerListen: g.peer, Platform: url,
+			SharedSecret: "secret of the test", Peers: peers,
+		},
+		Listen: g.front, ReadyListen: g.ready, GracePeriod: "8s", NoticePeriod: "50ms", RetryShare: 0.2, RetrySlack: 50,
+	}
+	is.NoErr(s.Check())
+	path := filepath.Join(r.t.TempDir(), "settings.json")
+	is.NoErr(os.WriteFile(path, []byte("{}"), 0o600))
+	g.app = fx.New(Gateway(s, SettingsPath(path)), fx.Populate(&g.forward))
+	is.NoErr(g.app.Err())
+	is.NoErr(g.app.Start(context.Background()))
+	r.t.Cleanup(func() { _ = g.app.Stop(context.Background()) })
+	return g
+}
+
+// readyEntry starts an entry and waits until it is ready.
+func (r *gatewayRig) readyEntry() *gateway {
+	r.t.Helper()
+	g := r.entry("entry-1", r.url)
+	assertEventually(r.t, "ready", g.isReady)
+	return g
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (g *gateway) isReady() bool {
+	resp, err := http.Get("http://" + g.ready + "/-/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// err is set if the answer broke off.
+	err error
+}
+
+// call sends a request on a connection of its own.
+func (g *gateway) call(method, path, id, body string, change func(*http.Request)) answer {
+	g.t.Helper()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	return g.callWith(client, method, path, id, body, change)
+}
+
+func (g *gateway) callWith(client *http.Client, method, path, id, body string, change func(*http.Request)) answer {
+	g.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+g.front+path, strings.NewReader(body))
+	is.New(g.t).NoErr(err)
+	req.Host = "desk.example"
+	req.Header.Set("Authorization", "Bearer key")
+	req.Header.Set("Magnoliafront-Request-Id", id)
+	req.Header.Set("Magnoliafront-Deadline-Ms", "10000")
+	if change != nil {
+		change(req)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+}
+
+// behave gives all runners a behaviour.
+func (r *gatewayRig) behave(b emulator.Behaviour) {
+	for _, run := range r.runners {
+		run.SetBehaviour(b)
+	}
+}
+
+// behaveOnce gives a behaviour to the next request, whichever runner it reaches.
+func (r *gatewayRig) behaveOnce(b emulator.Behaviour) {
+	once := &emulator.Once{Behaviour: b}
+	for _, run := range r.runners {
+		run.SetOnce(once)
+	}
+}
+
+func (r *gatewayRig) allRuns() []*emulator.Run {
+	var out []*emulator.Run
+	for _, run := range r.runners {
+		out = append(out, run.Runs()...)
+	}
+	return out
+}
+
+// executed returns the runs of a request that were executed.
+func (r *gatewayRig) executed(id string) []*emulator.Run {
+	var out []*emulator.Run
+	for _, run := range r.allRuns() {
+		if run.ID == id && run.Executed {
+			out = append(out, run)
+		}
+	}
+	return out
+}
+
+func assertEventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not in time: %s", what)
+}
+
+func assertStatus(t *testing.T, a answer, status int) {
+	t.Helper()
+	is := is.New(t)
+	is.NoErr(a.err)
+	is.Equal(a.status, status)
+}
+
+// assertStream checks that a caller has all events of a stream, each once and in
+// order.
+func assertStream(t *testing.T, a answer, id string, events int) {
+	t.Helper()
+	assertStatus(t, a, http.StatusOK)
+	want := ""
+	for i := 1; i <= events; i++ {
+		want += emulator.Event(id, i)
+	}
+	is.New(t).Equal(a.body, want)
+}
+
+// assertExecuted checks how many upstreams executed a request.
+func assertExecuted(t *testing.T, r *gatewayRig, id string, want int) {
+	t.Helper()
+	is.New(t).Equal(len(r.executed(id)), want)
+}
--- /dev/null
+++ b/internal/process/starter/gateway_test.go
@@ -0,0 +1,298 @@
+package starter
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"magnoliafront.dev/magnoliafront/internal/process/emulator"
+	"magnoliafront.dev/magnoliafront/platform"
+)
+
+// An upstream must get exactly what the caller sent and what the system adds,
+// and the caller exactly what the upstream answered.
+func TestGatewayPassesOn(t *testing.T) {
+	r := newGatewayRig(t, 2)
+	g := r.readyEntry()
+	t.Run("call", func(t *testing.T) {
+		a := g.call(http.MethodPost, "/hold/7?unit=1%2F2", "h1", "unit=12", func(req *http.Request) {
+			req.Header.Set("Magnoliafront-Tenant", "somebody")
+			req.Header.Set("Magnoliafront-Hold", "forged")
+			req.Header.Set("Magnoliafront-Pin-Ms", "5000")
+			req.Header.Set("Kv-From", "10.0.0.1:1/x")
+			req.Header.Set("Magnoliafront-Model", "m")
+			req.Header.Set("Connection", "close, Magnoliafront-Model, X-Hop")
+			req.Header.Set("X-Hop", "1")
+			req.Header.Set("X-Other", "2")
+		})
+		assertStatus(t, a, http.StatusOK)
+		is := is.New(t)
+		runs := r.executed("h1")
+		is.Equal(len(runs), 1)
+		h := runs[0].Header
+		is.Equal(runs[0].Target, "/hold/7?unit=1%2F2")
+		is.Equal(runs[0].Body, "unit=12")
+		is.Equal(h.Get("Magnoliafront-Tenant"), "guides")
+		is.Equal(h.Get("Magnoliafront-Model"), "m")
+		is.Equal(h.Get("X-Other"), "2")
+		for _, name := range []string{"Authorization", "Magnoliafront-Hold", "Magnoliafront-Pin-Ms", "Kv-From", "X-Hop"} {
+			is.Equal(h.Get(name), "")
+		}
+		is.True(strings.HasSuffix(a.header.Get("Magnoliafront-Response-Signature"), ".h1"))
+	})
+	t.Run("stream", func(t *testing.T) {
+		assertStream(t, g.call(http.MethodPost, "/stream/chat/1", "s1", "hello", nil), "s1", r.runners[0].Events)
+	})
+	t.Run("not allowed", func(t *testing.T) {
+		assertStatus(t, g.call(http.MethodGet, "/nowhere/1", "n1", "", nil), http.StatusNotFound)
+		assertStatus(t, g.call(http.MethodGet, "/check/1", "n2", "", func(req *http.Request) {
+			req.Header.Set("Authorization", "Bearer wrong")
+		}), http.StatusUnauthorized)
+		assertStatus(t, g.call(http.MethodGet, "/check/1", "", "", nil), http.StatusBadRequest)
+		assertStatus(t, g.call(http.MethodPost, "/hold/1", "n3", strings.Repeat("x", 70_000), nil), http.StatusRequestEntityTooLarge)
+	})
+}
+
+// Whatever an upstream does, a request that runs once at most must not run
+// twice, a caller must not be told a falsehood, and an answer that is not whole
+// must not look so.
+func TestGatewayUpstreamFaults(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		behaviour emulator.Behaviour
+		path      string
+		status    int
+		executed  int
+	}{
+		{"hold cut", emulator.RunnerCuts, "/hold/1", http.StatusBadGateway, 1},
+		{"hold refused", emulator.RunnerRefuses, "/hold/1", http.StatusOK, 1},
+		{"hold failed", emulator.RunnerFails, "/hold/1", http.StatusInternalServerError, 1},
+		{"hold answered by garbage", emulator.RunnerGarbles, "/hold/1", http.StatusBadGateway, 1},
+		{"hold answered without a signature", emulator.RunnerUnsigned, "/hold/1", http.StatusBadGateway, 1},
+		{"hold answered after an answer to another", emulator.RunnerPrecedes, "/hold/1", http.StatusOK, 1},
+		{"hold answered twice", emulator.RunnerRepeats, "/hold/1", http.StatusOK, 1},
+		{"hold refused before it was read", emulator.RunnerEarly, "/hold/1", http.StatusOK, 1},
+		{"hold answered without a length", emulator.RunnerUnframed, "/hold/1", http.StatusOK, 1},
+		{"hold answered in part", emulator.RunnerEndsEarly, "/hold/1", http.StatusBadGateway, 1},
+		{"check cut", emulator.RunnerCuts, "/check/1", http.StatusOK, 2},
+		{"check failed", emulator.RunnerFails, "/check/1", http.StatusOK, 2},
+		{"check not answered", emulator.RunnerSilent, "/check/1", http.StatusOK, 2},
+		{"check answered in part", emulator.RunnerEndsEarly, "/check/1", http.StatusOK, 2},
+		{"chat cut", emulator.RunnerCuts, "/stream/chat/1", http.StatusOK, 2},
+		{"chat cut in its midst", emulator.RunnerCutsStream, "/stream/chat/1", http.StatusOK, 2},
+		{"brief cut", emulator.RunnerCuts, "/stream/brief/1", http.StatusBadGateway, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newGatewayRig(t, 3)
+			g := r.readyEntry()
+			r.behaveOnce(c.behaviour)
+			a := g.call(http.MethodPost, c.path, "x1", strings.Repeat("b", 30_000), nil)
+			assertStatus(t, a, c.status)
+			assertExecuted(t, r, "x1", c.executed)
+			if c.status == http.StatusOK && strings.HasPrefix(c.path, "/stream/") {
+				assertStream(t, a, "x1", r.runners[0].Events)
+			} else if c.status == http.StatusOK {
+				is.New(t).True(strings.HasSuffix(a.body, " to x1\n"))
+			}
+			// Nothing of the fault may reach the next request.
+			b := g.call(http.MethodPost, "/hold/2", "x2", "", nil)
+			assertStatus(t, b, http.StatusOK)
+			is.New(t).True(strings.HasSuffix(b.body, " to x2\n"))
+		})
+	}
+	t.Run("brief cut in its midst", func(t *testing.T) {
+		r := newGatewayRig(t, 2)
+		g := r.readyEntry()
+		r.behave(emulator.RunnerCutsStream)
+		a := g.call(http.MethodPost, "/stream/brief/1", "x1", "", nil)
+		is := is.New(t)
+		is.Equal(a.status, http.StatusOK)
+		is.True(a.err != nil)
+		assertExecuted(t, r, "x1", 1)
+	})
+}
+
+// A kept connection that the upstream has closed must cost no request.
+func TestGatewayKeptConnections(t *testing.T) {
+	r := newGatewayRig(t, 1)
+	g := r.readyEntry()
+	for i := range 20 {
+		id := fmt.Sprint("k", i)
+		assertStatus(t, g.call(http.MethodPost, "/hold/1", id, "", nil), http.StatusOK)
+		assertExecuted(t, r, id, 1)
+		if i%2 == 0 {
+			r.runners[0].CloseIdle()
+		}
+	}
+}
+
+// A runner at an address that belonged to another must not run its requests.
+func TestGatewayReusedAddress(t *testing.T) {
+	r := newGatewayRig(t, 1)
+	other := r.runners[0].Entry("desk", "ready")
+	r.store.Put("servers", "i-gone", other)
+	g := r.readyEntry()
+	for i := range 10 {
+		assertStatus(t, g.call(http.MethodPost, "/hold/1", fmt.Sprint("u", i), "", nil), http.StatusOK)
+	}
+}
+
+// Work for a caller that is gone must end.
+func TestGatewayCallerLeaves(t *testing.T) {
+	r := newGatewayRig(t, 1)
+	g := r.readyEntry()
+	r.behave(emulator.RunnerSilent)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for len(r.allRuns()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	a := g.call(http.MethodPost, "/hold/1", "g1", "", func(req *http.Request) { *req = *req.WithContext(ctx) })
+	is.New(t).True(a.err != nil)
+	<-r.allRuns()[0].Cancelled
+}
+
+// An entry must follow the store, and go on with what it has while it cannot.
+func TestGatewayStore(t *testing.T) {
+	served := func(g *gateway, id string) func() bool {
+		return func() bool { return g.call(http.MethodGet, "/check/1", id, "", nil).status == http.StatusOK }
+	}
+	t.Run("new configuration", func(t *testing.T) {
+		r := newGatewayRig(t, 1)
+		g := r.readyEntry()
+		r.configure(func(c map[string]any) {
+			c["tenants"] = []any{map[string]any{"name": "guides", "api_keys": []any{"other"}}}
+		})
+		assertEventually(t, "the old key is refused", func() bool {
+			return g.call(http.MethodGet, "/check/1", "c1", "", nil).status == http.StatusUnauthorized
+		})
+	})
+	t.Run("history dropped", func(t *testing.T) {
+		r := newGatewayRig(t, 1)
+		g := r.readyEntry()
+		r.store.SetMode(emulator.StoreSilent)
+		r.configure(func(c map[string]any) { c["tenants"] = nil })
+		r.store.Compact()
+		r.store.SetMode(emulator.StoreServing)
+		assertEventually(t, "no key is needed", func() bool {
+			return g.call(http.MethodGet, "/check/1", "c1", "", func(req *http.Request) { req.Header.Del("Authorization") }).status == http.StatusOK
+		})
+	})
+	t.Run("upstream leaves", func(t *testing.T) {
+		r := newGatewayRig(t, 2)
+		g := r.readyEntry()
+		r.store.Put("servers", "i-0", r.runners[0].Entry("desk", "draining"))
+		assertEventually(t, "one upstream is left", func() bool { return g.forward.State().Usable == 1 })
+		before := len(r.runners[0].Runs())
+		for i := range 10 {
+			is.New(t).True(served(g, fmt.Sprint("l", i))())
+		}
+		is.New(t).Equal(len(r.runners[0].Runs()), before)
+	})
+	t.Run("entries of another writer", func(t *testing.T) {
+		r := newGatewayRig(t, 1)
+		for i, bad := range []any{"text", 7, map[string]any{"service": 1}, map[string]any{"state": "ready"}, map[string]any{"service": "desk", "address": "x", "state": "odd"}} {
+			r.store.Put("servers", fmt.Sprint("bad-", i), bad)
+		}
+		g := r.readyEntry()
+		is.New(t).True(served(g, "b1")())
+		is.New(t).Equal(g.forward.State().Usable, 1)
+	})
+	t.Run("list of several pages", func(t *testing.T) {
+		r := newGatewayRig(t, 5)
+		r.store.PageSize = 2
+		g := r.readyEntry()
+		assertEventually(t, "all upstreams", func() bool { return g.forward.State().Usable == 5 })
+	})
+	for _, mode := range []emulator.StoreMode{emulator.StoreBusy, emulator.StoreThrottling, emulator.StoreResetting, emulator.StoreSilent, emulator.StoreLosing} {
+		t.Run(fmt.Sprint("entries lapse in mode ", mode), func(t *testing.T) {
+			r := newGatewayRig(t, 2)
+			g := r.readyEntry()
+			r.store.SetMode(mode)
+			assertEventually(t, "the outage is noticed", func() bool { return !g.synced() })
+			r.store.Delete("servers", "i-0")
+			r.store.Delete("servers", "i-1")
+			is.New(t).True(served(g, "o1")())
+			r.store.SetMode(emulator.StoreServing)
+			assertEventually(t, "the return is noticed", g.synced)
+			is.New(t).True(served(g, "o2")())
+			assertEventually(t, "upstreams that did not come back are dropped", func() bool { return g.forward.State().Usable == 0 })
+		})
+	}
+}
+
+// An entry that the store turns away must learn what is in force from another.
+func TestGatewayNeighbour(t *testing.T) {
+	r := newGatewayRig(t, 1)
+	closed := emulator.NewObjectStore()
+	closed.SetMode(emulator.StoreBusy)
+	t.Cleanup(closed.Stop)
+	first := r.readyEntry()
+	second := r.entry("entry-2", r.front(closed).URL, first.peer)
+	t.Run("it starts", func(t *testing.T) {
+		assertEventually(t, "ready", second.isReady)
+		assertStatus(t, second.call(http.MethodPost, "/hold/1", "n1", "", nil), http.StatusOK)
+	})
+	t.Run("a key is taken away", func(t *testing.T) {
+		r.configure(func(c map[string]any) {
+			c["tenants"] = []any{map[string]any{"name": "guides", "api_keys": []any{"other"}}}
+		})
+		assertEventually(t, "the old key is refused", func() bool {
+			return second.call(http.MethodGet, "/check/1", "n2", "", nil).status == http.StatusUnauthorized
+		})
+	})
+}
+
+// Entries must find each other through the store, and be gone from it when they
+// stop.
+func TestGatewayAnnouncesItself(t *testing.T) {
+	r := newGatewayRig(t, 1)
+	g := r.readyEntry()
+	assertEventually(t, "announced", func() bool { return len(r.store.List(platform.KindEntries)) == 1 })
+	is.New(t).NoErr(g.app.Stop(context.Background()))
+	is.New(t).Equal(len(r.store.List(platform.KindEntries)), 0)
+}
+
+// A graceful stop must cut off nothing, on kept connections as well.
+func TestGatewayStops(t *testing.T) {
+	r := newGatewayRig(t, 1)
+	g := r.readyEntry()
+	r.runners[0].Hold = make(chan struct{})
+	idle, err := net.Dial("tcp", g.front)
+	is.New(t).NoErr(err)
+	defer func() { _ = idle.Close() }()
+	answers := make(chan answer)
+	go func() { answers <- g.call(http.MethodPost, "/hold/1", "t1", "", nil) }()
+	assertEventually(t, "in flight", func() bool { return len(r.allRuns()) == 1 })
+	stopped := make(chan error)
+	go func() { stopped <- g.app.Stop(context.Background()) }()
+	assertEventually(t, "not ready", func() bool { return !g.isReady() })
+	close(r.runners[0].Hold)
+	assertStatus(t, <-answers, http.StatusOK)
+	t.Run("request on a kept connection", func(t *testing.T) {
+		is := is.New(t)
+		_, err := fmt.Fprint(idle, "POST /hold/2 HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer key\r\nMagnoliafront-Request-Id: t2\r\nContent-Length: 0\r\n\r\n")
+		is.NoErr(err)
+		resp, err := http.ReadResponse(bufio.NewReader(idle), nil)
+		is.NoErr(err)
+		defer func() { _ = resp.Body.Close() }()
+		is.Equal(resp.StatusCode, http.StatusOK)
+		is.True(resp.Close)
+	})
+	is.New(t).NoErr(<-stopped)
+}
+
+// synced reports whether the entry takes itself to be in step with the store.
+func (g *gateway) synced() bool {
+	a := g.call(http.MethodGet, "/nowhere/1", "sync", "", nil)
+	return a.status == http.StatusNotFound
+}
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -104,6 +104,7 @@
 	// replaced and never changed.
 	members     atomic.Pointer[map[string]string]
 	synced      atomic.Bool
+	leaving     atomic.Bool
 	subscribers []*subscriber.Subscriber
 	ctx         context.Context
 	cancel      context.CancelFunc
@@ -213,6 +214,7 @@
 // Leave withdraws this entry from the platform. The errors are those of the
 // store.
 func (s *Syncer) Leave(ctx context.Context) error {
+	s.leaving.Store(true)
 	return s.options.Store.Delete(ctx, s.key(), 0)
 }
 
@@ -405,7 +407,7 @@
 		delete(s.entries, s.options.Decoder.Name(key))
 	}
 	own := Entry{Address: s.options.Address, AvailabilityZone: s.options.Self.AvailabilityZone}
-	if s.entries[s.options.Self.Identity] != own {
+	if s.entries[s.options.Self.Identity] != own && !s.leaving.Load() {
 		s.announce(own)
 	}
 	s.publish()
--- a/internal/request/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -110,7 +110,6 @@
 	for name, values := range r.Header {
 		to[name] = values
 	}
-	StripConnection(to, nil)
 	if length != "" && (len(r.Bytes) > 0 || to.Get("Content-Length") == "") {
 		to.Set("Content-Length", length)
 	}
