Answer requests that reach a leaving entry on kept connections

Change: each answer of a leaving entry ends its connection; idle ones are closed after the pause, as the gateway does.

--- a/internal/process/loader/document_test.go
+++ b/internal/process/loader/document_test.go
@@ -15,7 +15,7 @@
 // The examples of the operators' page must be accepted as they stand.
 func TestDocumentedExamples(t *testing.T) {
 	is := is.New(t)
-	page, err := os.ReadFile("../../../docs/operations.md")
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
 	is.NoErr(err)
 	blocks := strings.Split(string(page), "```json\n")[1:]
 	is.Equal(len(blocks), 3)
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -66,7 +66,7 @@
 	}
 	s := &Server{options: o, listener: l, started: o.Clock.Now().UnixNano(), done: make(chan struct{})}
 	s.http = &http.Server{
-		Handler:           s.routes(),
+		Handler:           s.closing(s.routes()),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
@@ -84,10 +84,9 @@
 // Leave makes /readyz fail, so that the balancer sends no more callers. Those
 // that still come are served.
 func (s *Server) Leave() {
+	// Connections end with their next answer and are not closed before: a caller
+	// that sends on an idle connection at the moment of its close gets no answer.
 	s.leaving.Store(true)
-	// A caller that sends on an idle connection in the moment of its close would
-	// get no answer, so connections end with the next answer.
-	s.http.SetKeepAlivesEnabled(false)
 }
 
 // Stop stops accepting and waits until all requests have been answered or ctx
@@ -104,6 +103,16 @@
 	return nil
 }
 
+// closing makes each answer of a leaving entry end its connection.
+func (s *Server) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if s.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, req)
+	})
+}
+
 func (s *Server) routes() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc("/v1/chat/completions", s.completion).Methods(http.MethodPost)
--- /dev/null
+++ b/internal/process/server/server_test.go
@@ -0,0 +1,49 @@
+package server
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"magnoliafront.dev/magnoliafront/internal/process/recorder"
+	"magnoliafront.dev/magnoliafront/internal/process/router"
+	"magnoliafront.dev/magnoliafront/pkg/timer"
+)
+
+// A request that reaches a leaving entry on a kept connection must be answered,
+// and the answer must end the connection. Leave used to close idle connections,
+// which cut off the requests that crossed the close.
+func TestLeave(t *testing.T) {
+	is := is.New(t)
+	rec := recorder.New(recorder.Options{Clock: timer.System{}})
+	defer rec.Stop()
+	r := router.New(router.Options{Clock: timer.System{}, Recorder: rec})
+	defer r.Stop()
+	s, err := New(Options{Listen: "127.0.0.1:0", Router: r, Clock: timer.System{}})
+	is.NoErr(err)
+	conn, err := net.Dial("tcp", s.Address())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	is.True(!ask(t, conn, reader).Close)
+	s.Leave()
+	is.True(ask(t, conn, reader).Close)
+	is.NoErr(s.Stop(context.Background()))
+}
+
+// ask sends a request over conn and returns the answer to it.
+func ask(t *testing.T, conn net.Conn, reader *bufio.Reader) *http.Response {
+	t.Helper()
+	is := is.New(t)
+	_, err := fmt.Fprint(conn, "GET /v1/models HTTP/1.1\r\nHost: desk\r\n\r\n")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(reader, nil)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	return resp
+}
