--- a/internal/process/exchanger/exchanger_test.go
+++ b/internal/process/exchanger/exchanger_test.go
@@ -187,10 +187,12 @@
 		f := settled(t, 7)
 		victim := f.nodes[4]
 		f.cut = func(a, b *node) bool { return a == victim || b == victim }
-		f.run(40 * time.Second)
+		// One round of the exchange may pass before the limit is noticed.
+		const round = 2 * time.Second
+		f.run(tracker.UnreachableAfter + round)
 		assertState(t, f, "zone-1", victim.self.Identity, tracker.StateUnreachable)
 		// News of members of other zones are rarer, so their limit is 2 min.
-		f.run(100 * time.Second)
+		f.run(2*time.Minute - tracker.UnreachableAfter)
 		assertState(t, f, "", victim.self.Identity, tracker.StateUnreachable)
 		l := f.lists["zone-1"]
 		l.Live = append(l.Live[:1:1], l.Live[2:]...)
