--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -95,7 +95,9 @@
 		// have answered.
 		a.call.Until = earlier(a.call.Until, c.options.Clock.Now().Add(graceful))
 	}
-	resp, err := c.head(a)
+	// The end of the body is that of the call: the connection is then free for
+	// another one or closed.
+	resp, err := c.head(a) //nolint:bodyclose // see above
 	if err != nil {
 		return c.interrupted(a, err)
 	}
@@ -272,7 +274,7 @@
 			// The upstream says that the stream is complete.
 			whole = append(whole, a.split.rest...)
 		}
-		if len(whole) > 0 && !(a.begin(resp) && a.put(whole)) {
+		if len(whole) > 0 && (!a.begin(resp) || !a.put(whole)) {
 			return a.ended(OutcomeCancelled, nil)
 		}
 		c.progress(a, events)
--- a/internal/connection/carrier/splitter.go
+++ b/internal/connection/carrier/splitter.go
@@ -23,8 +23,8 @@
 func (s *splitter) add(b []byte) (whole []byte, events int, ok bool) {
 	data := b
 	if len(s.rest) > 0 {
-		data = append(s.rest, b...)
-		s.rest = nil
+		s.rest = append(s.rest, b...)
+		data, s.rest = s.rest, nil
 	}
 	for {
 		end := eventEnd(data)
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -63,7 +63,8 @@
 		Message: f.options.Codec.Encode(t.job, a, a.Until.Sub(now)), Body: t.job.Body,
 		DialTimeout: a.DialTimeout, Until: a.Until.Add(expiryGrace), Silence: a.Silence,
 		Stream: a.Stream, Begun: a.Begun, LastEvent: a.LastEvent,
-		Judge: f.options.Codec.Judge(a.ID), Replies: t.job.Replies,
+		Judge:   f.options.Codec.Judge(a.ID), //nolint:bodyclose // it looks at the head only
+		Replies: t.job.Replies,
 	}
 	if a.Attempt > 1 {
 		logDecision("request sent again", a)
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -118,10 +118,10 @@
 	version int64
 	asked   int
 	// told is the time of the last answer of an entry in step.
-	told       time.Time
-	nextAsk    time.Time
-	registered bool
-	ignored    map[string]int64
+	told    time.Time
+	nextAsk time.Time
+	// ignored holds the revisions of the objects that could not be read.
+	ignored map[string]int64
 }
 
 type input struct {
--- a/internal/request/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -80,10 +80,9 @@
 		}
 		switch r.Kind {
 		case KindWhole:
-			head(w, r, strconv.Itoa(len(r.Bytes)))
-			return write(w, r.Bytes)
+			return whole(w, r)
 		case KindHead:
-			head(w, r, "")
+			begin(w, r)
 		case KindBytes:
 			if err := write(w, r.Bytes); err != nil {
 				return err
@@ -103,23 +102,20 @@
 	}
 }
 
-// head writes the status and the headers. A length is that of the body, empty
-// for a stream; the answer to a HEAD request keeps the length it names.
-func head(w http.ResponseWriter, r Reply, length string) {
-	to := w.Header()
-	for name, values := range r.Header {
-		to[name] = values
-	}
-	if length != "" && (len(r.Bytes) > 0 || to.Get("Content-Length") == "") {
-		to.Set("Content-Length", length)
-	}
-	if _, ok := to["Date"]; !ok {
-		// net/http would add a header that the upstream did not send.
-		to["Date"] = nil
-	}
-	if _, ok := to["Content-Type"]; !ok {
-		to["Content-Type"] = nil
+// whole writes an answer that is complete. The answer to a HEAD request keeps
+// the length that the upstream named.
+func whole(w http.ResponseWriter, r Reply) error {
+	to := copyHeader(w, r)
+	if len(r.Bytes) > 0 || to.Get("Content-Length") == "" {
+		to.Set("Content-Length", strconv.Itoa(len(r.Bytes)))
 	}
+	w.WriteHeader(r.Status)
+	return write(w, r.Bytes)
+}
+
+// begin writes the head of a stream.
+func begin(w http.ResponseWriter, r Reply) {
+	to := copyHeader(w, r)
 	if r.Unframed {
 		// net/http then ends the answer with the connection.
 		to.Set("Transfer-Encoding", "identity")
@@ -127,6 +123,21 @@
 	w.WriteHeader(r.Status)
 }
 
+// copyHeader copies the headers of an answer, and keeps net/http from adding
+// some that the upstream did not send.
+func copyHeader(w http.ResponseWriter, r Reply) http.Header {
+	to := w.Header()
+	for name, values := range r.Header {
+		to[name] = values
+	}
+	for _, name := range [...]string{"Date", "Content-Type"} {
+		if _, ok := to[name]; !ok {
+			to[name] = nil
+		}
+	}
+	return to
+}
+
 func write(w http.ResponseWriter, b []byte) error {
 	if len(b) == 0 {
 		return nil
--- a/internal/request/retrier/retrier.go
+++ b/internal/request/retrier/retrier.go
@@ -91,17 +91,15 @@
 // Next decides what follows when an attempt of f ended, f already counting it.
 func Next(f Flight, c Cause) Decision {
 	outcome := outcomeOf(f)
+	switch c {
+	case CauseClaimUnavailable, CauseClaimHeld, CauseClaimMismatch, CauseAnswerNotKept:
+		if !f.Quarantined {
+			return unclaimed(c)
+		}
+	}
 	switch {
 	case f.Quarantined:
 		return fail(http.StatusUnprocessableEntity, "quarantined", "upstreams crashed while they ran this content", outcome)
-	case c == CauseClaimUnavailable:
-		return fail(http.StatusServiceUnavailable, "claim_unavailable", "the idempotency key could not be claimed within the target of the class", admitter.OutcomeNotRun)
-	case c == CauseClaimHeld:
-		return fail(http.StatusConflict, "key_in_use", "a request with this idempotency key is running or its result was lost", admitter.OutcomeUnknown)
-	case c == CauseClaimMismatch:
-		return fail(http.StatusUnprocessableEntity, "key_mismatch", "the idempotency key was used with another request", admitter.OutcomeNotRun)
-	case c == CauseAnswerNotKept:
-		return fail(http.StatusConflict, "answer_not_kept", "the request was run; its answer was too large to be kept", admitter.OutcomeRan)
 	case c == CauseExpired && outcome == admitter.OutcomeNotRun:
 		return fail(http.StatusServiceUnavailable, "expired", "no upstream could begin the request in time", outcome)
 	case c == CauseExpired:
@@ -112,16 +110,27 @@
 		return fail(http.StatusBadGateway, "upstream_lost", "the upstream was lost while the request may have been running", outcome)
 	case f.Lost >= MaxLost || c == CauseLost && f.runs() >= f.maxRuns():
 		return fail(http.StatusBadGateway, "upstreams_lost", "several upstreams were lost while running the request", outcome)
-	case c == CauseNoUpstream && f.Refused > 0:
-		return fail(http.StatusServiceUnavailable, "overloaded", "the upstreams cannot meet the target of the class", outcome)
-	case c == CauseNoUpstream:
+	case c == CauseNoUpstream && f.Refused == 0:
 		return fail(http.StatusServiceUnavailable, "no_upstream", "no upstream is available", outcome)
-	case f.Refused >= MaxRefused:
+	case c == CauseNoUpstream, f.Refused >= MaxRefused:
 		return fail(http.StatusServiceUnavailable, "overloaded", "the upstreams cannot meet the target of the class", outcome)
 	}
 	return Decision{}
 }
 
+// unclaimed decides on a request whose idempotency key was not claimed for it.
+func unclaimed(c Cause) Decision {
+	switch c {
+	case CauseClaimUnavailable:
+		return fail(http.StatusServiceUnavailable, "claim_unavailable", "the idempotency key could not be claimed within the target of the class", admitter.OutcomeNotRun)
+	case CauseClaimHeld:
+		return fail(http.StatusConflict, "key_in_use", "a request with this idempotency key is running or its result was lost", admitter.OutcomeUnknown)
+	case CauseClaimMismatch:
+		return fail(http.StatusUnprocessableEntity, "key_mismatch", "the idempotency key was used with another request", admitter.OutcomeNotRun)
+	}
+	return fail(http.StatusConflict, "answer_not_kept", "the request was run; its answer was too large to be kept", admitter.OutcomeRan)
+}
+
 // runs returns the number of upstreams that may have run the request.
 func (f Flight) runs() int { return f.Lost + f.Failed }
 
