--- a/internal/connection/carrier/carrier.go
+++ b/internal/connection/carrier/carrier.go
@@ -157,7 +157,6 @@
 type Conn struct {
 	options Options
 	calls   *buffer.Ring[Call, buffer.Reject]
-	done    chan struct{}
 
 	// The fields below are owned by the duty.
 	conn   net.Conn
@@ -168,9 +167,8 @@
 
 // New starts a connection, which dials with its first call.
 func New(o Options) *Conn {
-	c := &Conn{options: o, calls: buffer.New[Call, buffer.Reject]("carrier_calls", 1), done: make(chan struct{})}
+	c := &Conn{options: o, calls: buffer.New[Call, buffer.Reject]("carrier_calls", 1)}
 	go func() {
-		defer close(c.done)
 		for {
 			select {
 			case call := <-c.calls.C():
@@ -196,9 +194,6 @@
 // Close ends the duty once the present call has ended.
 func (c *Conn) Close() { c.calls.Close() }
 
-// Done returns a channel that is closed when the duty has ended.
-func (c *Conn) Done() <-chan struct{} { return c.done }
-
 func (c *Conn) hangUp() {
 	if c.conn != nil {
 		_ = c.conn.Close()
--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -168,7 +168,7 @@
 	ID       string
 	Attempt  int
 	Upstream registrar.Upstream
-	// Priority, Organisation, Until and the two below are for ActionSend.
+	// The fields down to LastEvent are for ActionSend.
 	Priority     int
 	Organisation string
 	Until        time.Time
@@ -233,9 +233,6 @@
 	return &Dispatcher{settings: s, entries: 1, services: map[string]*service{}, flights: map[string]*flight{}}
 }
 
-// Flights returns the number of requests in flight.
-func (d *Dispatcher) Flights() int { return len(d.flights) }
-
 // Step takes in one event and returns what to do.
 func (d *Dispatcher) Step(now time.Time, e Event) []Action {
 	switch e.Kind {
--- a/internal/process/dispatcher/dispatcher_test.go
+++ b/internal/process/dispatcher/dispatcher_test.go
@@ -38,7 +38,7 @@
 	})})
 	var all []registrar.Upstream
 	for i := range 3 {
-		all = append(all, registrar.Upstream{Name: fmt.Sprint("desk-", i), Service: "desk", Address: "10.0.0.1:80", Slots: 4})
+		all = append(all, registrar.Upstream{Name: fmt.Sprint("desk-", i), Service: "desk", Address: "10.0.0.1:80"})
 	}
 	d.Step(start(), Event{Kind: EventUpstreams, Upstreams: all})
 	return d
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -92,16 +92,13 @@
 	jobs    *buffer.Ring[Job, buffer.Reject]
 	events  *buffer.Ring[event, buffer.Block]
 	done    chan struct{}
-	// idle is closed when a draining forwarder has no request in flight.
-	idle  chan struct{}
-	state atomic.Pointer[State]
+	state   atomic.Pointer[State]
 
 	// The fields below are owned by the duty.
 	dispatcher *dispatcher.Dispatcher
 	registrar  registrar.Registrar
 	attempts   map[string]*attempt
 	pools      map[string]*pool
-	draining   bool
 }
 
 // State is what an entry knows of the system. It is replaced and never changed.
@@ -136,7 +133,6 @@
 	eventLearned
 	eventSynced
 	eventBudget
-	eventDrain
 )
 
 // event is one thing that reaches the duty beside jobs.
@@ -160,7 +156,6 @@
 		jobs:       buffer.New[Job, buffer.Reject]("forwarder_jobs", jobsCapacity),
 		events:     buffer.New[event, buffer.Block]("forwarder_events", eventsCapacity),
 		done:       make(chan struct{}),
-		idle:       make(chan struct{}),
 		dispatcher: dispatcher.New(o.Dispatcher),
 		attempts:   map[string]*attempt{},
 		pools:      map[string]*pool{},
@@ -201,14 +196,6 @@
 	f.put(event{kind: eventLearned, strikes: strikes})
 }
 
-// Drain makes the forwarder close the channel of [Forwarder.Idle] when no
-// request is in flight.
-func (f *Forwarder) Drain() { f.put(event{kind: eventDrain}) }
-
-// Idle returns a channel that is closed when a draining forwarder has no request
-// in flight.
-func (f *Forwarder) Idle() <-chan struct{} { return f.idle }
-
 // State returns what the entry knows of the system.
 func (f *Forwarder) State() State { return *f.state.Load() }
 
@@ -240,10 +227,6 @@
 	case <-f.events.Done():
 		return false
 	}
-	if f.draining && f.dispatcher.Flights() == 0 {
-		f.draining = false
-		close(f.idle)
-	}
 	return true
 }
 
@@ -295,8 +278,6 @@
 		f.decide(now, dispatcher.Event{Kind: dispatcher.EventSynced, Synced: e.synced})
 	case eventBudget:
 		f.decide(now, dispatcher.Event{Kind: dispatcher.EventBudget, RetryShare: e.share, RetrySlack: e.slack})
-	case eventDrain:
-		f.draining = true
 	}
 }
 
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -43,8 +43,6 @@
 	Service          string `json:"service"`
 	Address          string `json:"address"`
 	AvailabilityZone string `json:"availability_zone"`
-	// Slots is the number of requests that it runs at once.
-	Slots int `json:"slots"`
 	// Leaving is true if it takes no new requests.
 	Leaving bool `json:"leaving"`
 }
--- a/internal/version/matcher/matcher.go
+++ b/internal/version/matcher/matcher.go
@@ -85,13 +85,6 @@
 	// MaxConnections is the number of connections that each upstream accepts
 	// from all callers. Zero means that no limit is known.
 	MaxConnections int `json:"max_connections"`
-	// Slots is the number of requests that an upstream runs at once, zero if the
-	// configuration does not say.
-	Slots int `json:"slots"`
-	// Engine is true for a service of model engines.
-	Engine bool `json:"engine"`
-	// KVTokens is the number of tokens in the memory of an engine.
-	KVTokens int `json:"kv_tokens"`
 }
 
 // Organisation is a customer and its keys.
