Vouch to neighbours only for what comes from the platform itself

While the store was down for all, each entry took itself to be in step because another said so, which had it from the first. Entries then answer 401 and 404 instead of 503.

Test: TestGatewayNeighboursAllCutOff fails on the former code (run) and passes.

--- a/internal/process/starter/gateway_rig_test.go
+++ b/internal/process/starter/gateway_rig_test.go
@@ -95,6 +95,7 @@
 	ready   string
 	peer    string
 	forward *forwarder.Forwarder
+	peers   *peers
 }
 
 // entry starts an entry that finds the store at url.
@@ -112,7 +113,7 @@
 	is.NoErr(s.Check())
 	path := filepath.Join(r.t.TempDir(), "settings.json")
 	is.NoErr(os.WriteFile(path, []byte("{}"), 0o600))
-	g.app = fx.New(Gateway(s, SettingsPath(path)), fx.Populate(&g.forward))
+	g.app = fx.New(Gateway(s, SettingsPath(path)), fx.Populate(&g.forward, &g.peers))
 	is.NoErr(g.app.Err())
 	is.NoErr(g.app.Start(context.Background()))
 	r.t.Cleanup(func() { _ = g.app.Stop(context.Background()) })
--- a/internal/process/starter/gateway_test.go
+++ b/internal/process/starter/gateway_test.go
@@ -252,6 +252,28 @@
 	})
 }
 
+// Entries that cannot reach the store must not take themselves to be in step
+// because of each other: each vouched for the other while all were behind
+// (incident ae70 of driftline-ops).
+func TestGatewayNeighboursAllCutOff(t *testing.T) {
+	r := newGatewayRig(t, 1)
+	first := r.readyEntry()
+	second := r.entry("entry-2", r.url, first.peer)
+	assertEventually(t, "ready", second.isReady)
+	assertEventually(t, "they know each other", func() bool {
+		return first.peers.syncer.Members()["entry-2"] != "" && second.peers.syncer.Members()["entry-1"] != ""
+	})
+	assertEventually(t, "in step", func() bool { return first.synced() && second.synced() })
+	r.store.SetMode(emulator.StoreBusy)
+	// Enough failed calls for both to have noticed and asked each other often.
+	const calls = 150
+	before := r.store.Requests()
+	assertEventually(t, "many failed calls", func() bool { return r.store.Requests() > before+calls })
+	is := is.New(t)
+	is.True(!first.synced())
+	is.True(!second.synced())
+}
+
 // Entries must find each other through the store, and be gone from it when they
 // stop.
 func TestGatewayAnnouncesItself(t *testing.T) {
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -101,8 +101,10 @@
 	input   *buffer.Ring[input, buffer.Block]
 	// members holds the addresses of the other entries by identity. The map is
 	// replaced and never changed.
-	members     atomic.Pointer[map[string]string]
-	synced      atomic.Bool
+	members atomic.Pointer[map[string]string]
+	synced  atomic.Bool
+	// reached is true while this entry itself reaches the platform.
+	reached     atomic.Bool
 	leaving     atomic.Bool
 	subscribers []*subscriber.Subscriber
 	ctx         context.Context
@@ -203,7 +205,9 @@
 // state returns what this entry knows for another one.
 func (s *Syncer) state(q FetchState) State {
 	f := s.options.Forwarder.State()
-	out := State{Synced: s.synced.Load(), Upstreams: f.Upstreams}
+	// Entries that know of the platform only from each other must not vouch for
+	// each other.
+	out := State{Synced: s.reached.Load(), Upstreams: f.Upstreams}
 	if f.Table != nil && f.Table.Configuration.Version > q.Version {
 		out.Configuration = &f.Table.Configuration
 	}
@@ -260,6 +264,7 @@
 // judge tells the forwarder whether this entry is in step.
 func (s *Syncer) judge() {
 	now := s.options.Clock.Now()
+	s.reached.Store(s.inReach())
 	synced := s.inReach() || !s.told.IsZero() && now.Sub(s.told) < freshTime
 	if synced != s.synced.Load() {
 		klog.InfoS("in step with the platform", "synced", synced, "version", s.version, "in_reach", s.inReach())
