Judge an answer once, and use the accessor's rule on calls without an answer

Behaviour is unchanged.

Run: linter, race tests of the connections, accessor, dispatcher and platform, and all TestGateway tests.

--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -97,11 +97,11 @@
 	}
 	// The end of the body is that of the call: the connection is then free for
 	// another one or closed.
-	resp, err := c.head(a) //nolint:bodyclose // see above
+	resp, verdict, err := c.head(a) //nolint:bodyclose // see above
 	if err != nil {
 		return c.interrupted(a, err)
 	}
-	switch a.call.Judge(resp) {
+	switch verdict {
 	case Refused:
 		return c.refused(a, resp)
 	case Accepted:
@@ -153,33 +153,33 @@
 }
 
 // head reads the head of the answer to the call, skipping answers to other
-// requests.
-func (c *Conn) head(a *attempt) (*http.Response, error) {
+// requests, and judges it.
+func (c *Conn) head(a *attempt) (*http.Response, Verdict, error) {
 	for skipped := 0; ; {
 		if err := c.wait(a); err != nil {
-			return nil, err
+			return nil, Invalid, err
 		}
 		resp, err := http.ReadResponse(c.reader, a.call.Message)
 		if err != nil {
-			return nil, errors.Wrap(err, "read the answer")
+			return nil, Invalid, errors.Wrap(err, "read the answer")
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if a.call.Judge(resp) != Foreign {
+		if verdict := a.call.Judge(resp); verdict != Foreign {
 			// Whoever gets the headers owns them, so all that is needed of them here
 			// is taken before.
 			a.idleFor = keepAlive(resp.Header.Get("Keep-Alive"))
 			relayer.StripConnection(resp.Header, nil)
-			return resp, nil
+			return resp, verdict, nil
 		}
 		if skipped++; skipped > maxForeign {
-			return nil, errors.New("the connection brings answers to other requests")
+			return nil, Invalid, errors.New("the connection brings answers to other requests")
 		}
 		// Skipping leaves the connection unfit for another call.
 		a.wrote = false
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxHeld)); err != nil {
-			return nil, errors.Wrap(err, "skip an answer to another request")
+			return nil, Invalid, errors.Wrap(err, "skip an answer to another request")
 		}
 	}
 }
--- a/internal/process/accessor/accessor.go
+++ b/internal/process/accessor/accessor.go
@@ -136,7 +136,7 @@
 	}
 	var o Object
 	if err := json.Unmarshal(data, &o); err != nil {
-		return Object{}, &Error{Op: op, Kind: unanswered(method), Err: err}
+		return Object{}, &Error{Op: op, Kind: Unanswered(method), Err: err}
 	}
 	return o, nil
 }
@@ -152,13 +152,13 @@
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return nil, &Error{Op: op, Kind: unanswered(method), Err: err}
+		return nil, &Error{Op: op, Kind: Unanswered(method), Err: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	// An object in base64 within JSON takes four thirds of its size.
 	data, err := io.ReadAll(io.LimitReader(resp.Body, 64*MaxValue))
 	if err != nil {
-		return nil, &Error{Op: op, Kind: unanswered(method), Err: err}
+		return nil, &Error{Op: op, Kind: Unanswered(method), Err: err}
 	}
 	switch resp.StatusCode {
 	case http.StatusOK:
@@ -170,12 +170,12 @@
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		return nil, &Error{Op: op, Kind: ErrorUnavailable, Err: errors.Errorf("status %d", resp.StatusCode)}
 	}
-	return nil, &Error{Op: op, Kind: unanswered(method), Err: errors.Errorf("status %d", resp.StatusCode)}
+	return nil, &Error{Op: op, Kind: Unanswered(method), Err: errors.Errorf("status %d", resp.StatusCode)}
 }
 
-// unanswered returns the kind of error of a call that got no answer: a read
-// had no effect, but a write may have had one.
-func unanswered(method string) ErrorKind {
+// Unanswered returns the kind of error of a call with the given HTTP method that
+// got no answer: a read had no effect, but a write may have had one.
+func Unanswered(method string) ErrorKind {
 	if method == http.MethodGet {
 		return ErrorUnavailable
 	}
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -137,8 +137,7 @@
 }
 
 // exclude returns the upstreams that f must not go to: those that it has been
-// at, unless it has been at all of them without being run, and those to which
-// this entry has as many connections as it may.
+// at, and those to which this entry has as many connections as it may.
 func (d *Dispatcher) exclude(s *service, f *flight) []string {
 	out := f.tried
 	limit := f.admission.Service.MaxConnections
