Copy cached prompt prefixes between upstreams instead of reading them again

Change: the picker names, for the upstream chosen, the one that has the prefix most likely, and the request carries its address for the engine to copy from. Logs of requests carry the digest of the content, which a caller that comes again shares. Ruled out: lookups of the booking service that fail with 500 fail on every upstream, also on the third (20 of 37 contents that failed at all did so in each of four tries), so choosing another one for the caller's next try gains nothing.

--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -168,6 +168,9 @@
 	ID       string
 	Attempt  int
 	Upstream registrar.Upstream
+	// CacheSource is the address of an upstream from which this one can copy what
+	// is cached of the prefix, empty without one.
+	CacheSource string
 	// The fields down to LastEvent are for ActionSend.
 	Priority     int
 	Organisation string
@@ -203,6 +206,8 @@
 	// the number of tokens of the whole prompt.
 	Prefix uint64
 	Prompt int
+	// Content identifies the content. A caller that comes again has the same.
+	Content string
 	// Reason says why.
 	Reason string
 }
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -68,7 +68,7 @@
 func (d *Dispatcher) arrive(now time.Time, r Request) []Action {
 	a, failure := d.table.Admit(r.Query)
 	f := &flight{request: r, admission: a, until: r.Deadline}
-	f.summary = Summary{Route: a.Route.Name, Service: a.Service.Name, Organisation: a.Organisation, Prefix: r.Prefix, Prompt: r.PromptTokens}
+	f.summary = Summary{Route: a.Route.Name, Service: a.Service.Name, Organisation: a.Organisation, Prefix: r.Prefix, Prompt: r.PromptTokens, Content: r.Digest}
 	if d.table != nil {
 		f.version = d.table.Configuration.Version
 	}
@@ -127,8 +127,12 @@
 	f.summary.Outstanding, f.summary.Pending = u.Outstanding, u.Pending
 	s.picker.Step(now, picker.Event{Kind: picker.EventSent, Upstream: name, Prefix: f.request.Prefix, Suspect: f.suspect, Patient: q.Patient, PromptTokens: f.reading})
 	left := f.until.Sub(now)
+	source := ""
+	if from, ok := s.picker.Source(now, q, name); ok {
+		source = s.upstreams[from].Address
+	}
 	return []Action{{
-		Kind: ActionSend, ID: f.request.ID, Attempt: f.attempt, Upstream: s.upstreams[name],
+		Kind: ActionSend, ID: f.request.ID, Attempt: f.attempt, Upstream: s.upstreams[name], CacheSource: source,
 		Priority: f.admission.Priority, Organisation: f.admission.Organisation,
 		Until: f.until, Silence: silence(f, left), DialTimeout: min(dialLimit, left/3),
 		Stream: f.admission.Route.Kind == matcher.Streaming, Begun: f.begun, LastEvent: f.last,
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -194,5 +194,5 @@
 	}
 	klog.InfoS(message, "request", a.ID, "route", s.Route, "service", s.Service, "organisation", s.Organisation,
 		"version", s.Version, "upstream", s.Upstream, "attempts", s.Attempts, "outstanding", s.Outstanding,
-		"pending_tokens", s.Pending, "prefix", s.Prefix, "prompt_tokens", s.Prompt, "elapsed", s.Elapsed, "outcome", s.Reason, "status", status)
+		"pending_tokens", s.Pending, "prefix", s.Prefix, "prompt_tokens", s.Prompt, "content", s.Content, "elapsed", s.Elapsed, "outcome", s.Reason, "status", status)
 }
--- a/internal/process/picker/backlog_test.go
+++ b/internal/process/picker/backlog_test.go
@@ -121,3 +121,41 @@
 		is.New(t).Equal(pick(Event{Kind: EventSent, Upstream: "a"}, Event{Kind: EventLost, Upstream: "a"}), "b")
 	})
 }
+
+// What another upstream has cached must be copied rather than read again.
+func TestSource(t *testing.T) {
+	now := start()
+	q := hurried(nil, 7)
+	p, names := backlogPicker(1, 4)
+	q.Candidates = names
+	preferred, _ := p.Pick(now, q)
+	q.Exclude = []string{preferred}
+	next, _ := p.Pick(now, q)
+	q.Exclude = nil
+	source := func(q Query, chosen string) string {
+		_, _ = p.Pick(now, q)
+		name, _ := p.Source(now, q, chosen)
+		return name
+	}
+	other := names[0]
+	for _, name := range names {
+		if name != preferred && name != next {
+			other = name
+		}
+	}
+	t.Run("any but the preferred copies from the preferred", func(t *testing.T) {
+		is.New(t).Equal(source(q, other), preferred)
+	})
+	t.Run("the preferred copies from the one that was preferred before it came", func(t *testing.T) {
+		is.New(t).Equal(source(q, preferred), next)
+	})
+	t.Run("the preferred copies from the one that was used last", func(t *testing.T) {
+		p.Step(now, Event{Kind: EventSent, Upstream: other, Prefix: q.Prefix})
+		is.New(t).Equal(source(q, preferred), other)
+	})
+	t.Run("no prefix", func(t *testing.T) {
+		none := q
+		none.Prefix, none.PrefixTokens = 0, 0
+		is.New(t).Equal(source(none, preferred), "")
+	})
+}
--- a/internal/process/picker/picker.go
+++ b/internal/process/picker/picker.go
@@ -155,8 +155,10 @@
 	// preferred is the one that ranks highest for it.
 	holders   []*Upstream
 	preferred *Upstream
-	lane      lane
-	usable    []*Upstream
+	// runnerUp is the one that ranks next.
+	runnerUp *Upstream
+	lane     lane
+	usable   []*Upstream
 }
 
 // New returns a picker whose random choices follow seed.
@@ -294,7 +296,7 @@
 // ranks highest for the prefix of q by rendezvous hashing among those where q
 // belongs. Entries that see the same candidates agree on it without a message.
 func (p *Picker[P]) findPreferred(now time.Time, q Query) {
-	p.preferred = nil
+	p.preferred, p.runnerUp = nil, nil
 	p.usable = p.usable[:0]
 	for _, name := range q.Candidates {
 		if u := p.upstreams[name]; p.open(q, u) && p.policy.Usable(now, q, &p.fleet, u) {
@@ -305,17 +307,57 @@
 	if q.Prefix == 0 {
 		return
 	}
-	highest := uint64(0)
+	highest, second := uint64(0), uint64(0)
 	for _, u := range p.usable {
 		if !p.lane.fits(u, q.Patient) {
 			continue
 		}
-		if rank := mix(q.Prefix ^ u.hash()); p.preferred == nil || rank > highest {
+		switch rank := mix(q.Prefix ^ u.hash()); {
+		case p.preferred == nil || rank > highest:
+			p.runnerUp, second = p.preferred, highest
 			p.preferred, highest = u, rank
+		case p.runnerUp == nil || rank > second:
+			p.runnerUp, second = u, rank
 		}
 	}
 }
 
+// sourceTokens is the shortest prefix in tokens that is worth copying.
+const sourceTokens = 1
+
+// sourceAge is the age up to which this entry's own record of a holder goes
+// before the ranking.
+const sourceAge = 10 * time.Second
+
+// Source returns the upstream from which the one that Pick has just chosen can
+// best copy what is cached of the prefix of q. It is the preferred upstream for
+// all others. The preferred upstream itself may be new in that place, after the
+// loss of another or because it has just started; it copies from the upstream
+// that this entry used last or that ranks next.
+func (p *Picker[P]) Source(now time.Time, q Query, chosen string) (string, bool) {
+	if q.Prefix == 0 || q.PrefixTokens < sourceTokens {
+		return "", false
+	}
+	if p.preferred != nil && p.preferred.Name != chosen {
+		return p.preferred.Name, true
+	}
+	var last holder
+	if all := p.prefixes.get(q.Prefix); all != nil {
+		for _, h := range all {
+			if h.upstream != chosen && now.Sub(h.at) < sourceAge && h.at.After(last.at) && p.open(q, p.upstreams[h.upstream]) {
+				last = h
+			}
+		}
+	}
+	if last.upstream != "" {
+		return last.upstream, true
+	}
+	if p.runnerUp != nil && p.runnerUp.Name != chosen {
+		return p.runnerUp.Name, true
+	}
+	return "", false
+}
+
 func (p *Picker[P]) cheapest(now time.Time, q Query) (string, bool) {
 	var best *Upstream
 	lowest, equal := 0.0, 0
--- a/internal/process/starter/gateway_test.go
+++ b/internal/process/starter/gateway_test.go
@@ -50,6 +50,21 @@
 	t.Run("stream", func(t *testing.T) {
 		assertStream(t, g.call(http.MethodPost, "/stream/chat/1", "s1", "hello", nil), "s1", r.runners[0].Events)
 	})
+	t.Run("cached prefix", func(t *testing.T) {
+		a := g.call(http.MethodPost, "/stream/chat/2", "s2", "hello", func(req *http.Request) {
+			req.Header.Set("Magnoliafront-Model", "m")
+			req.Header.Set("Magnoliafront-Token-Usage", "3000,80")
+			req.Header.Set("Magnoliafront-Prompt-Prefix", "aa:800,bb:1200,cc:1000")
+			req.Header.Set("Kv-Fetch", "10.0.0.1:1")
+		})
+		assertStream(t, a, "s2", r.runners[0].Events)
+		is := is.New(t)
+		for i, run := range r.runners {
+			if all := run.Runs(); len(all) > 0 && all[len(all)-1].ID == "s2" {
+				is.Equal(all[len(all)-1].Header.Get("Kv-Fetch"), r.runners[1-i].Address())
+			}
+		}
+	})
 	t.Run("not allowed", func(t *testing.T) {
 		assertStatus(t, g.call(http.MethodGet, "/nowhere/1", "n1", "", nil), http.StatusNotFound)
 		assertStatus(t, g.call(http.MethodGet, "/check/1", "n2", "", func(req *http.Request) {
