Share load between entries, count slots, refuse patient requests in overload

Cause: each entry knew only its own requests. Change: entries tell each other every 0.2 s what they have in flight at each upstream, packed in 6 bytes. The picker counts it, knows the slots of an upstream, prefers the first three of the ranking of a prefix rather than the first alone, and leaves an eighth of the slots to hurried requests. A patient request whose wait at the best upstream exceeds half of its target is refused at once and truthfully.

--- a/internal/connection/messenger/message.go
+++ b/internal/connection/messenger/message.go
@@ -32,6 +32,7 @@
 	MethodOrder        = "order"
 	MethodFetchState   = "fetch_state"
 	MethodState        = "state"
+	MethodLoad         = "load"
 )
 
 // Role tells what a process is.
--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -87,6 +87,10 @@
 	// EventBudget changes what all entries together may send beyond the first
 	// attempt of each request.
 	EventBudget
+	// EventShared brings what another entry has in flight.
+	EventShared
+	// EventTick passes time.
+	EventTick
 	// EventSynced tells whether the entry is in step with the platform.
 	EventSynced
 )
@@ -137,6 +141,10 @@
 	Entries   int
 	Strikes   []detector.Strike
 	Synced    bool
+	// Entry is the identity of the entry that EventShared is from, and Loads all
+	// that it has in flight.
+	Entry string
+	Loads []Load
 	// RetryShare and RetrySlack are as in Settings.
 	RetryShare float64
 	RetrySlack float64
@@ -160,6 +168,8 @@
 	ActionForget
 	// ActionSpread tells the other entries about strikes.
 	ActionSpread
+	// ActionShare tells the other entries what this one has in flight.
+	ActionShare
 )
 
 // Action is one thing to do. Only the fields of its kind are set.
@@ -184,6 +194,7 @@
 	LastEvent   string
 	Failure     *admitter.Failure
 	Strikes     []detector.Strike
+	Loads       []Load
 	// Summary describes the request, for logs.
 	Summary Summary
 }
@@ -221,6 +232,7 @@
 	detector detector.Detector
 	services map[string]*service
 	flights  map[string]*flight
+	shared   shared
 }
 
 // service is what is known of the upstreams of one service.
@@ -262,6 +274,10 @@
 		d.allowAll()
 	case EventLearned:
 		return d.learn(now, e.Strikes)
+	case EventShared:
+		d.share(now, e.Entry, e.Loads)
+	case EventTick:
+		return d.tick(now)
 	case EventSynced:
 		d.synced = e.Synced
 	}
@@ -330,7 +346,7 @@
 			}
 			id := u.Identity()
 			if _, ok := s.upstreams[id]; !ok {
-				s.picker.Step(now, picker.Event{Kind: picker.EventConnected, Upstream: id, AvailabilityZone: u.AvailabilityZone})
+				s.picker.Step(now, picker.Event{Kind: picker.EventConnected, Upstream: id, AvailabilityZone: u.AvailabilityZone, Slots: u.Slots})
 			}
 			s.names = append(s.names, id)
 		}
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -60,6 +60,7 @@
 	// reading is the number of prompt tokens that the upstream has to read until
 	// the first event.
 	reading int
+	sent    time.Time
 	begun   bool
 	last    string
 	summary Summary
@@ -119,9 +120,14 @@
 	if !ok {
 		return d.next(now, f, retrier.CauseNoUpstream, nil)
 	}
+	if wait := s.picker.Wait(name, q.Patient); q.Patient && f.attempt == 0 && wait > overloadWait(f.admission.Route.Target) {
+		f.summary.Upstream = name
+		delete(d.flights, f.request.ID)
+		return []Action{d.failure(now, f, unavailable("overloaded", "no upstream could begin the request in time"))}
+	}
 	f.attempt++
 	f.upstream, f.tried = name, append(f.tried, name)
-	f.reading = f.request.PromptTokens
+	f.reading, f.sent = f.request.PromptTokens, now
 	u := s.picker.Upstream(name)
 	f.summary.Upstream, f.summary.Attempts = name, f.attempt
 	f.summary.Outstanding, f.summary.Pending = u.Outstanding, u.Pending
@@ -140,6 +146,11 @@
 	}}
 }
 
+// overloadWait is the expected wait at the best upstream beyond which a patient
+// request is refused. Its first event would be late, and its prompt would delay
+// all others.
+func overloadWait(target time.Duration) time.Duration { return target / 2 }
+
 // exclude returns the upstreams that f must not go to: those that it has been
 // at, and those to which this entry has as many connections as it may.
 func (d *Dispatcher) exclude(s *service, f *flight) []string {
@@ -229,6 +240,7 @@
 	case EndingFailed:
 		p.Failed = true
 	case EndingAnswered:
+		p.Elapsed = now.Sub(f.sent)
 		if f.admission.Route.Kind != matcher.Streaming {
 			s.picker.Step(now, picker.Event{Kind: picker.EventFirstToken, Upstream: f.upstream, Elapsed: e.Elapsed})
 		}
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -41,6 +41,10 @@
 		if f.options.Spread != nil {
 			f.options.Spread(a.Strikes)
 		}
+	case dispatcher.ActionShare:
+		if f.options.Share != nil {
+			f.options.Share(a.Loads)
+		}
 	}
 }
 
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -74,6 +74,9 @@
 	// Spread tells the other entries about strikes. It must not wait. It may be
 	// nil.
 	Spread func([]detector.Strike)
+	// Share tells the other entries what is in flight. It must not wait. It may
+	// be nil.
+	Share func([]dispatcher.Load)
 	// Observe is called with the end of each request. It must not wait. It may be
 	// nil.
 	Observe func(Observation)
@@ -99,6 +102,8 @@
 	registrar  registrar.Registrar
 	attempts   map[string]*attempt
 	pools      map[string]*pool
+	// nextShare is the time of the next report to the other entries.
+	nextShare time.Time
 }
 
 // State is what an entry knows of the system. It is replaced and never changed.
@@ -108,6 +113,9 @@
 	// is the number of those that may get requests.
 	Upstreams []registrar.Upstream
 	Usable    int
+	// SharedRuns is the number of requests that the other entries have in flight,
+	// as far as they have told.
+	SharedRuns int
 	// Learned is the time of the last news from the platform about upstreams.
 	Learned time.Time
 }
@@ -133,6 +141,7 @@
 	eventLearned
 	eventSynced
 	eventBudget
+	eventShared
 )
 
 // event is one thing that reaches the duty beside jobs.
@@ -145,6 +154,8 @@
 	entries   int
 	strikes   []detector.Strike
 	synced    bool
+	entry     string
+	loads     []dispatcher.Load
 	share     float64
 	slack     float64
 }
@@ -196,6 +207,11 @@
 	f.put(event{kind: eventLearned, strikes: strikes})
 }
 
+// LearnLoad takes in what another entry has in flight.
+func (f *Forwarder) LearnLoad(entry string, loads []dispatcher.Load) {
+	f.put(event{kind: eventShared, entry: entry, loads: loads})
+}
+
 // State returns what the entry knows of the system.
 func (f *Forwarder) State() State { return *f.state.Load() }
 
@@ -232,21 +248,26 @@
 
 // wake returns a channel that tells when the duty has to look after time.
 func (f *Forwarder) wake() (<-chan time.Time, func()) {
-	next := f.registrar.Next()
+	next := f.nextShare
+	if at := f.registrar.Next(); !at.IsZero() && at.Before(next) {
+		next = at
+	}
 	for _, p := range f.pools {
-		if at := p.expiry(); !at.IsZero() && (next.IsZero() || at.Before(next)) {
+		if at := p.expiry(); !at.IsZero() && at.Before(next) {
 			next = at
 		}
 	}
-	if next.IsZero() {
-		return nil, func() {}
-	}
 	return f.options.Clock.After(max(0, next.Sub(f.options.Clock.Now())))
 }
 
 // expire drops what has lapsed.
 func (f *Forwarder) expire() {
 	now := f.options.Clock.Now()
+	if !now.Before(f.nextShare) {
+		f.nextShare = now.Add(dispatcher.ShareInterval)
+		f.decide(now, dispatcher.Event{Kind: dispatcher.EventTick})
+		f.noteShared()
+	}
 	for _, p := range f.pools {
 		p.expire(now)
 	}
@@ -276,6 +297,9 @@
 		f.decide(now, dispatcher.Event{Kind: dispatcher.EventLearned, Strikes: e.strikes})
 	case eventSynced:
 		f.decide(now, dispatcher.Event{Kind: dispatcher.EventSynced, Synced: e.synced})
+	case eventShared:
+		f.decide(now, dispatcher.Event{Kind: dispatcher.EventShared, Entry: e.entry, Loads: e.loads})
+		f.noteShared()
 	case eventBudget:
 		f.decide(now, dispatcher.Event{Kind: dispatcher.EventBudget, RetryShare: e.share, RetrySlack: e.slack})
 	}
@@ -290,6 +314,14 @@
 	f.state.Store(&s)
 }
 
+// noteShared publishes what the other entries have in flight.
+func (f *Forwarder) noteShared() {
+	if s := f.State(); s.SharedRuns != f.dispatcher.SharedRuns() {
+		s.SharedRuns = f.dispatcher.SharedRuns()
+		f.state.Store(&s)
+	}
+}
+
 // admit takes in a job.
 func (f *Forwarder) admit(j Job) {
 	if j.Context.Err() != nil {
--- a/internal/process/picker/backlog.go
+++ b/internal/process/picker/backlog.go
@@ -9,7 +9,7 @@
 	// runTime is the cost in seconds of a request in flight. It is the time by
 	// which one more run slows the others of a batch, or holds a slot of a plain
 	// service.
-	runTime = 0.0025
+	runTime = 0.0005
 	// otherZone is the cost in seconds of another availability zone. The latency
 	// between zones of a region is about 1 ms each way.
 	otherZone = 0.002
@@ -29,18 +29,23 @@
 	// preferredCached is the share of a prefix that the preferred upstream is
 	// expected to have in its cache before this entry has sent it there.
 	preferredCached = 0.9
-	// preferredBonus is the worth in seconds of keeping a prefix in one place.
-	preferredBonus = 0.04
 	// waitShare is the part of the target that the backlog of this entry alone may
 	// take before it counts in full, and waitWeight its weight below that. The
 	// backlogs of the other entries come on top.
-	waitShare  = 0.125
-	waitWeight = 0.2
+	waitShare  = 0.5
+	waitWeight = 0.1
+	// reservedSlots is the part of the slots, one in so many, that requests whose
+	// pauses may be long leave to the others. More urgent requests take the place
+	// of running ones, which must read their prompts again.
+	reservedSlots = 8
 	// learnedCached is the weight of what this entry itself sent elsewhere.
 	// Copies of a prefix on many upstreams crowd out others.
 	learnedCached = 0.5
 )
 
+// rankBonus is the worth in seconds of keeping a prefix in one place, or in few.
+var rankBonus = [Unranked + 1]float64{0.04, 0.02, 0.01, 0}
+
 // LeastBacklog prefers the upstream with the least work of this entry in front
 // of a request: prompt tokens that wait to be read, and requests in flight. It
 // is for upstreams without an agent, whose load nobody reports, and keeps a
@@ -59,16 +64,16 @@
 // Cost implements [Policy]. It is in seconds.
 func (LeastBacklog) Cost(now time.Time, q Query, f *Fleet, c Candidate) float64 {
 	cached := learnedCached * c.CachedTokens
-	if c.Preferred {
+	if c.Rank == 0 {
 		cached = max(cached, preferredCached*float64(q.PrefixTokens))
 	}
-	wait := float64(c.Pending) * tokenTime
+	wait := float64(c.Pending+c.SharedPending) * tokenTime
+	runs := c.Outstanding + c.SharedRuns
 	cost := waitWeight*wait + max(0, wait-waitShare*q.Target.Seconds())
 	cost += (float64(q.PromptTokens) - cached) * tokenTime
-	if c.Preferred {
-		cost -= preferredBonus
-	}
-	cost += float64(c.Outstanding) * runTime
+	cost -= rankBonus[c.Rank]
+	cost += float64(runs) * runTime
+	cost += slotWait(f, c.Upstream, q.Patient)
 	cost += errorCost * max(0, c.Errors-f.Errors-errorMargin)
 	if c.Outstanding > 0 {
 		cost += stallCost * max(0, (now.Sub(c.Progress)-stallGrace).Seconds())
@@ -87,3 +92,28 @@
 	}
 	return cost
 }
+
+// slotWait returns the expected time in seconds until a slot is free. One run
+// ends, on average, in the time of a run divided by the slots.
+func slotWait(f *Fleet, u *Upstream, patient bool) float64 {
+	if u.Slots == 0 {
+		return 0
+	}
+	slots := u.Slots
+	if patient {
+		slots -= u.Slots / reservedSlots
+	}
+	over := u.Outstanding + u.SharedRuns + 1 - slots
+	return f.Run * float64(max(0, over)) / float64(u.Slots)
+}
+
+// Wait returns the expected time until the upstream begins to read the prompt of
+// a request of this kind.
+func (p *Picker[P]) Wait(upstream string, patient bool) time.Duration {
+	u := p.upstreams[upstream]
+	if u == nil {
+		return 0
+	}
+	wait := float64(u.Pending+u.SharedPending)*tokenTime + slotWait(&p.fleet, u, patient)
+	return time.Duration(wait * float64(time.Second))
+}
--- a/internal/process/picker/backlog_test.go
+++ b/internal/process/picker/backlog_test.go
@@ -109,6 +109,21 @@
 			Event{Kind: EventSent, Upstream: "b"}, Event{Kind: EventSent, Upstream: "b"},
 		), "a")
 	})
+	t.Run("long prompt of another entry pending", func(t *testing.T) {
+		is.New(t).Equal(pick(Event{Kind: EventShared, Upstream: "a", Runs: 1, PromptTokens: 50_000}), "b")
+	})
+	t.Run("another entry's request ended", func(t *testing.T) {
+		is.New(t).Equal(pick(
+			Event{Kind: EventShared, Upstream: "a", Runs: 4}, Event{Kind: EventShared, Upstream: "a", Runs: -4}, Event{Kind: EventShared, Upstream: "b", Runs: 1},
+		), "a")
+	})
+	t.Run("no slot is free", func(t *testing.T) {
+		is.New(t).Equal(pick(
+			Event{Kind: EventConnected, Upstream: "a", Slots: 2}, Event{Kind: EventConnected, Upstream: "b", Slots: 8},
+			Event{Kind: EventSent, Upstream: "b"}, Event{Kind: EventEnded, Upstream: "b", Elapsed: time.Second},
+			Event{Kind: EventShared, Upstream: "a", Runs: 2}, Event{Kind: EventShared, Upstream: "b", Runs: 6},
+		), "b")
+	})
 	t.Run("requests fail", func(t *testing.T) {
 		var events []Event
 		for range 6 {
@@ -159,3 +174,17 @@
 		is.New(t).Equal(source(none, preferred), "")
 	})
 }
+
+// Requests whose pauses may be long must leave slots to the others.
+func TestWait(t *testing.T) {
+	p := New[LeastBacklog](1)
+	p.Step(start(), Event{Kind: EventConnected, Upstream: "a", Slots: 16})
+	p.Step(start(), Event{Kind: EventSent, Upstream: "a"})
+	p.Step(start(), Event{Kind: EventEnded, Upstream: "a", Elapsed: 4 * time.Second})
+	p.Step(start(), Event{Kind: EventShared, Upstream: "a", Runs: 15})
+	is := is.New(t)
+	is.Equal(p.Wait("a", false), time.Duration(0))
+	// Two places too many, one of which is free each 250 ms.
+	is.Equal(p.Wait("a", true), 500*ms)
+	is.Equal(p.Wait("unknown", true), time.Duration(0))
+}
--- a/internal/process/picker/picker.go
+++ b/internal/process/picker/picker.go
@@ -50,7 +50,8 @@
 	// before.
 	EventTokens
 	// EventEnded means that a request of this entry ended there, with Tokens
-	// tokens or refused.
+	// tokens or refused, Elapsed after it was sent. Elapsed is zero if it was not
+	// answered.
 	EventEnded
 	// EventLost means that the upstream failed under a request of this entry.
 	EventLost
@@ -62,6 +63,9 @@
 	// EventCached and EventUncached bring the cache events of the upstream.
 	EventCached
 	EventUncached
+	// EventShared brings a change of what another entry has in flight there: Runs
+	// requests and PromptTokens pending tokens more, or fewer if negative.
+	EventShared
 )
 
 // Event is one thing that the entry learned. Only the fields of its kind are
@@ -81,6 +85,10 @@
 	// with the events that begin a request, bring its first token or end it
 	// before that.
 	PromptTokens int
+	Runs         int
+	// Slots is the number of requests that the upstream works on at once, with
+	// EventConnected. Zero means unknown.
+	Slots int
 	// Failed is true for a request that the upstream ended with an error of its
 	// own.
 	Failed bool
@@ -133,9 +141,10 @@
 	*Upstream
 	// CachedTokens is the expected number of prompt tokens in its cache.
 	CachedTokens float64
-	// Preferred is true for the upstream to which all entries send the prefix of
-	// the query while they can.
-	Preferred bool
+	// Rank is the place of the upstream for the prefix of the query, on which all
+	// entries agree: zero for the one to which they send it while they can, then
+	// those that they turn to in its place. It is [Unranked] for all others.
+	Rank int
 	// Fits is false if the upstream belongs to requests of the other kind,
 	// patient or not.
 	Fits bool
@@ -152,13 +161,11 @@
 	// near and far are the candidates that the present Pick has drawn.
 	near, far draw
 	// holders are the upstreams that served the prefix of the present Pick, and
-	// preferred is the one that ranks highest for it.
-	holders   []*Upstream
-	preferred *Upstream
-	// runnerUp is the one that ranks next.
-	runnerUp *Upstream
-	lane     lane
-	usable   []*Upstream
+	// ranking has those that rank highest for it.
+	holders []*Upstream
+	ranking ranking
+	lane    lane
+	usable  []*Upstream
 }
 
 // New returns a picker whose random choices follow seed.
@@ -196,6 +203,7 @@
 		u.addGap(now, e.Elapsed, e.Tokens, &p.fleet)
 	case EventEnded:
 		u.end(now, e.Tokens, &p.fleet)
+		p.fleet.addRun(e.Elapsed)
 		u.read(e.PromptTokens)
 		u.addResult(e.Failed, &p.fleet)
 		u.suspect(e.Suspect, -1)
@@ -206,7 +214,7 @@
 		u.addResult(true, &p.fleet)
 		u.suspect(e.Suspect, -1)
 	case EventConnected:
-		u.Connected, u.Leaving, u.AvailabilityZone = true, false, e.AvailabilityZone
+		u.Connected, u.Leaving, u.AvailabilityZone, u.Slots = true, false, e.AvailabilityZone, e.Slots
 	case EventDisconnected:
 		*u = Upstream{Name: u.Name, AvailabilityZone: u.AvailabilityZone}
 	case EventLeaving:
@@ -215,6 +223,9 @@
 		p.prefixes.store(e.At, e.Prefix, u.Name)
 	case EventUncached:
 		p.prefixes.remove(e.At, e.Prefix, u.Name)
+	case EventShared:
+		u.SharedRuns = max(0, u.SharedRuns+e.Runs)
+		u.SharedPending = max(0, u.SharedPending+e.PromptTokens)
 	}
 }
 
@@ -249,7 +260,7 @@
 	}
 	p.findHolders(now, q)
 	if len(q.Candidates) <= scanLimit {
-		p.findPreferred(now, q)
+		p.rank(now, q)
 	}
 	if len(p.near.kept)+len(p.far.kept)+len(p.holders) == 0 {
 		for _, name := range q.Candidates {
@@ -292,11 +303,11 @@
 	}
 }
 
-// findPreferred finds the members of the lane, and the usable candidate that
-// ranks highest for the prefix of q by rendezvous hashing among those where q
-// belongs. Entries that see the same candidates agree on it without a message.
-func (p *Picker[P]) findPreferred(now time.Time, q Query) {
-	p.preferred, p.runnerUp = nil, nil
+// rank finds the members of the lane, and the usable candidates that rank
+// highest for the prefix of q by rendezvous hashing among those where q belongs.
+// Entries that see the same candidates agree on them without a message.
+func (p *Picker[P]) rank(now time.Time, q Query) {
+	p.ranking = ranking{}
 	p.usable = p.usable[:0]
 	for _, name := range q.Candidates {
 		if u := p.upstreams[name]; p.open(q, u) && p.policy.Usable(now, q, &p.fleet, u) {
@@ -307,17 +318,9 @@
 	if q.Prefix == 0 {
 		return
 	}
-	highest, second := uint64(0), uint64(0)
 	for _, u := range p.usable {
-		if !p.lane.fits(u, q.Patient) {
-			continue
-		}
-		switch rank := mix(q.Prefix ^ u.hash()); {
-		case p.preferred == nil || rank > highest:
-			p.runnerUp, second = p.preferred, highest
-			p.preferred, highest = u, rank
-		case p.runnerUp == nil || rank > second:
-			p.runnerUp, second = u, rank
+		if p.lane.fits(u, q.Patient) {
+			p.ranking.add(u, mix(q.Prefix^u.hash()))
 		}
 	}
 }
@@ -338,8 +341,8 @@
 	if q.Prefix == 0 || q.PrefixTokens < sourceTokens {
 		return "", false
 	}
-	if p.preferred != nil && p.preferred.Name != chosen {
-		return p.preferred.Name, true
+	if first := p.ranking[0].upstream; first != nil && first.Name != chosen {
+		return first.Name, true
 	}
 	var last holder
 	if all := p.prefixes.get(q.Prefix); all != nil {
@@ -352,8 +355,8 @@
 	if last.upstream != "" {
 		return last.upstream, true
 	}
-	if p.runnerUp != nil && p.runnerUp.Name != chosen {
-		return p.runnerUp.Name, true
+	if second := p.ranking[1].upstream; second != nil && second.Name != chosen {
+		return second.Name, true
 	}
 	return "", false
 }
@@ -362,7 +365,7 @@
 	var best *Upstream
 	lowest, equal := 0.0, 0
 	weigh := func(u *Upstream) {
-		c := Candidate{Upstream: u, CachedTokens: p.prefixes.cached(now, q, u.Name), Preferred: u == p.preferred, Fits: p.lane.fits(u, q.Patient)}
+		c := Candidate{Upstream: u, CachedTokens: p.prefixes.cached(now, q, u.Name), Rank: p.ranking.of(u), Fits: p.lane.fits(u, q.Patient)}
 		cost := p.policy.Cost(now, q, &p.fleet, c)
 		switch {
 		case best == nil || cost < lowest:
--- a/internal/process/picker/upstream.go
+++ b/internal/process/picker/upstream.go
@@ -53,6 +53,13 @@
 	// Pending the prompt tokens of those that wait for their first token.
 	Outstanding int
 	Pending     int
+	// SharedRuns and SharedPending are the same of the other entries, as far as
+	// these have told.
+	SharedRuns    int
+	SharedPending int
+	// Slots is the number of requests that the upstream works on at once, zero if
+	// unknown.
+	Slots int
 	// Suspects counts those of them that were in flight in a crash before.
 	Suspects int
 	// LastSent is the time of the last dispatch and Sequence its number among
@@ -201,6 +208,8 @@
 	Tokens float64
 	// Errors is the share of requests that failed.
 	Errors float64
+	// Run is the time of a whole answer in seconds.
+	Run float64
 }
 
 // fleetWeight is the weight of one observation in an average of the fleet.
@@ -221,6 +230,12 @@
 	}
 }
 
+func (f *Fleet) addRun(elapsed time.Duration) {
+	if elapsed > 0 {
+		f.Run = average(f.Run, elapsed.Seconds(), fleetWeight)
+	}
+}
+
 func (f *Fleet) addAnswer(tokens int) {
 	if tokens > 0 {
 		f.Tokens = average(f.Tokens, float64(tokens), fleetWeight)
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -43,6 +43,9 @@
 	Service          string `json:"service"`
 	Address          string `json:"address"`
 	AvailabilityZone string `json:"availability_zone"`
+	// Slots is the number of requests that it works on at once, zero if it does
+	// not say.
+	Slots int `json:"slots,omitempty"`
 	// Leaving is true if it takes no new requests.
 	Leaving bool `json:"leaving"`
 }
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -57,7 +57,7 @@
 		fx.Supply(s, messenger.Peer{Role: messenger.RoleEntry, Identity: s.Identity, AvailabilityZone: s.AvailabilityZone}),
 		fx.Provide(
 			func() timer.Clock { return timer.System{} },
-			func() *strikeLink { return &strikeLink{} },
+			func() *syncerLink { return &syncerLink{} },
 			newStore, newMeter, newForwarder, newPeers, newReceiver,
 		),
 		fx.Invoke(serveGatewayMetrics),
@@ -88,20 +88,26 @@
 	acceptor *acceptor.Acceptor
 }
 
-// strikeLink joins the forwarder to the syncer, which is started after it.
-type strikeLink struct {
+// syncerLink joins the forwarder to the syncer, which is started after it.
+type syncerLink struct {
 	syncer atomic.Pointer[syncer.Syncer]
 }
 
-func (l *strikeLink) spread(strikes []detector.Strike) {
+func (l *syncerLink) spread(strikes []detector.Strike) {
 	if s := l.syncer.Load(); s != nil {
 		s.Spread(strikes)
 	}
 }
 
-func newForwarder(lc fx.Lifecycle, s loader.Gateway, c timer.Clock, link *strikeLink, m *meter.Meter) *forwarder.Forwarder {
+func (l *syncerLink) share(loads []dispatcher.Load) {
+	if s := l.syncer.Load(); s != nil {
+		s.Share(loads)
+	}
+}
+
+func newForwarder(lc fx.Lifecycle, s loader.Gateway, c timer.Clock, link *syncerLink, m *meter.Meter) *forwarder.Forwarder {
 	f := forwarder.New(forwarder.Options{
-		Clock: c, Codec: platform.Codec{}, Spread: link.spread,
+		Clock: c, Codec: platform.Codec{}, Spread: link.spread, Share: link.share,
 		Observe: func(o forwarder.Observation) { m.Request(o.Route, o.Result, o.Elapsed) },
 		Dispatcher: dispatcher.Settings{
 			AvailabilityZone: s.AvailabilityZone, Seed: uint64(c.Now().UnixNano()),
@@ -112,7 +118,7 @@
 	return f
 }
 
-func newPeers(lc fx.Lifecycle, s loader.Gateway, self messenger.Peer, c timer.Clock, store *platform.Store, f *forwarder.Forwarder, link *strikeLink) (*peers, error) {
+func newPeers(lc fx.Lifecycle, s loader.Gateway, self messenger.Peer, c timer.Clock, store *platform.Store, f *forwarder.Forwarder, link *syncerLink) (*peers, error) {
 	p := &peers{}
 	ready := make(chan struct{})
 	handle := func(conn *messenger.Conn, m messenger.Message) (any, error) {
@@ -135,7 +141,7 @@
 	close(ready)
 	var err error
 	p.acceptor, err = acceptor.New(s.PeerListen, messenger.Options{Self: self, Secret: []byte(s.SharedSecret)}, acceptor.Routes{
-		messenger.MethodFetchState: handle, messenger.MethodStrike: handle,
+		messenger.MethodFetchState: handle, messenger.MethodStrike: handle, messenger.MethodLoad: handle,
 	})
 	if err != nil {
 		p.syncer.Stop()
--- a/internal/process/starter/gateway_test.go
+++ b/internal/process/starter/gateway_test.go
@@ -267,6 +267,21 @@
 	})
 }
 
+// An entry must know what other entries have in flight, and when it is gone.
+func TestGatewaySharesLoad(t *testing.T) {
+	r := newGatewayRig(t, 1)
+	first := r.readyEntry()
+	second := r.entry("entry-2", r.url, first.peer)
+	assertEventually(t, "ready", second.isReady)
+	r.runners[0].Hold = make(chan struct{})
+	answers := make(chan answer)
+	go func() { answers <- first.call(http.MethodPost, "/hold/1", "b1", "", nil) }()
+	assertEventually(t, "the second entry knows of the request", func() bool { return second.forward.State().SharedRuns == 1 })
+	close(r.runners[0].Hold)
+	assertStatus(t, <-answers, http.StatusOK)
+	assertEventually(t, "the second entry knows of its end", func() bool { return second.forward.State().SharedRuns == 0 })
+}
+
 // Entries that cannot reach the store must not take themselves to be in step
 // because of each other: each vouched for the other while all were behind
 // (incident ae70 of driftline-ops).
--- /dev/null
+++ b/internal/process/syncer/message_test.go
@@ -0,0 +1,37 @@
+package syncer
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
+	"magnoliafront.dev/magnoliafront/internal/process/registrar"
+)
+
+// The packed load must name the same upstreams at the other end, whatever it is
+// made of.
+func TestLoad(t *testing.T) {
+	known := []registrar.Upstream{{Name: "desk-1", Born: 7}, {Name: "desk-2"}}
+	for _, c := range []struct {
+		name string
+		sent []dispatcher.Load
+		want []dispatcher.Load
+	}{
+		{"nothing", nil, nil},
+		{"known upstreams", []dispatcher.Load{{Upstream: "desk-1@7", Runs: 3, PendingTokens: 2048}, {Upstream: "desk-2", Runs: 1}},
+			[]dispatcher.Load{{Upstream: "desk-1@7", Runs: 3, PendingTokens: 2048}, {Upstream: "desk-2", Runs: 1}}},
+		{"tokens are rounded", []dispatcher.Load{{Upstream: "desk-2", Runs: 1, PendingTokens: 1400}}, []dispatcher.Load{{Upstream: "desk-2", Runs: 1, PendingTokens: 1024}}},
+		{"more than fits", []dispatcher.Load{{Upstream: "desk-2", Runs: 1000, PendingTokens: 1 << 30}}, []dispatcher.Load{{Upstream: "desk-2", Runs: 255, PendingTokens: 255 * 1024}}},
+		{"unknown upstream", []dispatcher.Load{{Upstream: "desk-1@8", Runs: 3}}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(pack(c.sent).unpack(known), c.want)
+		})
+	}
+	t.Run("cut off", func(t *testing.T) {
+		l := pack([]dispatcher.Load{{Upstream: "desk-2", Runs: 1}})
+		l.Packed = l.Packed[:loadSize-1]
+		is.New(t).Equal(len(l.unpack(known)), 0)
+	})
+}
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -20,6 +20,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,7 @@
 	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
 	"magnoliafront.dev/magnoliafront/internal/process/accessor"
 	"magnoliafront.dev/magnoliafront/internal/process/detector"
+	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
 	"magnoliafront.dev/magnoliafront/internal/process/forwarder"
 	"magnoliafront.dev/magnoliafront/internal/process/registrar"
 	"magnoliafront.dev/magnoliafront/internal/process/subscriber"
@@ -176,6 +178,19 @@
 	}
 }
 
+// Share tells all other entries what this one has in flight.
+func (s *Syncer) Share(loads []dispatcher.Load) {
+	// Encoded once for all.
+	encoded, err := json.Marshal(pack(loads))
+	if err != nil {
+		klog.ErrorS(err, "load not shared")
+		return
+	}
+	for identity := range s.Members() {
+		s.options.Send(identity, messenger.MethodLoad, json.RawMessage(encoded))
+	}
+}
+
 // Handle answers another entry that cannot reach the platform, and takes in the
 // answers of others.
 func (s *Syncer) Handle(c *messenger.Conn, m messenger.Message) (any, error) {
@@ -198,6 +213,13 @@
 			return nil, err
 		}
 		s.options.Forwarder.Learn(strikes)
+	case messenger.MethodLoad:
+		var l Load
+		if err := m.Decode(&l); err != nil {
+			return nil, err
+		}
+		f := s.options.Forwarder
+		f.LearnLoad(c.Peer.Identity, l.unpack(f.State().Upstreams))
 	}
 	return nil, nil
 }
