--- a/internal/process/loader/loader.go
+++ b/internal/process/loader/loader.go
@@ -80,6 +80,9 @@
 	// NoticePeriod is the time for which a leaving entry still accepts callers,
 	// until the balancer has noticed, a duration such as 3s.
 	NoticePeriod string `json:"notice_period"`
+	// LeavingLimit is the time after which an upstream that is known to leave must
+	// get no more requests, a duration such as 2s.
+	LeavingLimit string `json:"leaving_limit"`
 	// RetryShare is the number of further attempts for each request, and
 	// RetrySlack that of those on top, that all entries together may make.
 	RetryShare float64 `json:"retry_share"`
@@ -92,6 +95,9 @@
 // Notice returns NoticePeriod as a duration.
 func (g Gateway) Notice() time.Duration { return duration(g.NoticePeriod) }
 
+// Leaving returns LeavingLimit as a duration.
+func (g Gateway) Leaving() time.Duration { return duration(g.LeavingLimit) }
+
 // duration returns zero for a text that is no duration.
 func duration(text string) time.Duration {
 	d, err := time.ParseDuration(text)
@@ -129,6 +135,7 @@
 		c.address("metrics", g.Metrics)
 	}
 	c.require("grace_period", g.Grace() > 0, "a duration such as 8s")
+	c.require("leaving_limit", g.Leaving() > 0, "a duration such as 2s")
 	c.require("notice_period", g.Notice() > 0 && g.Notice() < g.Grace(), "a duration such as 3s, shorter than the grace period")
 	c.require("retry_share", g.RetryShare >= 0, "a number of attempts for each request, not below zero")
 	c.require("retry_slack", g.RetrySlack >= 0, "a number of attempts, not below zero")
--- a/internal/process/picker/backlog.go
+++ b/internal/process/picker/backlog.go
@@ -29,6 +29,9 @@
 	// preferredCached is the share of a prefix that the preferred upstream is
 	// expected to have in its cache before this entry has sent it there.
 	preferredCached = 0.9
+	// firstBonus is the worth in seconds of keeping a prefix in the first place of
+	// its ranking. It halves with each further place.
+	firstBonus = 0.04
 	// waitShare is the part of the target that the backlog of this entry alone may
 	// take before it counts in full, and waitWeight its weight below that. The
 	// backlogs of the other entries come on top.
@@ -43,9 +46,6 @@
 	learnedCached = 0.5
 )
 
-// rankBonus is the worth in seconds of keeping a prefix in one place, or in few.
-var rankBonus = [Unranked + 1]float64{0.04, 0.02, 0.01, 0}
-
 // LeastBacklog prefers the upstream with the least work of this entry in front
 // of a request: prompt tokens that wait to be read, and requests in flight. It
 // is for upstreams without an agent, whose load nobody reports, and keeps a
@@ -71,7 +71,9 @@
 	runs := c.Outstanding + c.SharedRuns
 	cost := waitWeight*wait + max(0, wait-waitShare*q.Target.Seconds())
 	cost += (float64(q.PromptTokens) - cached) * tokenTime
-	cost -= rankBonus[c.Rank]
+	if c.Rank < Unranked {
+		cost -= firstBonus / float64(int(1)<<c.Rank)
+	}
 	cost += float64(runs) * runTime
 	cost += slotWait(f, c.Upstream, q.Patient)
 	cost += errorCost * max(0, c.Errors-f.Errors-errorMargin)
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -238,12 +238,25 @@
 	case j := <-r.jobs.C():
 		r.admit(j)
 	case <-r.events.Done():
+		r.finish()
 		return false
 	}
 	r.signal()
 	return true
 }
 
+// finish takes in which callers had gone before the stop. The choice between
+// waiting events and the stop is random, and a request whose caller had gone
+// must not count as cut off.
+func (r *Router) finish() {
+	now := r.options.Clock.Now()
+	for e, ok := r.events.TryTake(); ok; e, ok = r.events.TryTake() {
+		if e.kind == eventAbandoned {
+			r.abandon(now, e.request)
+		}
+	}
+}
+
 func (r *Router) signal() {
 	if r.draining && len(r.flights) == 0 {
 		closeOnce(r.idle)
--- a/internal/process/starter/gateway_rig_test.go
+++ b/internal/process/starter/gateway_rig_test.go
@@ -108,7 +108,7 @@
 			Identity: name, AvailabilityZone: "z", PeerListen: g.peer, Platform: url,
 			SharedSecret: "secret of the test", Peers: peers,
 		},
-		Listen: g.front, ReadyListen: g.ready, GracePeriod: "8s", NoticePeriod: "50ms", RetryShare: 0.2, RetrySlack: 50,
+		Listen: g.front, ReadyListen: g.ready, GracePeriod: "8s", NoticePeriod: "50ms", LeavingLimit: "2s", RetryShare: 0.2, RetrySlack: 50,
 	}
 	is.NoErr(s.Check())
 	path := filepath.Join(r.t.TempDir(), "settings.json")
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -80,13 +80,16 @@
 	Self messenger.Peer
 	// Address is the IP address and port of this entry for others, and Seeds are
 	// those of entries that may be there.
-	Address   string
-	Seeds     []string
-	Store     Store
-	Kinds     Kinds
-	Decoder   Decoder
-	Clock     timer.Clock
-	Forwarder *forwarder.Forwarder
+	Address string
+	Seeds   []string
+	Store   Store
+	Kinds   Kinds
+	Decoder Decoder
+	// LeavingLimit is the time after which an upstream that leaves must get no
+	// more requests.
+	LeavingLimit time.Duration
+	Clock        timer.Clock
+	Forwarder    *forwarder.Forwarder
 	// Send sends a message to another entry by its identity. It must not wait.
 	Send func(identity, method string, params any) bool
 }
@@ -134,9 +137,9 @@
 }
 
 const (
-	// upstreamsPause gathers the renewals of upstreams. It delays the news that
-	// one leaves, for which there are 2 s.
-	upstreamsPause = 700 * time.Millisecond
+	// pauseShare is the part of the time for the news that an upstream leaves for
+	// which renewals of upstreams are gathered. The rest is for a slow platform.
+	pauseShare = 0.4
 	// entriesWait is the longest time that a change of the entries goes unnoticed
 	// on a connection that has gone silent.
 	entriesWait = 20 * time.Second
@@ -156,11 +159,12 @@
 		for s.step() {
 		}
 	}()
+	pause := time.Duration(pauseShare * float64(o.LeavingLimit))
 	take := func(u subscriber.Update) { s.input.Put(ctx, input{update: u}) }
 	for _, k := range []subscriber.Options{
 		{Kind: o.Kinds.Configuration},
-		{Kind: o.Kinds.Upstreams, Pause: upstreamsPause},
-		{Kind: o.Kinds.Entries, Pause: upstreamsPause, Wait: entriesWait},
+		{Kind: o.Kinds.Upstreams, Pause: pause},
+		{Kind: o.Kinds.Entries, Pause: pause, Wait: entriesWait},
 	} {
 		k.Feed, k.Clock, k.Take = o.Store, o.Clock, take
 		s.subscribers = append(s.subscribers, subscriber.New(k))
