Tell the other entries where long prompt prefixes are cached

Change: the report that entries send each other five times a second carries the placements of prefixes of 1,024 tokens or more since the last, 12 bytes each; the source of a copy is the upstream that got the prefix last. A patient request goes to upstreams of the hurried only while less than 16,000 tokens are pending there, so that chat keeps its pauses.

--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -145,6 +145,8 @@
 	// that it has in flight.
 	Entry string
 	Loads []Load
+	// Placed are the placements since the report before.
+	Placed []Placement
 	// RetryShare and RetrySlack are as in Settings.
 	RetryShare float64
 	RetrySlack float64
@@ -195,6 +197,7 @@
 	Failure     *admitter.Failure
 	Strikes     []detector.Strike
 	Loads       []Load
+	Placed      []Placement
 	// Summary describes the request, for logs.
 	Summary Summary
 }
@@ -217,6 +220,9 @@
 	// the number of tokens of the whole prompt.
 	Prefix uint64
 	Prompt int
+	// CacheSource is the upstream from which the prefix was copied, empty without
+	// one.
+	CacheSource string
 	// Content identifies the content. A caller that comes again has the same.
 	Content string
 	// Reason says why.
@@ -275,7 +281,7 @@
 	case EventLearned:
 		return d.learn(now, e.Strikes)
 	case EventShared:
-		d.share(now, e.Entry, e.Loads)
+		d.share(now, e.Entry, e.Loads, e.Placed)
 	case EventTick:
 		return d.tick(now)
 	case EventSynced:
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -127,18 +127,17 @@
 	}
 	f.attempt++
 	f.upstream, f.tried = name, append(f.tried, name)
+	d.place(f)
 	f.reading, f.sent = f.request.PromptTokens, now
 	u := s.picker.Upstream(name)
 	f.summary.Upstream, f.summary.Attempts = name, f.attempt
 	f.summary.Outstanding, f.summary.Pending = u.Outstanding, u.Pending
 	s.picker.Step(now, picker.Event{Kind: picker.EventSent, Upstream: name, Prefix: f.request.Prefix, Suspect: f.suspect, Patient: q.Patient, PromptTokens: f.reading})
 	left := f.until.Sub(now)
-	source := ""
-	if from, ok := s.picker.Source(now, q, name); ok {
-		source = s.upstreams[from].Address
-	}
+	source, _ := s.picker.Source(now, q, name)
+	f.summary.CacheSource = source
 	return []Action{{
-		Kind: ActionSend, ID: f.request.ID, Attempt: f.attempt, Upstream: s.upstreams[name], CacheSource: source,
+		Kind: ActionSend, ID: f.request.ID, Attempt: f.attempt, Upstream: s.upstreams[name], CacheSource: s.upstreams[source].Address,
 		Priority: f.admission.Priority, Organisation: f.admission.Organisation,
 		Until: f.until, Silence: silence(f, left), DialTimeout: min(dialLimit, left/3),
 		Stream: f.admission.Route.Kind == matcher.Streaming, Begun: f.begun, LastEvent: f.last,
--- a/internal/process/dispatcher/load.go
+++ b/internal/process/dispatcher/load.go
@@ -6,7 +6,8 @@
 	"magnoliafront.dev/magnoliafront/internal/process/picker"
 )
 
-// Entries tell each other what they have in flight, since an engine that is
+// Entries tell each other what they have in flight and where prompt prefixes are
+// cached, since an engine that is
 // called directly tells nobody how busy it is. What an entry was told is a few
 // hundred milliseconds old; its own part it knows exactly.
 
@@ -29,12 +30,31 @@
 	PendingTokens int `json:"pending_tokens,omitempty"`
 }
 
+// Placement says that an upstream has got a request with a prompt prefix, and
+// keeps that in its cache for a while.
+type Placement struct {
+	// Upstream is the identity of the upstream.
+	Upstream string
+	Prefix   uint64
+}
+
+const (
+	// placedTokens is the length of a prefix in tokens from which entries tell
+	// each other where it is. Shorter ones are read in less time than a copy of
+	// them takes.
+	placedTokens = 1024
+	// maxPlaced bounds the placements of one report.
+	maxPlaced = 512
+)
+
 // shared is what the entries have told each other. The zero value knows nothing.
 type shared struct {
 	reports map[string]report
 	// told is true if this entry's last report had loads in it, so that the
 	// others must learn when they are gone.
 	told bool
+	// placed are the placements since the last report.
+	placed []Placement
 }
 
 type report struct {
@@ -42,13 +62,27 @@
 	loads []Load
 }
 
+// place notes where a request with a prefix goes.
+func (d *Dispatcher) place(f *flight) {
+	if f.request.Prefix != 0 && f.request.PrefixTokens >= placedTokens && len(d.shared.placed) < maxPlaced {
+		d.shared.placed = append(d.shared.placed, Placement{f.upstream, f.request.Prefix})
+	}
+}
+
 // share takes in the report of another entry in place of its last one.
-func (d *Dispatcher) share(now time.Time, entry string, loads []Load) {
+func (d *Dispatcher) share(now time.Time, entry string, loads []Load, placed []Placement) {
 	if d.shared.reports == nil {
 		d.shared.reports = map[string]report{}
 	}
 	d.count(now, d.shared.reports[entry].loads, -1)
 	d.shared.reports[entry] = report{now, d.count(now, loads, 1)}
+	for _, p := range placed {
+		for _, s := range d.services {
+			if _, ok := s.upstreams[p.Upstream]; ok {
+				s.picker.Step(now, picker.Event{Kind: picker.EventCached, Upstream: p.Upstream, Prefix: p.Prefix})
+			}
+		}
+	}
 }
 
 // count adds loads to what is known of the upstreams, or takes them off. It
@@ -95,9 +129,10 @@
 			}
 		}
 	}
-	if len(loads) == 0 && !d.shared.told {
+	placed := d.shared.placed
+	if len(loads)+len(placed) == 0 && !d.shared.told {
 		return nil
 	}
-	d.shared.told = len(loads) > 0
-	return []Action{{Kind: ActionShare, Loads: loads}}
+	d.shared.told, d.shared.placed = len(loads) > 0, nil
+	return []Action{{Kind: ActionShare, Loads: loads, Placed: placed}}
 }
--- a/internal/process/dispatcher/load_test.go
+++ b/internal/process/dispatcher/load_test.go
@@ -101,3 +101,26 @@
 		assertSent(t, d.Step(start(), Event{Kind: EventArrived, Request: request("/brief/1")}), 1)
 	})
 }
+
+// Entries must know where the others have sent a long prefix, each time once.
+func TestPlacements(t *testing.T) {
+	long := func(id string) Request {
+		r := request("/brief/1")
+		r.ID, r.Prefix, r.PrefixTokens, r.PromptTokens = id, 77, 5000, 9000
+		return r
+	}
+	d := newDispatcher()
+	sent := d.Step(start(), Event{Kind: EventArrived, Request: long("r1")})
+	told := d.Step(start(), Event{Kind: EventTick})
+	is := is.New(t)
+	is.Equal(told[0].Placed, []Placement{{sent[0].Upstream.Identity(), 77}})
+	is.Equal(len(d.Step(start(), Event{Kind: EventTick})[0].Placed), 0)
+	other := newDispatcher()
+	other.Step(start(), Event{Kind: EventShared, Entry: "entry-1", Loads: []Load{{sent[0].Upstream.Identity(), 100, 70_000}}, Placed: told[0].Placed})
+	for i, u := range []string{"desk-0", "desk-1", "desk-2"} {
+		other.Step(start(), Event{Kind: EventShared, Entry: fmt.Sprint("entry-", 2+i), Placed: []Placement{{u, 78}}})
+	}
+	next := other.Step(start(), Event{Kind: EventArrived, Request: long("r2")})
+	is.True(next[0].Upstream.Name != sent[0].Upstream.Name)
+	is.Equal(next[0].Summary.CacheSource, sent[0].Upstream.Identity())
+}
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -43,7 +43,7 @@
 		}
 	case dispatcher.ActionShare:
 		if f.options.Share != nil {
-			f.options.Share(a.Loads)
+			f.options.Share(a.Loads, a.Placed)
 		}
 	}
 }
@@ -198,5 +198,5 @@
 	}
 	klog.InfoS(message, "request", a.ID, "route", s.Route, "service", s.Service, "organisation", s.Organisation,
 		"version", s.Version, "upstream", s.Upstream, "attempts", s.Attempts, "outstanding", s.Outstanding,
-		"pending_tokens", s.Pending, "prefix", s.Prefix, "prompt_tokens", s.Prompt, "content", s.Content, "elapsed", s.Elapsed, "outcome", s.Reason, "status", status)
+		"pending_tokens", s.Pending, "prefix", s.Prefix, "cache_source", s.CacheSource, "prompt_tokens", s.Prompt, "content", s.Content, "elapsed", s.Elapsed, "outcome", s.Reason, "status", status)
 }
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -76,7 +76,7 @@
 	Spread func([]detector.Strike)
 	// Share tells the other entries what is in flight. It must not wait. It may
 	// be nil.
-	Share func([]dispatcher.Load)
+	Share func([]dispatcher.Load, []dispatcher.Placement)
 	// Observe is called with the end of each request. It must not wait. It may be
 	// nil.
 	Observe func(Observation)
@@ -156,6 +156,7 @@
 	synced    bool
 	entry     string
 	loads     []dispatcher.Load
+	placed    []dispatcher.Placement
 	share     float64
 	slack     float64
 }
@@ -207,9 +208,10 @@
 	f.put(event{kind: eventLearned, strikes: strikes})
 }
 
-// LearnLoad takes in what another entry has in flight.
-func (f *Forwarder) LearnLoad(entry string, loads []dispatcher.Load) {
-	f.put(event{kind: eventShared, entry: entry, loads: loads})
+// LearnLoad takes in what another entry has in flight, and the placements since
+// it told last.
+func (f *Forwarder) LearnLoad(entry string, loads []dispatcher.Load, placed []dispatcher.Placement) {
+	f.put(event{kind: eventShared, entry: entry, loads: loads, placed: placed})
 }
 
 // State returns what the entry knows of the system.
@@ -298,7 +300,7 @@
 	case eventSynced:
 		f.decide(now, dispatcher.Event{Kind: dispatcher.EventSynced, Synced: e.synced})
 	case eventShared:
-		f.decide(now, dispatcher.Event{Kind: dispatcher.EventShared, Entry: e.entry, Loads: e.loads})
+		f.decide(now, dispatcher.Event{Kind: dispatcher.EventShared, Entry: e.entry, Loads: e.loads, Placed: e.placed})
 		f.noteShared()
 	case eventBudget:
 		f.decide(now, dispatcher.Event{Kind: dispatcher.EventBudget, RetryShare: e.share, RetrySlack: e.slack})
--- a/internal/process/picker/backlog.go
+++ b/internal/process/picker/backlog.go
@@ -26,6 +26,12 @@
 	// laneCost is the cost in seconds of an upstream that belongs to requests of
 	// the other kind.
 	laneCost = 0.05
+	// spillTokens is the number of pending prompt tokens up to which a patient
+	// request may go to an upstream of the others. Reading them takes less than
+	// the shortest pauses that callers accept. spillCost in seconds keeps it from
+	// there otherwise.
+	spillTokens = 16_000
+	spillCost   = 5
 	// preferredCached is the share of a prefix that the preferred upstream is
 	// expected to have in its cache before this entry has sent it there.
 	preferredCached = 0.9
@@ -88,6 +94,9 @@
 	}
 	if !c.Fits {
 		cost += laneCost
+		if q.Patient && c.Pending+c.SharedPending+q.PromptTokens > spillTokens {
+			cost += spillCost
+		}
 	}
 	if c.AvailabilityZone != q.AvailabilityZone {
 		cost += otherZone
--- a/internal/process/picker/picker.go
+++ b/internal/process/picker/picker.go
@@ -328,22 +328,17 @@
 // sourceTokens is the shortest prefix in tokens that is worth copying.
 const sourceTokens = 1
 
-// sourceAge is the age up to which this entry's own record of a holder goes
-// before the ranking.
+// sourceAge is the age up to which the record of a holder goes before the
+// ranking.
 const sourceAge = 10 * time.Second
 
 // Source returns the upstream from which the one that Pick has just chosen can
-// best copy what is cached of the prefix of q. It is the preferred upstream for
-// all others. The preferred upstream itself may be new in that place, after the
-// loss of another or because it has just started; it copies from the upstream
-// that this entry used last or that ranks next.
+// best copy what is cached of the prefix of q: the one that got it last, as far
+// as this entry knows, otherwise the first of the ranking.
 func (p *Picker[P]) Source(now time.Time, q Query, chosen string) (string, bool) {
 	if q.Prefix == 0 || q.PrefixTokens < sourceTokens {
 		return "", false
 	}
-	if first := p.ranking[0].upstream; first != nil && first.Name != chosen {
-		return first.Name, true
-	}
 	var last holder
 	if all := p.prefixes.get(q.Prefix); all != nil {
 		for _, h := range all {
@@ -355,8 +350,10 @@
 	if last.upstream != "" {
 		return last.upstream, true
 	}
-	if second := p.ranking[1].upstream; second != nil && second.Name != chosen {
-		return second.Name, true
+	for _, place := range p.ranking {
+		if place.upstream != nil && place.upstream.Name != chosen {
+			return place.upstream.Name, true
+		}
 	}
 	return "", false
 }
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -99,9 +99,9 @@
 	}
 }
 
-func (l *syncerLink) share(loads []dispatcher.Load) {
+func (l *syncerLink) share(loads []dispatcher.Load, placed []dispatcher.Placement) {
 	if s := l.syncer.Load(); s != nil {
-		s.Share(loads)
+		s.Share(loads, placed)
 	}
 }
 
--- a/internal/process/syncer/message.go
+++ b/internal/process/syncer/message.go
@@ -25,43 +25,59 @@
 	Upstreams     []registrar.Upstream   `json:"upstreams"`
 }
 
-// Load tells other entries what the sender has in flight. Entries send it to
-// each other several times a second, so it is packed: for each upstream four
-// bytes of a hash of its identity, one of the requests and one of the pending
-// tokens in units of [loadUnit].
+// Load tells other entries what the sender has in flight, and where it has sent
+// prompt prefixes since it told last. Entries send it to each other several times
+// a second, so it is packed. Runs has for each upstream four bytes of a hash of
+// its identity, one of the requests and one of the pending tokens in units of
+// [loadUnit]. Placed has for each placement the same hash and eight bytes of the
+// prefix.
 type Load struct {
-	Packed []byte `json:"packed"`
+	Runs   []byte `json:"runs"`
+	Placed []byte `json:"placed,omitempty"`
 }
 
 const (
-	loadSize = 6
+	runsSize   = 6
+	placedSize = 12
 	// loadUnit is the precision of pending tokens, about 7 ms of an engine.
 	loadUnit = 1024
 )
 
-// pack returns the message for loads.
-func pack(loads []dispatcher.Load) Load {
-	out := make([]byte, 0, loadSize*len(loads))
+// pack returns the message for loads and placements.
+func pack(loads []dispatcher.Load, placed []dispatcher.Placement) Load {
+	runs := make([]byte, 0, runsSize*len(loads))
 	for _, l := range loads {
-		out = binary.BigEndian.AppendUint32(out, shortName(l.Upstream))
-		out = append(out, byte(min(l.Runs, math.MaxUint8)), byte(min((l.PendingTokens+loadUnit/2)/loadUnit, math.MaxUint8)))
+		runs = binary.BigEndian.AppendUint32(runs, shortName(l.Upstream))
+		runs = append(runs, byte(min(l.Runs, math.MaxUint8)), byte(min((l.PendingTokens+loadUnit/2)/loadUnit, math.MaxUint8)))
 	}
-	return Load{out}
+	var prefixes []byte
+	for _, p := range placed {
+		prefixes = binary.BigEndian.AppendUint32(prefixes, shortName(p.Upstream))
+		prefixes = binary.BigEndian.AppendUint64(prefixes, p.Prefix)
+	}
+	return Load{runs, prefixes}
 }
 
-// unpack returns the loads of a message at the upstreams that this entry knows.
-func (l Load) unpack(known []registrar.Upstream) []dispatcher.Load {
+// unpack returns the loads and placements of a message at the upstreams that
+// this entry knows.
+func (l Load) unpack(known []registrar.Upstream) ([]dispatcher.Load, []dispatcher.Placement) {
 	names := make(map[uint32]string, len(known))
 	for _, u := range known {
 		names[shortName(u.Identity())] = u.Identity()
 	}
-	var out []dispatcher.Load
-	for b := l.Packed; len(b) >= loadSize; b = b[loadSize:] {
+	var loads []dispatcher.Load
+	for b := l.Runs; len(b) >= runsSize; b = b[runsSize:] {
+		if name, ok := names[binary.BigEndian.Uint32(b)]; ok {
+			loads = append(loads, dispatcher.Load{Upstream: name, Runs: int(b[4]), PendingTokens: int(b[5]) * loadUnit})
+		}
+	}
+	var placed []dispatcher.Placement
+	for b := l.Placed; len(b) >= placedSize; b = b[placedSize:] {
 		if name, ok := names[binary.BigEndian.Uint32(b)]; ok {
-			out = append(out, dispatcher.Load{Upstream: name, Runs: int(b[4]), PendingTokens: int(b[5]) * loadUnit})
+			placed = append(placed, dispatcher.Placement{Upstream: name, Prefix: binary.BigEndian.Uint64(b[4:])})
 		}
 	}
-	return out
+	return loads, placed
 }
 
 func shortName(identity string) uint32 {
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -182,10 +182,11 @@
 	}
 }
 
-// Share tells all other entries what this one has in flight.
-func (s *Syncer) Share(loads []dispatcher.Load) {
+// Share tells all other entries what this one has in flight, and the placements
+// since it told them last.
+func (s *Syncer) Share(loads []dispatcher.Load, placed []dispatcher.Placement) {
 	// Encoded once for all.
-	encoded, err := json.Marshal(pack(loads))
+	encoded, err := json.Marshal(pack(loads, placed))
 	if err != nil {
 		klog.ErrorS(err, "load not shared")
 		return
@@ -223,7 +224,8 @@
 			return nil, err
 		}
 		f := s.options.Forwarder
-		f.LearnLoad(c.Peer.Identity, l.unpack(f.State().Upstreams))
+		loads, placed := l.unpack(f.State().Upstreams)
+		f.LearnLoad(c.Peer.Identity, loads, placed)
 	}
 	return nil, nil
 }
