--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -270,7 +270,7 @@
 		if !ok {
 			return a.ended(OutcomeLost, errors.New("an event is too long"))
 		}
-		if errors.Is(err, io.EOF) && len(a.split.rest) > 0 && !unframed(resp) {
+		if errors.Is(err, io.EOF) && len(a.split.rest) > 0 && !unframed(resp) && !a.call.Begun {
 			// The upstream says that the stream is complete.
 			whole = append(whole, a.split.rest...)
 		}
@@ -279,7 +279,7 @@
 		}
 		c.progress(a, events)
 		switch {
-		case errors.Is(err, io.EOF) && unframed(resp) && len(a.split.rest) > 0:
+		case errors.Is(err, io.EOF) && len(a.split.rest) > 0 && (unframed(resp) || a.call.Begun):
 			return c.interrupted(a, errors.New("the stream ends within an event"))
 		case errors.Is(err, io.EOF):
 			if !a.begin(resp) {
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -239,7 +239,7 @@
 	case EndingFailed:
 		p.Failed = true
 	case EndingAnswered:
-		p.Elapsed = now.Sub(f.sent)
+		p.Elapsed, p.Patient = now.Sub(f.sent), d.table.Patient(f.admission.Route)
 		if f.admission.Route.Kind != matcher.Streaming {
 			s.picker.Step(now, picker.Event{Kind: picker.EventFirstToken, Upstream: f.upstream, Elapsed: e.Elapsed})
 		}
--- a/internal/process/picker/backlog.go
+++ b/internal/process/picker/backlog.go
@@ -49,7 +49,7 @@
 	reservedSlots = 8
 	// learnedCached is the weight of what this entry itself sent elsewhere.
 	// Copies of a prefix on many upstreams crowd out others.
-	learnedCached = 0.5
+	learnedCached = 0.9
 )
 
 // LeastBacklog prefers the upstream with the least work of this entry in front
--- a/internal/process/picker/lane.go
+++ b/internal/process/picker/lane.go
@@ -30,10 +30,11 @@
 	laneMinimum = 3
 	// laneSteps is the number of steps between no lane and all upstreams. Few
 	// steps let entries agree on the size.
-	laneSteps = 4
+	laneSteps = 8
 )
 
-// lane is the demand of patient and of other requests, and the size that
+// lane is the demand of patient and of other requests, in prompt tokens and in
+// the time of slots as tokens that an engine reads meanwhile, and the size that
 // follows. The zero value has no lane.
 type lane struct {
 	patient float64
--- a/internal/process/picker/picker.go
+++ b/internal/process/picker/picker.go
@@ -92,8 +92,8 @@
 	// Failed is true for a request that the upstream ended with an error of its
 	// own.
 	Failed bool
-	// Suspect is that of the query, with the kinds of events that begin and end
-	// a request, and Patient that with EventSent.
+	// Suspect and Patient are those of the query, with the kinds of events that
+	// begin and end a request.
 	Suspect bool
 	Patient bool
 }
@@ -204,6 +204,10 @@
 	case EventEnded:
 		u.end(now, e.Tokens, &p.fleet)
 		p.fleet.addRun(e.Elapsed)
+		if u.Slots > 0 {
+			// A run takes a part of the engine for its whole time.
+			p.lane.add(now, e.Patient, int(e.Elapsed.Seconds()/float64(u.Slots)/tokenTime))
+		}
 		u.read(e.PromptTokens)
 		u.addResult(e.Failed, &p.fleet)
 		u.suspect(e.Suspect, -1)
--- a/internal/process/starter/gateway_test.go
+++ b/internal/process/starter/gateway_test.go
@@ -122,6 +122,17 @@
 			is.New(t).True(strings.HasSuffix(b.body, " to x2\n"))
 		})
 	}
+	t.Run("chat resumed with an answer that is no stream", func(t *testing.T) {
+		r := newGatewayRig(t, 2)
+		g := r.readyEntry()
+		r.behave(emulator.RunnerRepeats)
+		r.behaveOnce(emulator.RunnerCutsStream)
+		a := g.call(http.MethodPost, "/stream/chat/1", "x1", "", nil)
+		is := is.New(t)
+		is.True(a.err != nil)
+		is.True(!strings.Contains(a.body, "answer of"))
+		assertExecuted(t, r, "x1", 2)
+	})
 	t.Run("brief cut in its midst", func(t *testing.T) {
 		r := newGatewayRig(t, 2)
 		g := r.readyEntry()
