--- a/cmd/magnoliafront/gateway.go
+++ b/cmd/magnoliafront/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 
 	"k8s.io/klog/v2"
 
@@ -12,6 +13,7 @@
 
 type gatewayCommand struct {
 	ctx      context.Context
+	reload   <-chan os.Signal
 	Settings string `long:"settings" env:"MAGNOLIAFRONT_SETTINGS" required:"true" value-name:"FILE" description:"JSON file with the settings"`
 }
 
@@ -22,7 +24,7 @@
 		return err
 	}
 	klog.InfoS("starting", "identity", s.Identity, "availability_zone", s.AvailabilityZone, "platform", s.Platform, "peers", len(s.Peers))
-	return serve(c.ctx, starter.Gateway(s, starter.SettingsPath(c.Settings)), func() string {
+	return serve(c.ctx, starter.Gateway(s, starter.SettingsFile{Path: c.Settings, Changed: c.reload}), func() string {
 		return fmt.Sprintf("ready gateway http://%s peers %s", s.Listen, s.PeerListen)
 	})
 }
--- a/cmd/magnoliafront/main.go
+++ b/cmd/magnoliafront/main.go
@@ -51,15 +51,29 @@
   7  no such record`
 
 func main() {
+	reload := catchReload(os.Args[1:])
 	lines := logger.NewWriter(logOutput(os.Args[1:]), timer.System{})
 	logger.Setup(lines)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	code := run(ctx, reload, os.Args[1:], os.Stdout, os.Stderr)
 	stop()
 	lines.Stop()
 	os.Exit(code)
 }
 
+// catchReload returns the signals that tell of changed settings. They are caught
+// before anything else, since one that is not caught ends the process; SIGHUP
+// came before the settings were read (soak, seed 21). Commands without such
+// settings are to end by it.
+func catchReload(args []string) <-chan os.Signal {
+	if len(args) == 0 || args[0] != "gateway" {
+		return nil
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	return signals
+}
+
 // logOutput returns where the logs of a command go: those of a gateway, as the
 // users' platform asks, to standard output, and all others beside the results.
 func logOutput(args []string) *os.File {
@@ -70,8 +84,8 @@
 }
 
 // run runs one command and returns its exit code.
-func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	p, err := parser(ctx, stdout)
+func run(ctx context.Context, reload <-chan os.Signal, args []string, stdout, stderr io.Writer) int {
+	p, err := parser(ctx, reload, stdout)
 	if err == nil {
 		_, err = p.ParseArgs(args)
 	}
@@ -117,7 +131,7 @@
 	return exitFailure
 }
 
-func parser(ctx context.Context, out io.Writer) (*flags.Parser, error) {
+func parser(ctx context.Context, reload <-chan os.Signal, out io.Writer) (*flags.Parser, error) {
 	p := flags.NewNamedParser("magnoliafront", flags.HelpFlag|flags.PassDoubleDash)
 	p.LongDescription = exitCodes
 	for _, c := range []struct {
@@ -125,7 +139,7 @@
 		command     any
 	}{
 		{"entry", "Run an entry: the process that callers reach", &entryCommand{ctx: ctx}},
-		{"gateway", "Run an entry that calls its upstreams directly, on the users' platform", &gatewayCommand{ctx: ctx}},
+		{"gateway", "Run an entry that calls its upstreams directly, on the users' platform", &gatewayCommand{ctx: ctx, reload: reload}},
 		{"agent", "Run an agent: the process beside one upstream", &agentCommand{ctx: ctx}},
 		{"emulate", "Run a stand-in for the platform, an engine or a service", &emulateCommand{ctx: ctx}},
 		{"timeline", "Show or explain what happened, over all processes", &timelineCommand{ctx: ctx}},
--- a/internal/connection/carrier/carrier.go
+++ b/internal/connection/carrier/carrier.go
@@ -134,7 +134,12 @@
 	// the identity of its last event.
 	Begun     bool
 	LastEvent string
-	Held      relayer.Reply
+	// FirstEvent is the time from the start of the call to the first event of a
+	// stream, and LongestPause the longest time between two reads of events after
+	// it. Both are zero if there was none.
+	FirstEvent   time.Duration
+	LongestPause time.Duration
+	Held         relayer.Reply
 	// Reset is true if the upstream cut the connection.
 	Reset bool
 	Err   error
--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -44,6 +44,10 @@
 	events  int
 	counted time.Time
 	first   bool
+	// read is the time of the last read of events.
+	read         time.Time
+	firstEvent   time.Duration
+	longestPause time.Duration
 	// wrote is true once the whole request has left.
 	wrote bool
 	// idleFor is the time for which the upstream keeps the connection.
@@ -294,11 +298,14 @@
 
 // progress reports events of a stream, the first at once.
 func (c *Conn) progress(a *attempt, events int) {
+	now := c.options.Clock.Now()
+	if events > 0 {
+		a.measure(now)
+	}
 	a.events += events
 	if a.events == 0 {
 		return
 	}
-	now := c.options.Clock.Now()
 	since := a.counted
 	if a.first {
 		since = a.start
@@ -312,6 +319,16 @@
 	a.first, a.events, a.counted = false, 0, now
 }
 
+// measure notes the time of events.
+func (a *attempt) measure(now time.Time) {
+	if a.read.IsZero() {
+		a.firstEvent = now.Sub(a.start)
+	} else {
+		a.longestPause = max(a.longestPause, now.Sub(a.read))
+	}
+	a.read = now
+}
+
 // finish ends an answer that was passed on in parts.
 func (c *Conn) finish(a *attempt, resp *http.Response) Report {
 	r := a.ended(OutcomeAnswered, nil)
@@ -354,7 +371,7 @@
 
 // ended returns the report of a call.
 func (a *attempt) ended(o Outcome, err error) Report {
-	return Report{Outcome: o, Err: err, Begun: a.begun, LastEvent: a.split.last, Events: a.events}
+	return Report{Outcome: o, Err: err, Begun: a.begun, LastEvent: a.split.last, Events: a.events, FirstEvent: a.firstEvent, LongestPause: a.longestPause}
 }
 
 // begin passes on the head of a stream, once in all attempts.
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -118,7 +118,7 @@
 		return
 	}
 	t.cancel()
-	t.held = r.Held
+	t.held, t.firstEvent, t.longestPause = r.Held, r.FirstEvent, r.LongestPause
 	if r.Err != nil || r.Outcome != carrier.OutcomeAnswered {
 		klog.InfoS("attempt ended", "request", r.Request, "attempt", r.Attempt, "upstream", p.upstream.Identity(),
 			"address", p.upstream.Address, "outcome", outcomeName(r.Outcome), "status", r.Status, "begun", r.Begun, "err", r.Err)
@@ -183,20 +183,20 @@
 	if t.cancel != nil {
 		t.cancel()
 	}
-	logDecision("request ended", a)
+	logDecision("request ended", a, "first_event", t.firstEvent, "longest_pause", t.longestPause)
 	if f.options.Observe != nil {
 		f.options.Observe(Observation{Route: a.Summary.Route, Result: a.Summary.Reason, Elapsed: a.Summary.Elapsed})
 	}
 	return t
 }
 
-func logDecision(message string, a dispatcher.Action) {
+func logDecision(message string, a dispatcher.Action, more ...any) {
 	s := a.Summary
 	status := 0
 	if a.Failure != nil {
 		status = a.Failure.Status
 	}
-	klog.InfoS(message, "request", a.ID, "route", s.Route, "service", s.Service, "organisation", s.Organisation,
+	klog.InfoS(message, append([]any{"request", a.ID, "route", s.Route, "service", s.Service, "organisation", s.Organisation,
 		"version", s.Version, "upstream", s.Upstream, "attempts", s.Attempts, "outstanding", s.Outstanding,
-		"pending_tokens", s.Pending, "prefix", s.Prefix, "cache_source", s.CacheSource, "prompt_tokens", s.Prompt, "content", s.Content, "elapsed", s.Elapsed, "outcome", s.Reason, "status", status)
+		"pending_tokens", s.Pending, "prefix", s.Prefix, "cache_source", s.CacheSource, "prompt_tokens", s.Prompt, "content", s.Content, "elapsed", s.Elapsed, "outcome", s.Reason, "status", status}, more...)...)
 }
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -127,6 +127,9 @@
 	call   carrier.Call
 	cancel context.CancelFunc
 	pool   *pool
+	// firstEvent and longestPause are those of the last call, for logs.
+	firstEvent   time.Duration
+	longestPause time.Duration
 	// held is the error with which the upstream answered.
 	held relayer.Reply
 }
--- a/internal/process/soaker/soaker.go
+++ b/internal/process/soaker/soaker.go
@@ -9,6 +9,6 @@
 //
 // # Usage
 //
-//	MAGNOLIAFRONT_SOAK_SEEDS=50 MAGNOLIAFRONT_SOAK_SECONDS=15 go test -timeout 60m -run TestSoak ./internal/process/soaker
+//	MAGNOLIAFRONT_SOAK_SEED=1 MAGNOLIAFRONT_SOAK_SEEDS=50 MAGNOLIAFRONT_SOAK_SECONDS=15 go test -timeout 60m -run TestSoak ./internal/process/soaker
 //	MAGNOLIAFRONT_SOAK_SEED=17 go test -run TestSoak ./internal/process/soaker
 package soaker
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -6,9 +6,7 @@
 	"net/http"
 	"net/url"
 	"os"
-	"os/signal"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"go.uber.org/fx"
@@ -43,14 +41,18 @@
 	storeConnections = 4
 )
 
-// SettingsPath is the path of the settings file of a process.
-type SettingsPath string
+// SettingsFile is the settings file of a process.
+type SettingsFile struct {
+	Path string
+	// Changed brings the signals that tell of a change. It may be nil.
+	Changed <-chan os.Signal
+}
 
 // Gateway returns the options of an entry that calls its upstreams directly,
-// with the settings that were read from path.
-func Gateway(s loader.Gateway, path SettingsPath) fx.Option {
+// with the settings that were read from file.
+func Gateway(s loader.Gateway, file SettingsFile) fx.Option {
 	return fx.Options(
-		fx.Supply(path),
+		fx.Supply(file),
 		fx.Invoke(reloadSettings),
 		fx.StopTimeout(s.Grace()),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -159,10 +161,8 @@
 
 // reloadSettings puts changes of the settings in force while the process runs.
 // The addresses and the identity hold until its end.
-func reloadSettings(lc fx.Lifecycle, path SettingsPath, c timer.Clock, f *forwarder.Forwarder) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	r := reloader.New(reloader.Options{Path: string(path), Clock: c, Signals: signals, Apply: func(contents []byte) error {
+func reloadSettings(lc fx.Lifecycle, file SettingsFile, c timer.Clock, f *forwarder.Forwarder) {
+	r := reloader.New(reloader.Options{Path: file.Path, Clock: c, Signals: file.Changed, Apply: func(contents []byte) error {
 		s, err := loader.ParseGateway(contents)
 		if err != nil {
 			return err
@@ -170,10 +170,7 @@
 		f.SetBudget(s.RetryShare, s.RetrySlack)
 		return nil
 	}})
-	lc.Append(fx.StopHook(func() {
-		// The signal stays caught: it must not end a process that is stopping.
-		r.Stop()
-	}))
+	lc.Append(fx.StopHook(r.Stop))
 }
 
 func newReceiver(s loader.Gateway, c timer.Clock, f *forwarder.Forwarder) (*receiver.Receiver, error) {
--- a/internal/process/subscriber/subscriber.go
+++ b/internal/process/subscriber/subscriber.go
@@ -33,9 +33,10 @@
 	waitTime   = 2 * time.Second
 	waitMargin = 400 * time.Millisecond
 	// retryFirst and retryLast bound the pause after a failure, which doubles
-	// from one failure to the next.
+	// from one failure to the next. Each call is paid for, also one that fails,
+	// and changes are to be in force within 2 s.
 	retryFirst = 50 * time.Millisecond
-	retryLast  = 200 * time.Millisecond
+	retryLast  = 500 * time.Millisecond
 	// resyncInterval is the time between two snapshots.
 	resyncInterval = 20 * time.Second
 )
@@ -65,6 +66,8 @@
 	Pause time.Duration
 	// Wait is the time for which the platform keeps a wait. Zero means 2 s.
 	Wait time.Duration
+	// RetryLast is the longest pause after a failure. Zero means 500 ms.
+	RetryLast time.Duration
 	// Take is called on the duty with each update. It may wait.
 	Take func(Update)
 }
@@ -163,7 +166,7 @@
 			s.options.Take(Update{Kind: s.options.Kind})
 		}
 		s.failures++
-		s.sleep(ctx, min(retryFirst<<min(s.failures, 8), retryLast))
+		s.sleep(ctx, min(retryFirst<<min(s.failures, 8), cmp.Or(s.options.RetryLast, retryLast)))
 		return
 	}
 	if !s.reachable {
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -143,6 +143,9 @@
 	// entriesWait is the longest time that a change of the entries goes unnoticed
 	// on a connection that has gone silent.
 	entriesWait = 20 * time.Second
+	// entriesRetry is the longest pause between two tries to read the entries.
+	// Those that are known go on to be used.
+	entriesRetry = 2 * time.Second
 )
 
 // New starts a syncer.
@@ -164,7 +167,7 @@
 	for _, k := range []subscriber.Options{
 		{Kind: o.Kinds.Configuration},
 		{Kind: o.Kinds.Upstreams, Pause: pause},
-		{Kind: o.Kinds.Entries, Pause: pause, Wait: entriesWait},
+		{Kind: o.Kinds.Entries, Pause: pause, Wait: entriesWait, RetryLast: entriesRetry},
 	} {
 		k.Feed, k.Clock, k.Take = o.Store, o.Clock, take
 		s.subscribers = append(s.subscribers, subscriber.New(k))
