--- a/internal/process/picker/backlog.go
+++ b/internal/process/picker/backlog.go
@@ -23,9 +23,11 @@
 	// stallCost is the cost in seconds for each second of silence beyond
 	// stallGrace.
 	stallCost = 0.5
-	// laneCost is the cost in seconds of an upstream that belongs to requests of
-	// the other kind.
-	laneCost = 0.05
+	// laneCost is the cost in seconds for a hurried request of an upstream of the
+	// lane, where most of them have pauses that are too long. borrowCost is that
+	// for a patient request of an upstream of the others.
+	laneCost   = 0.25
+	borrowCost = 0.05
 	// spillTokens is the number of pending prompt tokens up to which a patient
 	// request may go to an upstream of the others. Reading them takes less than
 	// the shortest pauses that callers accept. spillCost in seconds keeps it from
@@ -92,11 +94,14 @@
 	if q.Suspect {
 		cost += sharedSuspects * float64(c.Suspects)
 	}
-	if !c.Fits {
+	switch {
+	case c.Fits:
+	case !q.Patient:
 		cost += laneCost
-		if q.Patient && c.Pending+c.SharedPending+q.PromptTokens > spillTokens {
-			cost += spillCost
-		}
+	case c.Pending+c.SharedPending+q.PromptTokens > spillTokens:
+		cost += spillCost
+	default:
+		cost += borrowCost
 	}
 	if c.AvailabilityZone != q.AvailabilityZone {
 		cost += otherZone
--- a/internal/process/picker/backlog_test.go
+++ b/internal/process/picker/backlog_test.go
@@ -194,3 +194,16 @@
 	is.Equal(p.Wait("a", true), 500*ms)
 	is.Equal(p.Wait("unknown", true), time.Duration(0))
 }
+
+// A choice among more candidates than are looked at must not use the ranking of
+// the choice before.
+func TestSourceOfManyCandidates(t *testing.T) {
+	p, few := backlogPicker(1, 4)
+	_, _ = p.Pick(start(), hurried(few, 7))
+	many, names := backlogPicker(1, scanLimit+1)
+	p.upstreams = many.upstreams
+	q := hurried(names, 8)
+	chosen, _ := p.Pick(start(), q)
+	_, ok := p.Source(start(), q, chosen)
+	is.New(t).True(!ok)
+}
