Tell patient callers that are refused to come back after the burst

Change: a patient request that is refused in overload is told a third of the time that its caller has left, up to 5 s; its first event is late either way, and a late answer is an answer.

--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -36,6 +36,9 @@
 	// configuration, which takes longer to pass.
 	startFraction   = 3.2
 	startRetryAfter = 2 * time.Second
+	// overloadRetryAfter is the longest such time for a patient request, whose
+	// first event is late in any case. Bursts last for seconds.
+	overloadRetryAfter = 5 * time.Second
 	// connectionUse is the part of the connections of an upstream that the
 	// entries divide among them. The rest is for those that have just started.
 	connectionUse = 0.8
@@ -304,8 +307,11 @@
 // retryAfter returns the time after which the caller of f may come again.
 func (d *Dispatcher) retryAfter(now time.Time, f *flight) time.Duration {
 	fraction, limit := float64(retryFraction), maxRetryAfter
-	if d.table == nil {
+	switch {
+	case d.table == nil:
 		fraction, limit = startFraction, startRetryAfter
+	case d.table.Patient(f.admission.Route):
+		fraction, limit = startFraction, overloadRetryAfter
 	}
 	if f.until.IsZero() {
 		return limit
--- a/internal/process/dispatcher/load_test.go
+++ b/internal/process/dispatcher/load_test.go
@@ -87,7 +87,12 @@
 	}
 	const manyTokens = 500_000
 	t.Run("brief refused", func(t *testing.T) {
-		assertFailed(t, overloaded(manyTokens).Step(start(), Event{Kind: EventArrived, Request: request("/brief/1")}), http.StatusServiceUnavailable, false)
+		all := overloaded(manyTokens).Step(start(), Event{Kind: EventArrived, Request: request("/brief/1")})
+		assertFailed(t, all, http.StatusServiceUnavailable, false)
+		// Callers wait for a third of their 5 s at most, and bursts last for longer
+		// than a second.
+		after := all[0].Failure.RetryAfter
+		is.New(t).True(after > time.Second && after < 5*time.Second/3)
 	})
 	t.Run("chat served", func(t *testing.T) {
 		assertSent(t, overloaded(manyTokens).Step(start(), Event{Kind: EventArrived, Request: request("/chat/1")}), 1)
