--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -196,8 +196,10 @@
 	LastEvent   string
 	Failure     *admitter.Failure
 	Strikes     []detector.Strike
-	Loads       []Load
-	Placed      []Placement
+	// Learned is true for strikes that another entry told of.
+	Learned bool
+	Loads   []Load
+	Placed  []Placement
 	// Summary describes the request, for logs.
 	Summary Summary
 }
@@ -366,7 +368,11 @@
 	for _, s := range strikes {
 		news = append(news, d.detector.Step(now, detector.Event{Kind: detector.EventLearned, Strike: s})...)
 	}
-	return spread(news)
+	out := spread(news)
+	for i := range out {
+		out[i].Learned = true
+	}
+	return out
 }
 
 func spread(strikes []detector.Strike) []Action {
--- a/internal/process/dispatcher/dispatcher_test.go
+++ b/internal/process/dispatcher/dispatcher_test.go
@@ -22,7 +22,7 @@
 	shares := []matcher.Share{{Service: "desk", Weight: 1}}
 	return []matcher.Route{
 		{Name: "chat", Host: "h", PathPrefix: "/chat/", Kind: matcher.Streaming, Resumable: true, MaxAttempts: 2, Shares: shares, Timeout: 10 * time.Second, Target: 250 * ms, GapTarget: 200 * ms},
-		{Name: "brief", Host: "h", PathPrefix: "/brief/", Kind: matcher.Streaming, MaxAttempts: 1, Shares: shares, Timeout: 10 * time.Second, Target: time.Second, GapTarget: 800 * ms},
+		{Name: "brief", Host: "h", PathPrefix: "/brief/", Kind: matcher.Streaming, MaxAttempts: 1, Shares: shares, Timeout: 10 * time.Second, Target: time.Second, GapTarget: 800 * ms, Priority: 2},
 		{Name: "hold", Host: "h", PathPrefix: "/hold/", Kind: matcher.NonIdempotent, MaxAttempts: 1, Shares: shares, Timeout: time.Second, Target: 100 * ms},
 		{Name: "check", Host: "h", PathPrefix: "/check/", Kind: matcher.Idempotent, MaxAttempts: 2, Shares: shares, Timeout: time.Second, Target: 100 * ms},
 	}
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -32,12 +32,11 @@
 	retryFraction = 5
 	maxRetryAfter = time.Second
 	minRetryAfter = 50 * time.Millisecond
-	// startFraction and startRetryAfter are the same while the entry knows no
-	// configuration, which takes longer to pass.
-	startFraction   = 3.2
-	startRetryAfter = 2 * time.Second
-	// overloadRetryAfter is the longest such time for a patient request, whose
-	// first event is late in any case. Bursts last for seconds.
+	// longFraction is the same for what takes longer to pass: the start of an entry
+	// that knows no configuration, with startRetryAfter, and a burst of patient
+	// requests, with overloadRetryAfter. Their first events are late in any case.
+	longFraction       = 3.2
+	startRetryAfter    = 2 * time.Second
 	overloadRetryAfter = 5 * time.Second
 	// connectionUse is the part of the connections of an upstream that the
 	// entries divide among them. The rest is for those that have just started.
@@ -123,7 +122,7 @@
 	if !ok {
 		return d.next(now, f, retrier.CauseNoUpstream, nil)
 	}
-	if wait := s.picker.Wait(name, q.Patient); q.Patient && f.attempt == 0 && wait > overloadWait(f.admission.Route.Target) {
+	if f.attempt == 0 && d.overloaded(s, f, name) {
 		f.summary.Upstream = name
 		delete(d.flights, f.request.ID)
 		return []Action{d.failure(now, f, unavailable("overloaded", "no upstream could begin the request in time"))}
@@ -148,10 +147,14 @@
 	}}
 }
 
-// overloadWait is the expected wait at the best upstream beyond which a patient
-// request is refused. Its first event would be late, and its prompt would delay
-// all others.
-func overloadWait(target time.Duration) time.Duration { return target / 2 }
+// overloaded reports whether a patient request is to be refused, since it would
+// wait for more than half of its target at the best upstream. Its first event
+// would be late, and its prompt would delay all others. The most urgent requests
+// are never refused for the sake of others.
+func (d *Dispatcher) overloaded(s *service, f *flight, best string) bool {
+	r := f.admission.Route
+	return r.Target > 0 && f.admission.Priority > 0 && d.table.Patient(r) && s.picker.Wait(best, true) > r.Target/2
+}
 
 // exclude returns the upstreams that f must not go to: those that it has been
 // at, and those to which this entry has as many connections as it may.
@@ -309,9 +312,9 @@
 	fraction, limit := float64(retryFraction), maxRetryAfter
 	switch {
 	case d.table == nil:
-		fraction, limit = startFraction, startRetryAfter
+		fraction, limit = longFraction, startRetryAfter
 	case d.table.Patient(f.admission.Route):
-		fraction, limit = startFraction, overloadRetryAfter
+		fraction, limit = longFraction, overloadRetryAfter
 	}
 	if f.until.IsZero() {
 		return limit
--- a/internal/process/dispatcher/load.go
+++ b/internal/process/dispatcher/load.go
@@ -7,9 +7,9 @@
 )
 
 // Entries tell each other what they have in flight and where prompt prefixes are
-// cached, since an engine that is
-// called directly tells nobody how busy it is. What an entry was told is a few
-// hundred milliseconds old; its own part it knows exactly.
+// cached, since an engine that is called directly tells nobody how busy it is.
+// What an entry was told is a few hundred milliseconds old; its own part it knows
+// exactly.
 
 const (
 	// ShareInterval is the time between two reports of an entry to the others. It
@@ -23,11 +23,11 @@
 // Load is what an entry has in flight at one upstream.
 type Load struct {
 	// Upstream is the identity of the upstream.
-	Upstream string `json:"upstream"`
+	Upstream string
 	// Runs is the number of requests, and PendingTokens that of the prompt tokens
 	// that wait to be read.
-	Runs          int `json:"runs"`
-	PendingTokens int `json:"pending_tokens,omitempty"`
+	Runs          int
+	PendingTokens int
 }
 
 // Placement says that an upstream has got a request with a prompt prefix, and
--- a/internal/process/dispatcher/load_test.go
+++ b/internal/process/dispatcher/load_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"magnoliafront.dev/magnoliafront/internal/process/registrar"
+	"magnoliafront.dev/magnoliafront/internal/version/matcher"
 )
 
 // runsAt returns what the dispatcher knows of the requests of other entries.
@@ -100,6 +101,20 @@
 	t.Run("brief served while it can be in time", func(t *testing.T) {
 		assertSent(t, overloaded(manyTokens/20).Step(start(), Event{Kind: EventArrived, Request: request("/brief/1")}), 1)
 	})
+	t.Run("brief served that is the most urgent or has no target", func(t *testing.T) {
+		for _, change := range []func(*matcher.Route){
+			func(r *matcher.Route) { r.Priority = 0 },
+			func(r *matcher.Route) { r.Target = 0 },
+		} {
+			d := overloaded(manyTokens)
+			all := routes()
+			change(&all[1])
+			d.Step(start(), Event{Kind: EventConfigured, Table: matcher.New(matcher.Configuration{
+				Version: 2, Routes: all, Organisations: []matcher.Organisation{{Name: "guides", Keys: []string{"key"}}},
+			})})
+			assertSent(t, d.Step(start(), Event{Kind: EventArrived, Request: request("/brief/1")}), 1)
+		}
+	})
 	t.Run("brief served after the load is gone", func(t *testing.T) {
 		d := overloaded(manyTokens)
 		d.Step(start().Add(shareExpiry), Event{Kind: EventTick})
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -37,7 +37,7 @@
 			f.release(p)
 		}
 	case dispatcher.ActionSpread:
-		klog.InfoS("content struck", "strikes", len(a.Strikes), "fingerprint", a.Strikes[0].Fingerprint, "upstream", a.Strikes[0].Upstream, "cleared", a.Strikes[0].Cleared)
+		klog.InfoS("content struck", "strikes", len(a.Strikes), "fingerprint", a.Strikes[0].Fingerprint, "upstream", a.Strikes[0].Upstream, "cleared", a.Strikes[0].Cleared, "learned", a.Learned)
 		if f.options.Spread != nil {
 			f.options.Spread(a.Strikes)
 		}
