Refuse what comes to a stopping entry after its notice, and count the notice from the signal

Cause: the notice of 3 s began only after the entry had withdrawn itself from the store, up to 1 s late, and a stopping entry served whatever came until its connections were closed. In this version of net/http a request that crosses the close gets no answer and is not run.

--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -14,6 +14,7 @@
 //
 //	r, err := receiver.New(receiver.Options{Listen: "10.0.0.5:8080", Codec: codec, Forwarder: f, Clock: c})
 //	r.Leave()
+//	r.Refuse()
 //	err = r.Stop(ctx)
 package receiver
 
@@ -73,7 +74,9 @@
 	front   *http.Server
 	ready   *http.Server
 	leaving atomic.Bool
-	done    chan struct{}
+	// refusing is true once requests that come are refused.
+	refusing atomic.Bool
+	done     chan struct{}
 }
 
 // New listens and starts to serve.
@@ -121,8 +124,13 @@
 // Leave makes the entry not ready. Callers that still come are served.
 func (r *Receiver) Leave() { r.leaving.Store(true) }
 
+// Refuse makes the entry refuse the requests that still come. Those that it has
+// taken go on.
+func (r *Receiver) Refuse() { r.refusing.Store(true) }
+
 // Stop stops accepting, closes idle connections and waits until all requests
-// have been answered or ctx ends.
+// have been answered or ctx ends. A request that crosses it finds its connection
+// closed.
 func (r *Receiver) Stop(ctx context.Context) error {
 	err := r.front.Shutdown(ctx)
 	if err != nil {
@@ -150,6 +158,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	body, failure := r.read(w, req, now)
+	if failure == nil && r.refusing.Load() {
+		failure = stopping()
+	}
 	if failure != nil {
 		r.options.Codec.Fail(w, failure)
 		return
@@ -173,6 +184,19 @@
 	}
 }
 
+// stopping is the failure of a request that comes when there is not enough time
+// left to finish any.
+func stopping() *admitter.Failure {
+	return &admitter.Failure{
+		Status: http.StatusServiceUnavailable, Code: "stopping", Message: "this entry is stopping; another one will serve the request",
+		Outcome: admitter.OutcomeNotRun, RetryAfter: stoppingRetryAfter,
+	}
+}
+
+// stoppingRetryAfter is the time after which a caller may come again, to another
+// entry.
+const stoppingRetryAfter = 50 * time.Millisecond
+
 // read reads the body of a request.
 func (r *Receiver) read(w http.ResponseWriter, req *http.Request, now time.Time) ([]byte, *admitter.Failure) {
 	limit := int64(maxBody)
--- a/internal/process/starter/entry.go
+++ b/internal/process/starter/entry.go
@@ -149,11 +149,6 @@
 		srv.Leave()
 		x.Leave()
 		rec.Record(tracer.Event{Kind: tracer.KindMemberLeaving})
-		wake, stop := c.After(s.Pause())
-		defer stop()
-		select {
-		case <-wake:
-		case <-ctx.Done():
-		}
+		sleep(ctx, c, s.Pause())
 	}))
 }
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -34,6 +34,9 @@
 	// endMargin is the time before the end of the grace period at which a process
 	// ends by itself.
 	endMargin = 700 * time.Millisecond
+	// refusePeriod is the time for which a stopping process still answers what
+	// comes, with a refusal, before it closes its connections.
+	refusePeriod = 500 * time.Millisecond
 	// withdrawTimeout bounds the withdrawal of a leaving entry.
 	withdrawTimeout = time.Second
 	// storeConnections is the number of idle connections to the store that are
@@ -195,11 +198,12 @@
 }
 
 // drainGateway is the first step of stopping: the entry becomes unready and
-// accepts until the balancer has noticed. Then it finishes what is in flight, as
-// far as the grace period allows.
+// accepts until the balancer has noticed. Then it refuses what still comes and
+// finishes what is in flight, as far as the grace period allows.
 func drainGateway(lc fx.Lifecycle, s loader.Gateway, c timer.Clock, r *receiver.Receiver, p *peers) {
 	lc.Append(fx.StopHook(func(ctx context.Context) error {
-		end := c.Now().Add(s.Grace() - endMargin)
+		now := c.Now()
+		end, noticed := now.Add(s.Grace()-endMargin), now.Add(s.Notice())
 		klog.InfoS("stopping", "identity", s.Identity, "grace", s.Grace())
 		r.Leave()
 		withdraw, cancel := context.WithTimeout(ctx, withdrawTimeout)
@@ -207,12 +211,9 @@
 			klog.InfoS("entry not withdrawn", "identity", s.Identity, "err", err)
 		}
 		cancel()
-		wake, stop := c.After(s.Notice())
-		defer stop()
-		select {
-		case <-wake:
-		case <-ctx.Done():
-		}
+		sleep(ctx, c, noticed.Sub(c.Now()))
+		r.Refuse()
+		sleep(ctx, c, refusePeriod)
 		finish, cancel := context.WithTimeout(ctx, max(0, end.Sub(c.Now())))
 		defer cancel()
 		err := r.Stop(finish)
@@ -220,3 +221,13 @@
 		return nil
 	}))
 }
+
+// sleep waits for d, or until ctx ends.
+func sleep(ctx context.Context, c timer.Clock, d time.Duration) {
+	wake, stop := c.After(max(0, d))
+	defer stop()
+	select {
+	case <-wake:
+	case <-ctx.Done():
+	}
+}
