--- a/internal/process/soaker/fleet_test.go
+++ b/internal/process/soaker/fleet_test.go
@@ -23,6 +23,9 @@
 const (
 	entries = 3
 	runners = 5
+	// retryShare and retrySlack are the budget of all entries for further attempts.
+	retryShare = 0.2
+	retrySlack = 40
 	// patience bounds each wait for something that must come.
 	patience = 30 * time.Second
 	// restartPause is the time between the end of a process and its restart.
@@ -42,6 +45,8 @@
 	version  int
 	mu       sync.Mutex
 	faults   []fault
+	// starts are the times at which entries were started.
+	starts []time.Time
 }
 
 // fault is a disturbance that was not planned work.
@@ -168,7 +173,7 @@
 	data, err := json.Marshal(map[string]any{
 		"identity": e.name, "availability_zone": "z", "listen": e.front, "ready_listen": e.ready, "peer_listen": peer, "peers": peers,
 		"platform": "http://" + e.store.address(), "shared_secret": "secret of the soak", "grace_period": "8s", "notice_period": "500ms",
-		"leaving_limit": "2s", "retry_share": 0.2, "retry_slack": 40,
+		"leaving_limit": "2s", "retry_share": retryShare, "retry_slack": retrySlack,
 	})
 	is := is.New(e.fleet.t)
 	is.NoErr(err)
@@ -184,6 +189,9 @@
 	is.New(e.fleet.t).NoErr(err)
 	c.Stdout, c.Stderr = log, log
 	is.New(e.fleet.t).NoErr(c.Start())
+	e.fleet.mu.Lock()
+	e.fleet.starts = append(e.fleet.starts, time.Now())
+	e.fleet.mu.Unlock()
 	exited := make(chan struct{})
 	e.command, e.exited, e.log, e.ending = c, exited, log.Name(), false
 	go func() {
--- a/internal/process/soaker/soak_test.go
+++ b/internal/process/soaker/soak_test.go
@@ -182,10 +182,9 @@
 			t.Errorf("%s ran at another service", run.ID)
 		}
 	}
-	again, sent := 0, map[string]bool{}
+	sent := map[string]bool{}
 	for _, r := range all {
 		sent[r.id] = true
-		again += max(0, arrived[r.id]-1)
 		checkRequest(t, f, r, executed[r.id])
 	}
 	for id := range arrived {
@@ -193,10 +192,37 @@
 			t.Errorf("%s ran and nobody sent it", id)
 		}
 	}
-	// 0.2 of the requests and 40 are the budget of the settings; a window slides
-	// over what was saved up.
-	if limit := len(all)/5 + 40; again > limit {
-		t.Errorf("%d arrivals beyond the first of each request, %d requests allow %d", again, len(all), limit)
+	checkBudget(t, f, all, arrived)
+}
+
+// checkBudget checks that in each second the arrivals beyond the first of each
+// request stay within the budget of the settings. An entry that starts has its
+// part of the slack anew.
+func checkBudget(t *testing.T, f *fleet, all []request, arrived map[string]int) {
+	t.Helper()
+	type second struct{ requests, again, starts int }
+	seconds := map[int64]*second{}
+	at := func(unix int64) *second {
+		if seconds[unix] == nil {
+			seconds[unix] = &second{}
+		}
+		return seconds[unix]
+	}
+	for _, r := range all {
+		s := at(r.start.Unix())
+		s.requests++
+		s.again += max(0, arrived[r.id]-1)
+	}
+	for _, start := range f.starts {
+		// The callers of a new entry come in the second of its start or the next.
+		at(start.Unix()).starts++
+		at(start.Unix()+1).starts++
+	}
+	for unix, s := range seconds {
+		limit := int(retryShare*float64(s.requests)) + retrySlack + retrySlack/entries*s.starts
+		if s.again > limit {
+			t.Errorf("second %d: %d arrivals beyond the first of each request, %d requests and %d starts allow %d", unix, s.again, s.requests, s.starts, limit)
+		}
 	}
 }
 
