--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -13,6 +13,11 @@
 // certain: a request that was not run may go elsewhere, one that may have been
 // run only if its route lets it run again.
 //
+// Entries tell each other what they have in flight and where long prefixes of
+// prompts are cached; see [Load] and [Placement]. With that a dispatcher knows how
+// busy an upstream is, and refuses at once a patient request that none could
+// begin in time.
+//
 // # Usage
 //
 //	d := dispatcher.New(dispatcher.Settings{AvailabilityZone: "stowe", Seed: 1})
--- a/internal/process/picker/backlog.go
+++ b/internal/process/picker/backlog.go
@@ -40,25 +40,26 @@
 	// firstBonus is the worth in seconds of keeping a prefix in the first place of
 	// its ranking. It halves with each further place.
 	firstBonus = 0.04
-	// waitShare is the part of the target that the backlog of this entry alone may
-	// take before it counts in full, and waitWeight its weight below that. The
-	// backlogs of the other entries come on top.
+	// waitShare is the part of the target that the backlog may take before it
+	// counts in full, and waitWeight its weight below that.
 	waitShare  = 0.5
 	waitWeight = 0.1
 	// reservedSlots is the part of the slots, one in so many, that requests whose
 	// pauses may be long leave to the others. More urgent requests take the place
 	// of running ones, which must read their prompts again.
 	reservedSlots = 8
-	// learnedCached is the weight of what this entry itself sent elsewhere.
-	// Copies of a prefix on many upstreams crowd out others.
+	// learnedCached is the weight of a prefix that is known to be cached elsewhere
+	// than where all entries prefer it. Copies on many upstreams crowd out others.
 	learnedCached = 0.9
 )
 
-// LeastBacklog prefers the upstream with the least work of this entry in front
-// of a request: prompt tokens that wait to be read, and requests in flight. It
-// is for upstreams without an agent, whose load nobody reports, and keeps a
-// prompt prefix on one upstream as long as the backlog there is not longer than
-// reading the prefix elsewhere.
+// LeastBacklog prefers the upstream with the least work in front of a request:
+// prompt tokens that wait to be read, and requests in flight, of this entry and
+// of those that have told it of theirs. It is for upstreams without an agent,
+// whose load nobody else reports. It keeps a prompt prefix on the first upstreams
+// of its ranking as long as the backlog there is not longer than reading the
+// prefix elsewhere, and long prompts apart from requests whose pauses must be
+// short.
 type LeastBacklog struct{}
 
 // Sample implements [Policy].
@@ -94,19 +95,25 @@
 	if q.Suspect {
 		cost += sharedSuspects * float64(c.Suspects)
 	}
+	cost += crossing(q, c)
+	if c.AvailabilityZone != q.AvailabilityZone {
+		cost += otherZone
+	}
+	return cost
+}
+
+// crossing returns the cost in seconds of an upstream that belongs to requests of
+// the other kind.
+func crossing(q Query, c Candidate) float64 {
 	switch {
 	case c.Fits:
+		return 0
 	case !q.Patient:
-		cost += laneCost
+		return laneCost
 	case c.Pending+c.SharedPending+q.PromptTokens > spillTokens:
-		cost += spillCost
-	default:
-		cost += borrowCost
+		return spillCost
 	}
-	if c.AvailabilityZone != q.AvailabilityZone {
-		cost += otherZone
-	}
-	return cost
+	return borrowCost
 }
 
 // slotWait returns the expected time in seconds until a slot is free. One run
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -4,7 +4,9 @@
 // What is in force comes from the platform. An entry that cannot reach it asks
 // other entries, which may: they answer with a newer configuration, if they have
 // one, and with the upstreams. An entry in step with the platform asks nobody,
-// so that neighbours cost nothing on an ordinary day.
+// so that neighbours cost nothing for that on an ordinary day. What entries tell
+// each other in any case, their load, the places of prefixes and strikes, passes
+// through here between the links and the forwarder.
 //
 // Entries find each other by objects that each writes about itself in the
 // platform, and, until these can be read, by the addresses in the settings.
