Test that the operators' examples are what the program logs

TestGatewayLogExamples brings about the three failures of the page on stand-ins and looks for a line with the message, the outcome and all keys of each example; with another outcome in the page it fails.

--- /dev/null
+++ b/internal/process/starter/gateway_log_test.go
@@ -0,0 +1,120 @@
+package starter
+
+import (
+	"net/http"
+	"os"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+	"k8s.io/klog/v2"
+
+	"magnoliafront.dev/magnoliafront/internal/process/emulator"
+	"magnoliafront.dev/magnoliafront/internal/process/logger"
+)
+
+// logLines keeps what is logged.
+type logLines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (l *logLines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *logLines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+var pair = regexp.MustCompile(`(\w+)=("(?:[^"\\]|\\.)*"|\S*)`)
+
+// fields returns the key=value pairs of a line.
+func fields(line string) map[string]string {
+	out := map[string]string{}
+	for _, m := range pair.FindAllStringSubmatch(line, -1) {
+		out[m[1]] = strings.Trim(m[2], `"`)
+	}
+	return out
+}
+
+// logExamples returns the log lines of the section that shows the way from the id
+// of a request to the cause of its failure.
+func logExamples(t *testing.T) (out []map[string]string) {
+	t.Helper()
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
+	is.New(t).NoErr(err)
+	_, section, ok := strings.Cut(string(page), "### From the id of a failed request to its cause")
+	is.New(t).True(ok)
+	section, _, _ = strings.Cut(section, "\n## ")
+	for line := range strings.Lines(section) {
+		if strings.HasPrefix(line, "    msg=") {
+			out = append(out, fields(line))
+		}
+	}
+	return out
+}
+
+// The log lines of the operators' page must be those that the program writes
+// when the same happens.
+func TestGatewayLogExamples(t *testing.T) {
+	var log logLines
+	logger.Setup(&log)
+	t.Cleanup(klog.ClearLogger)
+	r := newGatewayRig(t, 2)
+	g := r.readyEntry()
+	r.behave(emulator.RunnerFails)
+	assertStatus(t, g.call(http.MethodPost, "/check/1", "failed", "", nil), http.StatusInternalServerError)
+	r.behave(emulator.RunnerCuts)
+	assertStatus(t, g.call(http.MethodPost, "/hold/1", "lost", "", nil), http.StatusBadGateway)
+	closed := emulator.NewObjectStore()
+	closed.SetMode(emulator.StoreBusy)
+	t.Cleanup(closed.Stop)
+	second := r.entry("entry-2", r.front(closed).URL)
+	assertEventually(t, "it notices", func() bool { return strings.Contains(log.String(), "platform out of reach") })
+	assertStatus(t, second.call(http.MethodPost, "/hold/1", "refused", "", nil), http.StatusServiceUnavailable)
+	assertEventually(t, "all is logged", func() bool { return strings.Contains(log.String(), "request=refused") })
+
+	var seen []map[string]string
+	for line := range strings.Lines(log.String()) {
+		seen = append(seen, fields(line))
+	}
+	all := logExamples(t)
+	is.New(t).True(len(all) >= 8)
+	for _, example := range all {
+		t.Run(example["msg"]+" "+example["outcome"]+example["kind"], func(t *testing.T) { assertSeen(t, seen, example) })
+	}
+}
+
+// assertSeen checks that a line with the message, the outcome and all keys of an
+// example was logged.
+func assertSeen(t *testing.T, seen []map[string]string, example map[string]string) {
+	t.Helper()
+	for _, line := range seen {
+		same := line["msg"] == example["msg"] && line["outcome"] == example["outcome"] && line["status"] == wantedStatus(example, line)
+		for key := range example {
+			_, ok := line[key]
+			same = same && ok
+		}
+		if same {
+			return
+		}
+	}
+	t.Fatalf("no such line was logged: %v", example)
+}
+
+// wantedStatus returns the status that a line must have: that of the example, or
+// any if the example leaves it out.
+func wantedStatus(example, line map[string]string) string {
+	if s, ok := example["status"]; ok {
+		return s
+	}
+	return line["status"]
+}
