--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -321,8 +321,9 @@
 
 // noteShared publishes what the other entries have in flight.
 func (f *Forwarder) noteShared() {
-	if s := f.State(); s.SharedRuns != f.dispatcher.SharedRuns() {
-		s.SharedRuns = f.dispatcher.SharedRuns()
+	s, runs := f.State(), f.dispatcher.SharedRuns()
+	if s.SharedRuns != runs {
+		s.SharedRuns = runs
 		f.state.Store(&s)
 	}
 }
--- a/internal/process/syncer/message.go
+++ b/internal/process/syncer/message.go
@@ -63,7 +63,8 @@
 func (l Load) unpack(known []registrar.Upstream) ([]dispatcher.Load, []dispatcher.Placement) {
 	names := make(map[uint32]string, len(known))
 	for _, u := range known {
-		names[shortName(u.Identity())] = u.Identity()
+		identity := u.Identity()
+		names[shortName(identity)] = identity
 	}
 	var loads []dispatcher.Load
 	for b := l.Runs; len(b) >= runsSize; b = b[runsSize:] {
