Answer queued requests for agent connections when a router stops

A stopping router dropped the queued events other than abandons. A caller of AgentConns waited until the router had ended, and TestStopHandlesQueuedAbandon hung where it resumes the paused router.

The pending events of both kinds are handled now.

--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -250,22 +250,22 @@
 	case j := <-r.jobs.C():
 		r.admit(j)
 	case <-r.events.Done():
-		r.handlePendingAbandons()
+		r.handlePendingEvents()
 		return false
 	}
 	r.signalIdle()
 	return true
 }
 
-// handlePendingAbandons abandons the requests whose callers disconnected before
-// the stop. The select in step chooses at random between queued events and the
-// stop, and a request of a caller that disconnected earlier must not count as
-// aborted by the stop.
-func (r *Router) handlePendingAbandons() {
-	now := r.options.Clock.Now()
+// handlePendingEvents handles the queued events that others depend on when the
+// router stops. The select in step chooses at random between queued events and the
+// stop. A request of a caller that disconnected earlier must not count as aborted
+// by the stop, and a caller of AgentConns waits for its answer.
+func (r *Router) handlePendingEvents() {
 	for e, ok := r.events.TryTake(); ok; e, ok = r.events.TryTake() {
-		if e.kind == eventAbandoned {
-			r.abandon(now, e.request)
+		switch e.kind {
+		case eventAbandoned, eventAgentConns:
+			r.handleEvent(e)
 		}
 	}
 }
