Keep lapsed upstreams in any outage and report ready only with a list

- An outage that only the wait for the configuration noticed was not known to the registrar.
Registrations that lapsed in it reached the entry by the wait for the upstreams when the store returned, were taken for removals, and callers got 503 no_upstream.
An outage of either kind now counts, until both can be read.
- The end of an outage counted as a list of upstreams.
An entry was ready, and told others that it was synced, before the list that follows was applied.

--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -101,6 +101,8 @@
 	// The fields below are owned by the goroutine.
 	dispatcher *dispatcher.Dispatcher
 	registrar  registrar.Registrar
+	// upstreamsListed is true once a complete list of the upstreams was applied.
+	upstreamsListed bool
 	// attempts holds the requests in flight by identity, and pools the connection
 	// pools by the instance ID of the upstream.
 	attempts map[string]*attempt
@@ -120,9 +122,8 @@
 	// SharedRuns is the number of requests that the other entries have in flight
 	// according to their last reports.
 	SharedRuns int
-	// UpstreamsUpdated is the time of the last update of the upstreams, or the zero
-	// time if there was none.
-	UpstreamsUpdated time.Time
+	// UpstreamsListed is true once a complete list of the upstreams was applied.
+	UpstreamsListed bool
 }
 
 // attempt is a request in flight and its current attempt.
@@ -308,6 +309,7 @@
 		}
 	case eventRegistrar:
 		f.registrar.HandleEvent(now, e.registrar)
+		f.upstreamsListed = f.upstreamsListed || e.registrar.Kind == registrar.EventListed
 		f.updateUpstreams(now)
 	case eventEntryCount:
 		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventEntryCount, Entries: e.entryCount})
@@ -329,7 +331,7 @@
 	eligible := f.registrar.Eligible(now)
 	f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventUpstreams, Upstreams: eligible})
 	s := f.State()
-	s.Upstreams, s.EligibleCount, s.UpstreamsUpdated = f.registrar.Registered(), len(eligible), now
+	s.Upstreams, s.EligibleCount, s.UpstreamsListed = f.registrar.Registered(), len(eligible), f.upstreamsListed
 	f.state.Store(&s)
 }
 
--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -122,7 +122,7 @@
 // upstreams, and is not draining.
 func (r *Receiver) Ready() bool {
 	s := r.options.Forwarder.State()
-	return s.Table != nil && !s.UpstreamsUpdated.IsZero() && !r.draining.Load()
+	return s.Table != nil && s.UpstreamsListed && !r.draining.Load()
 }
 
 // Drain makes the entry not ready. New requests are still served.
--- a/internal/process/syncer/share.go
+++ b/internal/process/syncer/share.go
@@ -69,7 +69,8 @@
 	f := s.options.Forwarder.State()
 	// Synced is true only if this entry itself reaches the platform. Otherwise
 	// entries that all cannot reach it would keep each other synced.
-	out := State{Synced: s.platformReachable.Load(), Upstreams: f.Upstreams}
+	// Until the forwarder has applied the list, Upstreams is not complete.
+	out := State{Synced: s.platformReachable.Load() && f.UpstreamsListed, Upstreams: f.Upstreams}
 	if f.Table != nil && f.Table.Configuration.Version > q.Version {
 		out.Configuration = &f.Table.Configuration
 	}
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -126,6 +126,9 @@
 	// reachableKinds holds for each kind whether the platform was reachable at the
 	// last update.
 	reachableKinds map[string]bool
+	// inOutage is true from the time at which either the configuration or the
+	// upstreams could not be read until both can.
+	inOutage bool
 	// configurationVersion is the version of the newest configuration.
 	configurationVersion int64
 	// fetches is the number of fetches sent. It selects the next entries in
@@ -273,6 +276,9 @@
 	}
 	u := i.update
 	s.reachableKinds[u.Kind] = u.Reachable
+	if u.Kind != s.options.Kinds.Entries {
+		s.trackOutage(u.Reachable)
+	}
 	switch u.Kind {
 	case s.options.Kinds.Configuration:
 		for _, o := range u.Objects {
@@ -316,16 +322,26 @@
 	s.options.Forwarder.Configure(matcher.New(c))
 }
 
+// trackOutage tells the registrar about the begin and the end of an outage. Any of
+// the two kinds may notice it alone: a poll of the other one may wait until after
+// the outage, and then returns the registrations that lapsed in it.
+func (s *Syncer) trackOutage(reachable bool) {
+	switch {
+	case !reachable && !s.inOutage:
+		s.inOutage = true
+		s.options.Forwarder.HandleRegistrarEvent(registrar.Event{Kind: registrar.EventOutageBegan})
+	case s.inOutage && s.isPlatformReachable():
+		s.inOutage = false
+		s.options.Forwarder.HandleRegistrarEvent(registrar.Event{Kind: registrar.EventOutageEnded})
+	}
+}
+
 // updateUpstreams passes an update of the upstreams to the forwarder.
 func (s *Syncer) updateUpstreams(u subscriber.Update) {
-	f := s.options.Forwarder
 	if !u.Reachable {
-		f.HandleRegistrarEvent(registrar.Event{Kind: registrar.EventOutageBegan})
 		return
 	}
-	if u.Complete {
-		f.HandleRegistrarEvent(registrar.Event{Kind: registrar.EventOutageEnded})
-	}
+	f := s.options.Forwarder
 	e := registrar.Event{Kind: registrar.EventChanged}
 	if u.Complete {
 		e.Kind = registrar.EventListed
