Separate long prompts by their effect on streams instead of a ratio of targets

Cause: requests got engines of their own if their gap target was at least twice the shortest one of the service.

Change: the new decision package separator learns from the answers how long a prompt takes on the engines (a linear fit of the time to the first event over its length), how long runs and gaps are, and how many requests arrive. With a queueing model it compares the expected share of late requests if all kinds share the engines with that if the kinds with the longest prefill have some to themselves. The size of the pool follows from the demand of the separated kinds, as the entry sees it, instead of events of the picker. Until there are answers, the length of the prompts decides. The reserve of slots, shedding and the long Retry-After hold for separated kinds that are not of the most urgent priority.

--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -19,7 +19,7 @@
 // Entries report to each other the load that they put on upstreams and the
 // upstreams that cache long prompt prefixes; see [Load] and [Placement]. The
 // dispatcher derives the total load of an upstream from these reports and sheds
-// latency-tolerant requests that no upstream could begin in time.
+// deferrable requests that no upstream could begin in time.
 //
 // # Usage
 //
@@ -36,6 +36,7 @@
 	"magnoliafront.dev/magnoliafront/internal/process/detector"
 	"magnoliafront.dev/magnoliafront/internal/process/picker"
 	"magnoliafront.dev/magnoliafront/internal/process/registrar"
+	"magnoliafront.dev/magnoliafront/internal/process/separator"
 	"magnoliafront.dev/magnoliafront/internal/request/admitter"
 	"magnoliafront.dev/magnoliafront/internal/request/retrier"
 	"magnoliafront.dev/magnoliafront/internal/version/matcher"
@@ -267,8 +268,9 @@
 // service holds the load balancer, the retry budget and the upstreams of one
 // service.
 type service struct {
-	picker *picker.Picker[picker.LeastBacklog]
-	budget retrier.Budget
+	picker    *picker.Picker[picker.LeastBacklog]
+	budget    retrier.Budget
+	separator separator.Separator
 	// upstreams holds the upstreams that may get requests by instance ID, and
 	// instanceIDs lists their instance IDs in the order of the last update.
 	upstreams   map[string]registrar.Upstream
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -6,6 +6,7 @@
 
 	"magnoliafront.dev/magnoliafront/internal/process/detector"
 	"magnoliafront.dev/magnoliafront/internal/process/picker"
+	"magnoliafront.dev/magnoliafront/internal/process/separator"
 	"magnoliafront.dev/magnoliafront/internal/request/admitter"
 	"magnoliafront.dev/magnoliafront/internal/request/retrier"
 	"magnoliafront.dev/magnoliafront/internal/version/matcher"
@@ -36,8 +37,8 @@
 	minRetryAfter     = 50 * time.Millisecond
 	// longRetryAfterDivisor replaces retryAfterDivisor for conditions that last
 	// longer: the start of an entry that has no configuration, where the maximum is
-	// maxStartRetryAfter, and a burst of latency-tolerant requests, where it is
-	// maxOverloadRetryAfter. The first event of a latency-tolerant request that was
+	// maxStartRetryAfter, and a burst of deferrable requests, where it is
+	// maxOverloadRetryAfter. The first event of a deferrable request that was
 	// refused in a burst is late in any case.
 	longRetryAfterDivisor = 3.2
 	maxStartRetryAfter    = 2 * time.Second
@@ -72,9 +73,13 @@
 	// the first event, then zero.
 	pendingTokens int
 	sentAt        time.Time
-	begun         bool
-	lastEvent     string
-	summary       Summary
+	// showsPrefill is true if the time to the first event of the current attempt shows
+	// the prefill time of its prompt: hardly any other prompt waited on the upstream
+	// when it was sent, and no upstream had cached its prefix.
+	showsPrefill bool
+	begun        bool
+	lastEvent    string
+	summary      Summary
 }
 
 func (d *Dispatcher) admit(now time.Time, r Request) []Action {
@@ -106,10 +111,45 @@
 		f.deadline = end
 	}
 	d.inFlight[r.ID] = f
-	d.service(a.Service.Name).budget.RequestAdmitted()
+	s := d.service(a.Service.Name)
+	s.budget.RequestAdmitted()
+	d.recordKind(now, s, f)
 	return d.send(now, f)
 }
 
+// idleTokensDivisor is the ratio of a prompt to the prompts before it up to which the
+// time to the first event shows the prefill time of the prompt alone.
+const idleTokensDivisor = 8
+
+// recordKind tells the separator of a service about a new request.
+func (d *Dispatcher) recordKind(now time.Time, s *service, f *inFlightRequest) {
+	r := f.admission.Route
+	if r.Kind != matcher.Streaming {
+		return
+	}
+	s.separator.Step(now, separator.Event{
+		Kind: separator.EventArrived, Request: r.Name, PromptTokens: f.request.PromptTokens,
+		GapTarget: r.GapTarget, LatencyTarget: r.LatencyTarget, Priority: f.admission.Priority,
+	})
+	fleet := separator.Fleet{Engines: len(s.instanceIDs), Entries: d.entries}
+	if fleet.Engines > 0 {
+		fleet.Slots = s.upstreams[s.instanceIDs[0]].Slots
+	}
+	s.separator.Decide(now, fleet)
+}
+
+// hasLongPrompt reports whether the prompts of the route of f would delay the streams
+// of other requests too much.
+func (f *inFlightRequest) hasLongPrompt(s *service) bool {
+	return s.separator.IsSeparated(f.admission.Route.Name)
+}
+
+// isDeferrable reports whether f must make way for more urgent requests in a burst: it
+// has a long prompt and not the most urgent priority.
+func (f *inFlightRequest) isDeferrable(s *service) bool {
+	return f.admission.Priority > 0 && f.hasLongPrompt(s)
+}
+
 // fingerprint returns the fingerprint of organisation and content for the
 // detector.
 func (f *inFlightRequest) fingerprint() string {
@@ -127,7 +167,7 @@
 		Candidates: s.instanceIDs, AvailabilityZone: d.settings.AvailabilityZone, Exclude: d.exclude(s, f),
 		Tier: f.admission.Priority + 1, TokenGapTarget: f.admission.Route.GapTarget, LatencyTarget: f.admission.Route.LatencyTarget,
 		Prefix: f.request.Prefix, PrefixTokens: f.request.PrefixTokens, PromptTokens: f.request.PromptTokens,
-		Suspect: f.suspect, LatencyTolerant: d.table.ToleratesLongGaps(f.admission.Route),
+		Suspect: f.suspect, LongPrompt: f.hasLongPrompt(s), LongPromptShare: s.separator.Share(), Deferrable: f.isDeferrable(s),
 	}
 	id, ok := s.picker.Pick(now, q)
 	if !ok {
@@ -143,9 +183,11 @@
 	d.recordPlacement(f)
 	f.pendingTokens, f.sentAt = f.request.PromptTokens, now
 	u := s.picker.Upstream(id)
+	f.showsPrefill = idleTokensDivisor*(u.PendingTokens+u.SharedPendingTokens) <= f.pendingTokens &&
+		(f.request.PrefixTokens < minPlacementTokens || !s.picker.IsCached(f.request.Prefix))
 	f.summary.Upstream, f.summary.Attempts = id, f.attempt
 	f.summary.Outstanding, f.summary.PendingTokens = u.Outstanding, u.PendingTokens
-	s.picker.Step(now, picker.Event{Kind: picker.EventSent, Upstream: id, Prefix: f.request.Prefix, Suspect: f.suspect, LatencyTolerant: q.LatencyTolerant, PromptTokens: f.pendingTokens})
+	s.picker.Step(now, picker.Event{Kind: picker.EventSent, Upstream: id, Prefix: f.request.Prefix, Suspect: f.suspect, PromptTokens: f.pendingTokens})
 	remaining := f.deadline.Sub(now)
 	source, _ := s.picker.CacheSource(now, q, id)
 	f.summary.CacheSource = source
@@ -158,13 +200,12 @@
 	}}
 }
 
-// mustShed reports whether a latency-tolerant request must be shed because it would
-// wait for more than half of its latency target on the best upstream. Its first
-// event would be late, and its prompt would delay all others. Requests of the most
-// urgent priority are never shed.
+// mustShed reports whether a deferrable request must be shed because it would wait
+// for more than half of its latency target on the best upstream. Its first event
+// would be late, and its prompt would delay all others.
 func (d *Dispatcher) mustShed(s *service, f *inFlightRequest, best string) bool {
 	r := f.admission.Route
-	return r.LatencyTarget > 0 && f.admission.Priority > 0 && d.table.ToleratesLongGaps(r) && s.picker.ExpectedWait(best, true) > r.LatencyTarget/2
+	return r.LatencyTarget > 0 && f.isDeferrable(s) && s.picker.ExpectedWait(best, true) > r.LatencyTarget/2
 }
 
 // exclude returns the instance IDs of the upstreams that must not get f: those of
@@ -207,8 +248,12 @@
 	if e.First {
 		s.picker.Step(now, picker.Event{Kind: picker.EventFirstToken, Upstream: f.upstream, Elapsed: e.Elapsed, PromptTokens: f.pendingTokens})
 		f.pendingTokens = 0
+		if f.showsPrefill {
+			s.separator.Step(now, separator.Event{Kind: separator.EventPrefilled, Request: f.admission.Route.Name, PromptTokens: f.request.PromptTokens, Elapsed: e.Elapsed})
+		}
 		return
 	}
+	s.separator.Step(now, separator.Event{Kind: separator.EventProgress, Request: f.admission.Route.Name, Elapsed: e.Elapsed, Events: e.Events})
 	s.picker.Step(now, picker.Event{Kind: picker.EventTokens, Upstream: f.upstream, Elapsed: e.Elapsed, Tokens: e.Events})
 }
 
@@ -258,7 +303,8 @@
 	case OutcomeFailed:
 		p.Failed = true
 	case OutcomeAnswered:
-		p.Elapsed, p.LatencyTolerant = now.Sub(f.sentAt), d.table.ToleratesLongGaps(f.admission.Route)
+		p.Elapsed = now.Sub(f.sentAt)
+		s.separator.Step(now, separator.Event{Kind: separator.EventEnded, Request: f.admission.Route.Name, Elapsed: p.Elapsed})
 		if f.admission.Route.Kind != matcher.Streaming {
 			s.picker.Step(now, picker.Event{Kind: picker.EventFirstToken, Upstream: f.upstream, Elapsed: e.Elapsed})
 		}
@@ -329,7 +375,7 @@
 	switch {
 	case d.table == nil:
 		divisor, limit = longRetryAfterDivisor, maxStartRetryAfter
-	case d.table.ToleratesLongGaps(f.admission.Route):
+	case f.admission.Service.Name != "" && f.isDeferrable(d.service(f.admission.Service.Name)):
 		divisor, limit = longRetryAfterDivisor, maxOverloadRetryAfter
 	}
 	if f.deadline.IsZero() {
--- a/internal/process/picker/backlog.go
+++ b/internal/process/picker/backlog.go
@@ -23,14 +23,13 @@
 	// stallCostPerSecond is the cost in seconds of each second without progress
 	// beyond stallGrace.
 	stallCostPerSecond = 0.5
-	// sensitiveMismatchSeconds is the cost of sending a latency-sensitive request
-	// to an upstream of the latency-tolerant pool, where most requests have token
-	// gaps that are too long for it. spilloverSeconds is the cost of sending a
-	// latency-tolerant request to an upstream outside the pool.
-	sensitiveMismatchSeconds = 0.25
-	spilloverSeconds         = 0.05
-	// maxSpilloverTokens is the number of pending prompt tokens up to which a
-	// latency-tolerant request may spill over to an upstream outside the pool.
+	// shortPromptMismatchSeconds is the cost of sending a short prompt to an upstream
+	// of the pool for long ones, where it waits for them. spilloverSeconds is the
+	// cost of sending a long prompt to an upstream outside the pool.
+	shortPromptMismatchSeconds = 0.25
+	spilloverSeconds           = 0.05
+	// maxSpilloverTokens is the number of pending prompt tokens up to which a request
+	// with a long prompt may spill over to an upstream outside the pool.
 	// Their prefill takes less than the shortest token gaps that callers accept.
 	// Above it, spilloverDeniedSeconds keeps the request away from the upstream.
 	maxSpilloverTokens     = 16_000
@@ -47,7 +46,7 @@
 	discountedWaitShare  = 0.5
 	discountedWaitWeight = 0.1
 	// reservedSlotDivisor sets the share of the slots, one in so many, that is
-	// reserved for latency-sensitive requests. Without free slots, more urgent
+	// reserved for requests that are not deferrable. Without free slots, more urgent
 	// requests preempt running ones, whose prompts must then be prefilled again.
 	reservedSlotDivisor = 8
 	// recordedCacheWeight is the weight of a prefix that is recorded as cached on
@@ -61,7 +60,7 @@
 // by the other entries. It is for upstreams without an agent, whose load is not
 // reported otherwise. It sends a prompt prefix to the upstreams that rank highest
 // for it as long as their backlog takes no longer than the prefill of the prefix
-// elsewhere, and separates long prompts from latency-sensitive requests.
+// elsewhere, and separates long prompts from the other requests.
 type LeastBacklog struct{}
 
 // SampleSize implements [Policy].
@@ -86,7 +85,7 @@
 		cost -= rankBonusSeconds / float64(int(1)<<c.Rank)
 	}
 	cost += float64(runs) * outstandingCostSeconds
-	cost += slotWait(f, c.Upstream, q.LatencyTolerant)
+	cost += slotWait(f, c.Upstream, q.Deferrable)
 	cost += failureCostSeconds * max(0, c.FailureRate-f.FailureRate-failureRateMargin)
 	if c.Outstanding > 0 {
 		cost += stallCostPerSecond * max(0, (now.Sub(c.LastProgress)-stallGrace).Seconds())
@@ -104,14 +103,14 @@
 	return cost
 }
 
-// poolMismatchCost returns the cost in seconds of sending a latency-tolerant
-// request outside the pool, or a latency-sensitive one into it.
+// poolMismatchCost returns the cost in seconds of sending a long prompt outside the
+// pool, or a short one into it.
 func poolMismatchCost(q Query, c Candidate) float64 {
 	switch {
 	case c.PoolMatch:
 		return 0
-	case !q.LatencyTolerant:
-		return sensitiveMismatchSeconds
+	case !q.LongPrompt:
+		return shortPromptMismatchSeconds
 	case c.PendingTokens+c.SharedPendingTokens+q.PromptTokens > maxSpilloverTokens:
 		return spilloverDeniedSeconds
 	}
@@ -120,12 +119,12 @@
 
 // slotWait returns the expected time in seconds until a slot is free. On average
 // a slot becomes free every run time divided by the number of slots.
-func slotWait(f *Fleet, u *Upstream, tolerant bool) float64 {
+func slotWait(f *Fleet, u *Upstream, deferrable bool) float64 {
 	if u.Slots == 0 {
 		return 0
 	}
 	slots := u.Slots
-	if tolerant {
+	if deferrable {
 		slots -= u.Slots / reservedSlotDivisor
 	}
 	excess := u.Outstanding + u.SharedRuns + 1 - slots
@@ -134,13 +133,13 @@
 
 // ExpectedWait returns the expected time until the upstream begins the prefill of
 // a new request, zero if the upstream is unknown. It uses the estimates of
-// [LeastBacklog] whatever the policy. A latency-tolerant request cannot use the
-// reserved slots.
-func (p *Picker[P]) ExpectedWait(upstream string, tolerant bool) time.Duration {
+// [LeastBacklog] whatever the policy. A deferrable request cannot use the reserved
+// slots.
+func (p *Picker[P]) ExpectedWait(upstream string, deferrable bool) time.Duration {
 	u := p.upstreams[upstream]
 	if u == nil {
 		return 0
 	}
-	wait := float64(u.PendingTokens+u.SharedPendingTokens)*backlogSecondsPerToken + slotWait(&p.fleet, u, tolerant)
+	wait := float64(u.PendingTokens+u.SharedPendingTokens)*backlogSecondsPerToken + slotWait(&p.fleet, u, deferrable)
 	return time.Duration(wait * float64(time.Second))
 }
--- a/internal/process/picker/picker.go
+++ b/internal/process/picker/picker.go
@@ -99,10 +99,9 @@
 	// Failed is true for a request that the upstream answered with an error of its
 	// own.
 	Failed bool
-	// Suspect and LatencyTolerant have the values of the query, with the kinds of
-	// events that begin and end a request.
-	Suspect         bool
-	LatencyTolerant bool
+	// Suspect has the value of the query, with the kinds of events that begin and end
+	// a request.
+	Suspect bool
 }
 
 // Query describes a request for which an upstream is to be selected.
@@ -128,9 +127,15 @@
 	// Suspect is true for a request that was in flight on an upstream when it
 	// crashed. The request may have caused the crash.
 	Suspect bool
-	// LatencyTolerant is true for a request whose token gaps may be much longer
-	// than those of other requests, which are latency-sensitive.
-	LatencyTolerant bool
+	// LongPrompt is true for a request whose prompt would delay the tokens of other
+	// requests too much.
+	LongPrompt bool
+	// LongPromptShare is the share of the upstreams that requests with long prompts
+	// need. Zero or one means that all requests share all upstreams.
+	LongPromptShare float64
+	// Deferrable is true for a request that must leave some slots to more urgent
+	// ones.
+	Deferrable bool
 }
 
 // Policy computes which upstreams may get a request, and at which cost.
@@ -156,8 +161,8 @@
 	// entries agree: zero for the preferred upstream, then its alternatives in
 	// order. It is [Unranked] for all others.
 	Rank int
-	// PoolMatch is false if the upstream is in the pool for latency-tolerant
-	// requests and the query is latency-sensitive, or the reverse.
+	// PoolMatch is false if the upstream is in the pool for long prompts and the
+	// query has a short one, or the reverse.
 	PoolMatch bool
 }
 
@@ -177,7 +182,7 @@
 	// and ranking has the upstreams that rank highest for it.
 	prefixHolders []*Upstream
 	ranking       ranking
-	pool          tolerantPool
+	pool          longPromptPool
 	// usable is a buffer for the usable candidates of the current Pick.
 	usable []*Upstream
 }
@@ -207,7 +212,6 @@
 		u.recordDispatch(now, p.dispatches)
 		u.changeSuspects(e.Suspect, 1)
 		u.PendingTokens += e.PromptTokens
-		p.pool.addDemand(now, e.LatencyTolerant, e.PromptTokens)
 		p.prefixes.store(now, e.Prefix, u.Name)
 	case EventFirstToken:
 		u.recordFirstToken(now, e.Elapsed)
@@ -219,10 +223,6 @@
 	case EventEnded:
 		u.recordEnd(now, e.Tokens, &p.fleet)
 		p.fleet.recordRunTime(e.Elapsed)
-		if u.Slots > 0 {
-			// A run occupies one slot of the engine for its whole duration.
-			p.pool.addDemand(now, e.LatencyTolerant, int(e.Elapsed.Seconds()/float64(u.Slots)/backlogSecondsPerToken))
-		}
 		u.removePending(e.PromptTokens)
 		u.recordResult(e.Failed, &p.fleet)
 		u.changeSuspects(e.Suspect, -1)
@@ -330,7 +330,7 @@
 	var best *Upstream
 	lowest, ties := 0.0, 0
 	evaluate := func(u *Upstream) {
-		c := Candidate{Upstream: u, CachedTokens: p.prefixes.cachedTokens(now, q, u.Name), Rank: p.ranking.rankOf(u), PoolMatch: p.pool.matches(u, q.LatencyTolerant)}
+		c := Candidate{Upstream: u, CachedTokens: p.prefixes.cachedTokens(now, q, u.Name), Rank: p.ranking.rankOf(u), PoolMatch: p.pool.matches(u, q.LongPrompt)}
 		cost := p.policy.Cost(now, q, &p.fleet, c)
 		switch {
 		case best == nil || cost < lowest:
--- a/internal/process/picker/prefix.go
+++ b/internal/process/picker/prefix.go
@@ -136,6 +136,9 @@
 	return 0
 }
 
+// IsCached reports whether an upstream is known to have served a prefix.
+func (p *Picker[P]) IsCached(prefix uint64) bool { return p.prefixes.get(prefix) != nil }
+
 // later returns the later of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/internal/process/picker/ranking.go
+++ b/internal/process/picker/ranking.go
@@ -37,9 +37,9 @@
 	return Unranked
 }
 
-// rankCandidates selects the members of the latency-tolerant pool and ranks the
-// usable candidates for the prefix of q by rendezvous hashing, among the members
-// if q is latency-tolerant and among the others if not. Entries with the same
+// rankCandidates selects the members of the pool for long prompts and ranks the
+// usable candidates for the prefix of q by rendezvous hashing, among the members if
+// the prompt of q is long and among the others if not. Entries with the same
 // candidates agree on both without messages.
 func (p *Picker[P]) rankCandidates(now time.Time, q Query) {
 	p.usable = p.usable[:0]
@@ -48,12 +48,12 @@
 			p.usable = append(p.usable, u)
 		}
 	}
-	p.pool.selectMembers(p.usable)
+	p.pool.selectMembers(p.usable, q.LongPromptShare)
 	if q.Prefix == 0 {
 		return
 	}
 	for _, u := range p.usable {
-		if p.pool.matches(u, q.LatencyTolerant) {
+		if p.pool.matches(u, q.LongPrompt) {
 			p.ranking.insert(u, mix(q.Prefix^u.hash()))
 		}
 	}
--- /dev/null
+++ b/internal/process/separator/separator.go
@@ -0,0 +1,315 @@
+// Package separator decides which kinds of request get upstreams of their own
+// because their prompts would delay the streams of other requests.
+//
+// An engine prefills prompts between the tokens of its running streams. A stream is
+// late if the prefill of another prompt makes one of its gaps longer than its
+// target, and a request is late if the prompts before it take too long. Whether that
+// happens depends on how long a prompt takes on this engine, and not on how the gap
+// targets of two kinds compare.
+//
+// It is a decision package: it does no I/O and gets the time as an argument. A
+// [Separator] learns a [Profile] of each kind of request of a service from its
+// answers. [Choose] estimates with a queueing model which share of the requests
+// would be late if all kinds shared all engines, and if the kinds with the longest
+// prefill had some of the engines to themselves, and chooses the least loss.
+//
+// # Usage
+//
+//	var s separator.Separator
+//	s.Step(now, separator.Event{Kind: separator.EventArrived, Request: "letter", PromptTokens: 9000})
+//	s.Decide(now, separator.Fleet{Engines: 9, Slots: 64, Entries: 4})
+//	if s.IsSeparated("letter") {
+//		// send the request to the engines for long prompts
+//	}
+package separator
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// maxKinds bounds the number of kinds with a profile.
+	maxKinds = 256
+	// maxCompared bounds the number of kinds that [Choose] gets. Kinds with less
+	// traffic are separated by their prefill time alone.
+	maxCompared = 8
+	// rateHalfLife is the half-life of the arrivals from which a rate is computed.
+	rateHalfLife = 15 * time.Second
+	// observationWeight is the weight of one answer in the moving averages.
+	observationWeight = 0.05
+	// decisionInterval is the minimum time between two decisions.
+	decisionInterval = 500 * time.Millisecond
+	// switchLossDifference is the share of late requests that a change of the choice
+	// must save. Entries that estimate slightly different rates must not change their
+	// choice all the time.
+	switchLossDifference = 0.03
+	// minStartArrivals is the number of requests of a service from which a decision is
+	// taken if each kind has got an answer, and maxStartArrivals the number from
+	// which it is taken in any case.
+	minStartArrivals = 16
+	maxStartArrivals = 128
+	// sharedWeight is the weight of the demand of a kind that is not separated. Its
+	// engines must be less busy to keep gaps short.
+	sharedWeight = 4
+	// minLossDifference is the share of late requests below which two choices are
+	// equally good.
+	minLossDifference = 0.01
+)
+
+// EventKind is the kind of an [Event].
+type EventKind int
+
+// The kinds of events.
+const (
+	// EventArrived carries a new request with its prompt and its targets.
+	EventArrived EventKind = iota
+	// EventPrefilled means that the first event of an answer arrived Elapsed after
+	// the request was sent to an engine without other prompts to prefill, which had
+	// no part of this prompt cached.
+	EventPrefilled
+	// EventProgress means that Events further events arrived within Elapsed.
+	EventProgress
+	// EventEnded means that an answer was complete Elapsed after the request was
+	// sent.
+	EventEnded
+)
+
+// Event is an observation of one request. Only the fields of its kind are set.
+type Event struct {
+	Kind EventKind
+	// Request is the name of the kind of request.
+	Request string
+	Elapsed time.Duration
+	Events  int
+	// PromptTokens is set for EventArrived and EventPrefilled. The targets and
+	// Priority are set for EventArrived. A target of zero means none. Priority is
+	// zero for the most urgent requests.
+	PromptTokens  int
+	GapTarget     time.Duration
+	LatencyTarget time.Duration
+	Priority      int
+}
+
+// Separator learns the kinds of request of one service. The zero value knows none
+// and separates none.
+type Separator struct {
+	kinds   map[string]*kind
+	decided time.Time
+	// arrivals is the number of requests so far, at most maxStartArrivals.
+	arrivals int
+	// decisive is true once enough answers have arrived for a decision.
+	decisive bool
+	// share is the share of the demand of the separated kinds.
+	share float64
+	// separated is the number of kinds that are separated, those with the longest
+	// prefill, and threshold the prefill time from which a kind belongs to them.
+	separated int
+	threshold time.Duration
+	prefill   prefillModel
+}
+
+// kind is what is known of one kind of request.
+type kind struct {
+	profile Profile
+	// arrivals is the decaying number of arrivals at updated, and first the time of
+	// the first arrival.
+	arrivals       float64
+	first, updated time.Time
+	promptTokens   float64
+}
+
+// Step learns from one event.
+func (s *Separator) Step(now time.Time, e Event) {
+	k := s.kinds[e.Request]
+	if k == nil {
+		if e.Kind != EventArrived {
+			return
+		}
+		k = s.add(now, e.Request)
+	}
+	switch e.Kind {
+	case EventArrived:
+		s.arrivals = min(s.arrivals+1, maxStartArrivals)
+		k.recordArrival(now, e)
+	case EventPrefilled:
+		s.prefill.observe(float64(e.PromptTokens), e.Elapsed.Seconds())
+	case EventProgress:
+		if e.Events > 0 {
+			k.profile.Gap = average(k.profile.Gap, e.Elapsed/time.Duration(e.Events), observationWeight)
+		}
+	case EventEnded:
+		k.profile.Run = average(k.profile.Run, e.Elapsed, observationWeight)
+	}
+}
+
+// add adds a kind. If there are too many, it forgets the one without an arrival for
+// the longest time.
+func (s *Separator) add(now time.Time, name string) *kind {
+	if s.kinds == nil {
+		s.kinds = map[string]*kind{}
+	}
+	if len(s.kinds) >= maxKinds {
+		oldest := ""
+		for other, k := range s.kinds {
+			if oldest == "" || k.updated.Before(s.kinds[oldest].updated) {
+				oldest = other
+			}
+		}
+		delete(s.kinds, oldest)
+	}
+	k := &kind{profile: Profile{Name: name}, first: now, updated: now}
+	s.kinds[name] = k
+	return k
+}
+
+func (k *kind) recordArrival(now time.Time, e Event) {
+	k.arrivals = k.arrivals*decay(now.Sub(k.updated)) + 1
+	k.updated = now
+	// The first arrivals have equal weights.
+	k.promptTokens += max(observationWeight, 1/k.arrivals) * (float64(e.PromptTokens) - k.promptTokens)
+	k.profile.GapTarget, k.profile.LatencyTarget, k.profile.Weight = e.GapTarget, e.LatencyTarget, 1/float64(1+e.Priority)
+}
+
+// rate returns the arrivals per second.
+func (k *kind) rate(now time.Time) float64 {
+	// The decaying sum covers the half-life divided by ln 2 in the long run.
+	window := rateHalfLife.Seconds() / math.Ln2 * (1 - decay(now.Sub(k.first)))
+	return k.arrivals * decay(now.Sub(k.updated)) / max(window, decisionInterval.Seconds())
+}
+
+// Fleet describes the engines of a service and its callers.
+type Fleet struct {
+	// Engines is the number of engines, and Slots the number of requests that each
+	// runs at once, zero if unknown.
+	Engines int
+	Slots   int
+	// Entries is the number of entries, which get equal shares of the requests.
+	Entries int
+}
+
+// Decide chooses the separated kinds again if the last decision is old enough.
+func (s *Separator) Decide(now time.Time, f Fleet) {
+	if s.decisive && now.Sub(s.decided) < decisionInterval {
+		return
+	}
+	s.decided = now
+	profiles := s.profiles(now, f.Entries)
+	s.decisive = s.decisive || s.arrivals >= maxStartArrivals || s.arrivals >= minStartArrivals && allAnswered(profiles)
+	if s.decisive {
+		s.choose(profiles, f.Engines)
+	}
+	s.share = s.separatedShare(profiles, f.Slots)
+}
+
+// allAnswered reports whether each kind has got an answer.
+func allAnswered(profiles []Profile) bool {
+	return !slices.ContainsFunc(profiles, func(p Profile) bool { return p.Run == 0 })
+}
+
+// choose changes the number of separated kinds if another number loses less, and
+// adapts the threshold to the present prefill times.
+func (s *Separator) choose(profiles []Profile, engines int) {
+	s.separated = max(0, min(s.separated, len(profiles)-1))
+	best := Choose(profiles, engines)
+	current := leastLoss(profiles, engines, s.separated)
+	if current.Loss-best.Loss > switchLossDifference {
+		s.separated = best.Separated
+	}
+	s.threshold = 0
+	if n := s.separated; n > 0 {
+		s.threshold = (profiles[n-1].Prefill + profiles[n].Prefill) / 2
+	}
+}
+
+// separatedShare returns the share of the separated kinds in the demand for engines.
+// A request needs the time to prefill its prompt and a slot for the time of its run.
+func (s *Separator) separatedShare(profiles []Profile, slots int) float64 {
+	separated, shared := 0.0, 0.0
+	for _, p := range profiles {
+		demand := p.Prefill.Seconds()
+		if slots > 0 {
+			demand += p.Run.Seconds() / float64(slots)
+		}
+		demand *= p.Rate
+		if s.IsSeparated(p.Name) {
+			separated += demand
+		} else {
+			shared += sharedWeight * demand
+		}
+	}
+	if separated == 0 {
+		return 0
+	}
+	return separated / (separated + shared)
+}
+
+// profiles returns the kinds with the most traffic, the longest prefill first.
+func (s *Separator) profiles(now time.Time, entries int) []Profile {
+	out := make([]Profile, 0, len(s.kinds))
+	perToken := s.prefill.secondsPerToken()
+	for _, k := range s.kinds {
+		k.profile.Prefill = time.Duration(k.promptTokens * perToken * float64(time.Second))
+		p := k.profile
+		p.Rate = k.rate(now) * float64(max(1, entries))
+		if p.Rate > 0 && k.promptTokens > 0 {
+			out = append(out, p)
+		}
+	}
+	slices.SortFunc(out, func(a, b Profile) int { return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Name, b.Name)) })
+	out = out[:min(len(out), maxCompared)]
+	slices.SortFunc(out, func(a, b Profile) int {
+		return cmp.Or(cmp.Compare(b.Prefill, a.Prefill), cmp.Compare(a.Name, b.Name))
+	})
+	return out
+}
+
+// startStallShare is the share of the shortest gap target of a service from which the
+// prefill of a prompt is long until enough requests have arrived for a decision.
+const startStallShare = 0.25
+
+// IsSeparated reports whether a kind of request gets upstreams of its own. Until the
+// first decision, the mean length of its prompts decides, on an engine of usual
+// speed.
+func (s *Separator) IsSeparated(request string) bool {
+	k := s.kinds[request]
+	if k == nil {
+		return false
+	}
+	if s.decisive {
+		return s.separated > 0 && k.profile.Prefill >= s.threshold
+	}
+	prefill := k.promptTokens * defaultSecondsPerToken
+	return prefill >= startStallShare*s.shortestGapTarget().Seconds()
+}
+
+// shortestGapTarget returns the shortest gap target of the known kinds.
+func (s *Separator) shortestGapTarget() time.Duration {
+	shortest := time.Duration(math.MaxInt64)
+	for _, k := range s.kinds {
+		if k.profile.GapTarget > 0 {
+			shortest = min(shortest, k.profile.GapTarget)
+		}
+	}
+	return shortest
+}
+
+// Share returns the share of the engines that the separated kinds need, zero if none
+// is separated and one if all are.
+func (s *Separator) Share() float64 { return s.share }
+
+// average returns the moving average after an observation, which is the first one
+// if old is zero.
+func average(old, observed time.Duration, weight float64) time.Duration {
+	if old == 0 {
+		return observed
+	}
+	return old + time.Duration(weight*float64(observed-old))
+}
+
+// decay returns the weight of arrivals after the given time.
+func decay(age time.Duration) float64 {
+	return math.Exp2(-max(0, age.Seconds()) / rateHalfLife.Seconds())
+}
--- a/internal/version/matcher/matcher.go
+++ b/internal/version/matcher/matcher.go
@@ -163,9 +163,6 @@
 	routesByHost       map[string][]Route
 	servicesByName     map[string]Service
 	organisationsByKey map[string]Organisation
-	// minGapTargets holds the shortest gap target among the routes of each
-	// service.
-	minGapTargets map[string]time.Duration
 	// levelsByPriority holds the priority level of each possible priorityKey.
 	levelsByPriority map[priorityKey]int
 }
@@ -174,14 +171,9 @@
 func New(c Configuration) *Table {
 	t := &Table{
 		Configuration: c, routesByHost: map[string][]Route{},
-		servicesByName: map[string]Service{}, organisationsByKey: map[string]Organisation{}, minGapTargets: map[string]time.Duration{},
+		servicesByName: map[string]Service{}, organisationsByKey: map[string]Organisation{},
 	}
 	for _, r := range c.Routes {
-		for _, s := range r.WeightedServices {
-			if gap := t.minGapTargets[s.Service]; r.GapTarget > 0 && (gap == 0 || r.GapTarget < gap) {
-				t.minGapTargets[s.Service] = r.GapTarget
-			}
-		}
 		host := strings.ToLower(r.Host)
 		t.routesByHost[host] = append(t.routesByHost[host], r)
 	}
@@ -253,20 +245,6 @@
 	return a, nil
 }
 
-// longGapRatio is the minimum ratio of the gap target of a route to the
-// shortest gap target of its service at which the streams of the route are
-// better scheduled apart from the streams with the shortest target.
-const longGapRatio = 2
-
-// ToleratesLongGaps reports whether the gap target of r is at least
-// longGapRatio times the shortest gap target of the first service of r.
-func (t *Table) ToleratesLongGaps(r Route) bool {
-	if len(r.WeightedServices) == 0 || r.GapTarget == 0 {
-		return false
-	}
-	return r.GapTarget >= longGapRatio*t.minGapTargets[r.WeightedServices[0].Service]
-}
-
 func (t *Table) findRoute(host, path string) (Route, bool) {
 	for _, r := range t.routesByHost[normaliseHost(host)] {
 		if strings.HasPrefix(path, r.PathPrefix) {
