Bound the heads of answers and end streams that stall

Cause: the parser of net/http collects a head of any size. An upstream that sent header lines, a status line or spaces without end filled the memory of an entry until the deadline of the request. Informational answers were skipped without a limit, and each started the idle timeout again. So did each byte of a stream: one that sent a part of an event, comments or repeated events now and then never ended before the deadline.

Only new events with content start the idle timeout of a stream again. The connection of a refusal that is not read to its end is closed.

Tests with raw upstreams: TestEndlessHeadEndsCall (6 forms of heads) and TestStalledStreamEndsAfterIdleTimeout (5 forms of streams) hung before and pass; TestRefusalLargerThanLimitClosesConnection failed before for a body over the limit. TestEndlessBodyIsNotBuffered (5 forms of bodies) passed before as well.

--- a/internal/connection/carrier/carrier.go
+++ b/internal/connection/carrier/carrier.go
@@ -176,8 +176,9 @@
 	calls   *buffer.Ring[Call, buffer.Reject]
 
 	// The fields below are used only by the goroutine of the connection.
-	conn   net.Conn
-	reader *bufio.Reader
+	conn     net.Conn
+	received *limitedConn
+	reader   *bufio.Reader
 	// used is true once a dial has succeeded. It stays true after the network
 	// connection is closed, since the Conn then does not dial again.
 	used         bool
--- /dev/null
+++ b/internal/connection/carrier/endless_test.go
@@ -0,0 +1,224 @@
+package carrier
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"magnoliafront.dev/magnoliafront/internal/request/relayer"
+	"magnoliafront.dev/magnoliafront/pkg/timer"
+)
+
+// rawUpstream is an upstream that writes the given bytes to each connection after the
+// head of a request, then repeats others until the connection is closed.
+type rawUpstream struct {
+	address string
+	// closed receives the number of bytes written to a connection once it is closed.
+	closed chan int
+}
+
+func newRawUpstream(t *testing.T, once, repeated string, pause time.Duration) *rawUpstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	u := &rawUpstream{address: l.Addr().String(), closed: make(chan int, 8)}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(conn, once, repeated, pause)
+		}
+	}()
+	return u
+}
+
+func (u *rawUpstream) serve(conn net.Conn, once, repeated string, pause time.Duration) {
+	defer func() { _ = conn.Close() }()
+	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+		return
+	}
+	total, err := io.WriteString(conn, once)
+	for err == nil && repeated != "" {
+		n := 0
+		n, err = io.WriteString(conn, repeated)
+		total += n
+		time.Sleep(pause)
+	}
+	if err == nil {
+		// The upstream keeps the connection open until the other side closes it.
+		_, _ = io.Copy(io.Discard, conn)
+	}
+	u.closed <- total
+}
+
+// call sends a request to the upstream and returns the last report and the replies.
+func (u *rawUpstream) call(t *testing.T, change func(*Call)) (Report, []relayer.Reply) {
+	t.Helper()
+	reports := make(chan Report, 1)
+	c := New(Options{Address: u.address, Clock: timer.System{}, Report: func(r Report) {
+		if r.Ended {
+			reports <- r
+		}
+	}})
+	defer c.Close()
+	head, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://desk.example/hold/1", nil)
+	is.New(t).NoErr(err)
+	call := Call{
+		Request: "r1", Attempt: 1, Context: t.Context(), Head: head, DialTimeout: time.Minute, Deadline: time.Now().Add(time.Hour),
+		Classify: func(r *http.Response) Verdict {
+			if r.Header.Get("Refused") != "" {
+				return VerdictRefused
+			}
+			return VerdictAccepted
+		},
+		Replies: relayer.NewRing(),
+	}
+	if change != nil {
+		change(&call)
+	}
+	replies := make(chan relayer.Reply, 1<<16)
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			r, ok := call.Replies.Take(ctx)
+			if !ok {
+				return
+			}
+			replies <- r
+		}
+	}()
+	c.Send(call)
+	r := <-reports
+	for r, ok := call.Replies.TryTake(); ok; r, ok = call.Replies.TryTake() {
+		replies <- r
+	}
+	stop()
+	<-done
+	var all []relayer.Reply
+	for len(replies) > 0 {
+		all = append(all, <-replies)
+	}
+	return r, all
+}
+
+// assertLost checks that a call ended as lost, with no part of an answer relayed, and
+// that its connection was closed.
+func assertLost(t *testing.T, u *rawUpstream, r Report, replies []relayer.Reply) {
+	t.Helper()
+	is := is.New(t)
+	is.Equal(r.Outcome, OutcomeLost)
+	is.True(!r.Reusable)
+	is.True(!r.ClosedByPeer)
+	is.Equal(len(replies), 0)
+	<-u.closed
+}
+
+// Bytes without end where the head of an answer is due were read into memory until the
+// deadline of the request.
+func TestEndlessHeadEndsCall(t *testing.T) {
+	for _, c := range []struct{ name, once, repeated string }{
+		{"header lines", "HTTP/1.1 200 OK\r\n", "X: " + strings.Repeat("x", 1000) + "\r\n"},
+		{"one header line", "HTTP/1.1 200 OK\r\nX: ", strings.Repeat("x", 1000)},
+		{"status line", "HTTP/1.1 200 ", strings.Repeat("x", 1000)},
+		{"spaces before the status line", "", strings.Repeat(" ", 1000)},
+		{"informational answers", "", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 40)},
+		{"continued header line", "HTTP/1.1 200 OK\r\nX: a\r\n", " " + strings.Repeat("x", 1000) + "\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			u := newRawUpstream(t, c.once, c.repeated, 0)
+			r, replies := u.call(t, nil)
+			assertLost(t, u, r, replies)
+		})
+	}
+}
+
+// A body without end where a short answer is due must not be collected in memory, and
+// its connection must not carry another request.
+func TestEndlessBodyIsNotBuffered(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+	filler := strings.Repeat("x", 1000)
+	t.Run("chunk extensions", func(t *testing.T) {
+		u := newRawUpstream(t, head+"\r\n1;a=", filler, 0)
+		r, replies := u.call(t, nil)
+		assertLost(t, u, r, replies)
+	})
+	t.Run("trailers", func(t *testing.T) {
+		u := newRawUpstream(t, head+"\r\n1\r\nx\r\n0\r\n", "X: "+filler+"\r\n", 0)
+		r, replies := u.call(t, nil)
+		assertLost(t, u, r, replies)
+	})
+	t.Run("body of a refusal", func(t *testing.T) {
+		u := newRawUpstream(t, "HTTP/1.1 503 Full\r\nRefused: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "3e8\r\n"+filler+"\r\n", 0)
+		r, replies := u.call(t, nil)
+		is := is.New(t)
+		is.Equal(r.Outcome, OutcomeRefused)
+		is.True(!r.Reusable)
+		is.Equal(len(replies), 0)
+		<-u.closed
+	})
+	t.Run("bytes after the stated length", func(t *testing.T) {
+		u := newRawUpstream(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", filler, 0)
+		r, replies := u.call(t, nil)
+		is := is.New(t)
+		is.Equal(r.Outcome, OutcomeAnswered)
+		is.Equal(string(replies[0].Bytes), "ok")
+	})
+	t.Run("event without an end", func(t *testing.T) {
+		u := newRawUpstream(t, head+"\r\n", "3e8\r\n"+filler+"\r\n", 0)
+		r, replies := u.call(t, func(c *Call) { c.Stream = true })
+		assertLost(t, u, r, replies)
+	})
+}
+
+// A refusal of exactly the size up to which bodies are read left the rest of it on a
+// connection that was used again.
+func TestRefusalLargerThanLimitClosesConnection(t *testing.T) {
+	for _, c := range []struct {
+		size     int
+		reusable bool
+	}{{10, true}, {maxBufferedBytes, true}, {maxBufferedBytes + 1, false}, {maxBufferedBytes + 5000, false}} {
+		t.Run(fmt.Sprint(c.size, " bytes"), func(t *testing.T) {
+			u := newRawUpstream(t, fmt.Sprintf("HTTP/1.1 503 Full\r\nRefused: 1\r\nContent-Length: %d\r\n\r\n%s", c.size, strings.Repeat("x", c.size)), "", 0)
+			r, _ := u.call(t, nil)
+			is := is.New(t)
+			is.Equal(r.Outcome, OutcomeRefused)
+			is.Equal(r.Reusable, c.reusable)
+		})
+	}
+}
+
+// A stream that stalls but sends a byte now and then must end after the idle timeout.
+// Every byte used to start it again.
+func TestStalledStreamEndsAfterIdleTimeout(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	const event = "d\r\nid: 1\ndata:\n\n\r\n"
+	for _, c := range []struct{ name, once, repeated string }{
+		{"before the head", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"bytes of an event without an end", head + event, "1\r\nx\r\n"},
+		{"comments", head + event, "3\r\n:\n\n\r\n"},
+		{"empty lines", head + event, "2\r\n\n\n\r\n"},
+		{"the same event again", head + event, event},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			u := newRawUpstream(t, c.once, c.repeated, 10*time.Millisecond)
+			r, _ := u.call(t, func(call *Call) { call.Stream, call.IdleTimeout = true, 300*time.Millisecond })
+			is := is.New(t)
+			is.Equal(r.Outcome, OutcomeSilent)
+			is.True(!r.Reusable)
+			<-u.closed
+		})
+	}
+}
--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -162,19 +162,32 @@
 	}
 }
 
+// readFinalHead reads a head and the informational responses before it, within
+// maxHeadBytes and one idle timeout.
+func (c *Conn) readFinalHead(a *attempt) (*http.Response, error) {
+	if err := c.setReadDeadline(a); err != nil {
+		return nil, err
+	}
+	c.received.limit(maxHeadBytes)
+	defer c.received.unlimit()
+	for {
+		resp, err := http.ReadResponse(c.reader, a.call.Head)
+		if err != nil {
+			return nil, errors.Wrap(err, "read the answer")
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+}
+
 // readHead reads and classifies the head of the response to the call. It skips
-// informational responses and responses to other requests.
+// responses to other requests.
 func (c *Conn) readHead(a *attempt) (*http.Response, Verdict, error) {
 	for skipped := 0; ; {
-		if err := c.setReadDeadline(a); err != nil {
-			return nil, VerdictInvalid, err
-		}
-		resp, err := http.ReadResponse(c.reader, a.call.Head)
+		resp, err := c.readFinalHead(a)
 		if err != nil {
-			return nil, VerdictInvalid, errors.Wrap(err, "read the answer")
-		}
-		if resp.StatusCode < http.StatusOK {
-			continue
+			return nil, VerdictInvalid, err
 		}
 		if verdict := a.call.Classify(resp); verdict != VerdictMismatched {
 			// The receiver of the reply owns the header, so the Keep-Alive timeout is
@@ -215,7 +228,10 @@
 // discardRefusal reads the rest of a response that says that the request was not
 // run, so that the connection can be reused.
 func (c *Conn) discardRefusal(a *attempt, resp *http.Response) Report {
-	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBytes))
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBytes+1))
+	if n > maxBufferedBytes {
+		err = errors.Errorf("the body of the refusal exceeds %d bytes", maxBufferedBytes)
+	}
 	r := a.newReport(OutcomeRefused, nil)
 	r.Status = resp.StatusCode
 	c.setReusable(a, &r, resp, err)
@@ -344,7 +360,8 @@
 	if err != nil {
 		return errors.Wrap(err, "connect")
 	}
-	c.conn, c.reader = conn, bufio.NewReaderSize(conn, readBufferBytes)
+	c.conn, c.received = conn, &limitedConn{Conn: conn}
+	c.reader = bufio.NewReaderSize(c.received, readBufferBytes)
 	return nil
 }
 
--- a/internal/connection/carrier/splitter.go
+++ b/internal/connection/carrier/splitter.go
@@ -18,9 +18,9 @@
 	partial []byte
 }
 
-// split appends b to the stream and returns the bytes and the number of the
-// events that are now complete. It drops repeated events, whose ID is not newer
-// than lastID. It reports false if the incomplete event exceeds maxEventBytes.
+// split appends b to the stream and returns the bytes that are now complete and the
+// number of events with content among them. It drops repeated events, whose ID is not
+// newer than lastID. It reports false if the incomplete event exceeds maxEventBytes.
 func (s *splitter) split(b []byte) (whole []byte, events int, ok bool) {
 	data := b
 	if len(s.partial) > 0 {
@@ -42,7 +42,9 @@
 			s.lastID = id
 		}
 		whole = append(whole, event...)
-		events++
+		if hasContent(event) {
+			events++
+		}
 	}
 	if len(data) > 0 {
 		s.partial = append([]byte(nil), data...)
@@ -80,6 +82,17 @@
 	return ""
 }
 
+// hasContent reports whether an event has a field, and not only comments and empty
+// lines.
+func hasContent(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // isNewer reports whether the event with this ID follows the one with the ID
 // last. IDs that are not integers have no order, so that only a repetition of
 // last itself is recognised.
--- a/internal/connection/carrier/stream.go
+++ b/internal/connection/carrier/stream.go
@@ -14,10 +14,10 @@
 	if c.streamBuffer == nil {
 		c.streamBuffer = make([]byte, streamReadBytes)
 	}
+	if err := c.setReadDeadline(a); err != nil {
+		return c.classifyError(a, err)
+	}
 	for {
-		if err := c.setReadDeadline(a); err != nil {
-			return c.classifyError(a, err)
-		}
 		n, err := resp.Body.Read(c.streamBuffer)
 		whole, events, ok := a.splitter.split(c.streamBuffer[:n])
 		if !ok {
@@ -32,6 +32,10 @@
 			return a.newReport(OutcomeCancelled, nil)
 		}
 		c.reportProgress(a, events)
+		if events > 0 && err == nil {
+			// Only new events show progress. A stalled upstream may still send bytes.
+			err = c.setReadDeadline(a)
+		}
 		switch {
 		case errors.Is(err, io.EOF) && len(a.splitter.partial) > 0 && (isCloseDelimited(resp) || a.call.Begun):
 			return c.classifyError(a, errors.New("the stream ends within an event"))
