Keep engines for urgent requests in a burst of long prompts

Change: only engines with few requests in flight show the prefill time, and shorter times weigh more; only the least urgent separated kind is deferrable; kinds that are not separated keep engines for their own demand at 80% utilisation; their weight in the demand is 3. Also, the idle timeout of a stream follows from the targets of its route (0.6 of the time after which callers leave) instead of 1.2 s for all.

--- a/internal/process/dispatcher/dispatcher_test.go
+++ b/internal/process/dispatcher/dispatcher_test.go
@@ -219,3 +219,28 @@
 		is.True(a.Failure.RetryAfter > 0)
 	}
 }
+
+// A sound stream with long gaps was cut after a fixed time and run again elsewhere.
+func TestStreamIdleTimeoutFollowsTargets(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		latency, gap time.Duration
+		want         time.Duration
+	}{
+		{"short targets", 250 * ms, 200 * ms, 1200 * ms},
+		{"long gap target", 250 * ms, 2 * time.Second, 9600 * ms},
+		{"long latency target", 5 * time.Second, 200 * ms, 12 * time.Second},
+		{"no targets", 0, 0, 1200 * ms},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDispatcher()
+			all := routes()
+			all[0].LatencyTarget, all[0].GapTarget = c.latency, c.gap
+			d.Step(testTime(), Event{Kind: EventConfigured, Table: matcher.New(matcher.Configuration{
+				Version: 2, Routes: all, Organisations: []matcher.Organisation{{Name: "guides", Keys: []string{"key"}}},
+			})})
+			sent := d.Step(testTime(), Event{Kind: EventArrived, Request: request("/chat/1")})
+			is.New(t).Equal(sent[0].IdleTimeout, c.want)
+		})
+	}
+}
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -23,9 +23,14 @@
 	// requests with a short target.
 	idleTimeoutFactor = 3
 	minIdleTimeout    = 150 * time.Millisecond
-	// streamIdleTimeout is the idle timeout between the events of a stream. Callers
-	// give up after 2 s.
-	streamIdleTimeout = 1200 * time.Millisecond
+	// A caller abandons a stream after a gap of minCallerPatience, of
+	// latencyPatienceFactor latency targets or of gapPatienceFactor gap targets,
+	// whichever is longest. streamIdleShare is the share of this time after which a
+	// stream is resumed on another upstream.
+	minCallerPatience     = 2 * time.Second
+	latencyPatienceFactor = 4
+	gapPatienceFactor     = 8
+	streamIdleShare       = 0.6
 	// maxNotSent is the number of unsent attempts after which a request fails. An
 	// attempt is unsent if, for example, the upstream was unreachable.
 	maxNotSent = 4
@@ -74,8 +79,8 @@
 	pendingTokens int
 	sentAt        time.Time
 	// showsPrefill is true if the time to the first event of the current attempt shows
-	// the prefill time of its prompt: hardly any other prompt waited on the upstream
-	// when it was sent, and no upstream had cached its prefix.
+	// the prefill time of its prompt: hardly any other request was on the upstream when
+	// it was sent, and no upstream had cached its prefix.
 	showsPrefill bool
 	begun        bool
 	lastEvent    string
@@ -117,9 +122,15 @@
 	return d.send(now, f)
 }
 
-// idleTokensDivisor is the ratio of a prompt to the prompts before it up to which the
-// time to the first event shows the prefill time of the prompt alone.
-const idleTokensDivisor = 8
+// idleDivisor is the ratio of a prompt to the prompts before it, and of the slots of
+// an upstream to its requests in flight, from which the time to the first event shows
+// the prefill time of the prompt alone.
+const idleDivisor = 8
+
+// isIdle reports whether hardly any other request delays a prompt on u.
+func isIdle(u *picker.Upstream, promptTokens int) bool {
+	return idleDivisor*(u.PendingTokens+u.SharedPendingTokens) <= promptTokens && idleDivisor*(u.Outstanding+u.SharedRuns) <= u.Slots
+}
 
 // recordKind tells the separator of a service about a new request.
 func (d *Dispatcher) recordKind(now time.Time, s *service, f *inFlightRequest) {
@@ -129,7 +140,7 @@
 	}
 	s.separator.Step(now, separator.Event{
 		Kind: separator.EventArrived, Request: r.Name, PromptTokens: f.request.PromptTokens,
-		GapTarget: r.GapTarget, LatencyTarget: r.LatencyTarget, Priority: f.admission.Priority,
+		GapTarget: r.GapTarget, LatencyTarget: r.LatencyTarget, Priority: r.Priority,
 	})
 	fleet := separator.Fleet{Engines: len(s.instanceIDs), Entries: d.entries}
 	if fleet.Engines > 0 {
@@ -145,9 +156,10 @@
 }
 
 // isDeferrable reports whether f must make way for more urgent requests in a burst: it
-// has a long prompt and not the most urgent priority.
+// has a long prompt, is not of the most urgent priority, and no other request with a
+// long prompt is less urgent.
 func (f *inFlightRequest) isDeferrable(s *service) bool {
-	return f.admission.Priority > 0 && f.hasLongPrompt(s)
+	return f.admission.Priority > 0 && s.separator.IsLeastUrgent(f.admission.Route.Name)
 }
 
 // fingerprint returns the fingerprint of organisation and content for the
@@ -183,8 +195,7 @@
 	d.recordPlacement(f)
 	f.pendingTokens, f.sentAt = f.request.PromptTokens, now
 	u := s.picker.Upstream(id)
-	f.showsPrefill = idleTokensDivisor*(u.PendingTokens+u.SharedPendingTokens) <= f.pendingTokens &&
-		(f.request.PrefixTokens < minPlacementTokens || !s.picker.IsCached(f.request.Prefix))
+	f.showsPrefill = isIdle(u, f.pendingTokens) && (f.request.PrefixTokens < minPlacementTokens || !s.picker.IsCached(f.request.Prefix))
 	f.summary.Upstream, f.summary.Attempts = id, f.attempt
 	f.summary.Outstanding, f.summary.PendingTokens = u.Outstanding, u.PendingTokens
 	s.picker.Step(now, picker.Event{Kind: picker.EventSent, Upstream: id, Prefix: f.request.Prefix, Suspect: f.suspect, PromptTokens: f.pendingTokens})
@@ -233,7 +244,8 @@
 		return 0
 	}
 	if f.admission.Route.Kind == matcher.Streaming {
-		return streamIdleTimeout
+		patience := max(minCallerPatience, latencyPatienceFactor*f.admission.Route.LatencyTarget, gapPatienceFactor*f.admission.Route.GapTarget)
+		return time.Duration(streamIdleShare * float64(patience))
 	}
 	return min(max(minIdleTimeout, idleTimeoutFactor*f.admission.Route.LatencyTarget), remaining/2)
 }
--- a/internal/process/separator/model.go
+++ b/internal/process/separator/model.go
@@ -20,11 +20,13 @@
 	// first event, with which the answer is on time. Zero means no target.
 	GapTarget     time.Duration
 	LatencyTarget time.Duration
-	// Weight is the cost of one late request relative to that of a request of the
-	// most urgent kind.
-	Weight float64
+	// Priority is zero for the most urgent requests. A late request of priority n
+	// counts 1/(n+1).
+	Priority int
 }
 
+func (p Profile) weight() float64 { return 1 / float64(1+max(0, p.Priority)) }
+
 // Choice is a division of the engines between kinds of request.
 type Choice struct {
 	// Separated is the number of kinds that get Engines engines of their own, those
@@ -56,7 +58,7 @@
 func leastLoss(profiles []Profile, engines, n int) Choice {
 	total := 0.0
 	for _, p := range profiles {
-		total += p.Rate * p.Weight
+		total += p.Rate * p.weight()
 	}
 	if n == 0 || total == 0 {
 		return Choice{Loss: lateRequests(profiles, float64(engines)) / max(total, math.SmallestNonzeroFloat64)}
@@ -100,7 +102,7 @@
 		if k.GapTarget > 0 {
 			onTime *= math.Exp(-longGaps(k, kinds, engines))
 		}
-		late += k.Rate * k.Weight * (1 - onTime)
+		late += k.Rate * k.weight() * (1 - onTime)
 	}
 	return late
 }
--- a/internal/process/separator/prefill.go
+++ b/internal/process/separator/prefill.go
@@ -7,6 +7,10 @@
 	// fitDecay is the factor by which older observations lose weight with each new
 	// one.
 	fitDecay = 0.98
+	// longTimeWeight is the weight of an observation above the fit, while one below it
+	// has the weight one. Prompts of other entries, of which this one has not heard
+	// yet, only lengthen the time.
+	longTimeWeight = 0.2
 	// minFitObservations is the number of observations from which the fit is used.
 	minFitObservations = 8
 	// minFitSpread is the minimum standard deviation of the prompt lengths, as a share
@@ -25,11 +29,15 @@
 // observe records the time in seconds to the first event after a prompt of the given
 // number of tokens.
 func (m *prefillModel) observe(tokens, seconds float64) {
-	m.n = fitDecay*m.n + 1
-	m.x = fitDecay*m.x + tokens
-	m.y = fitDecay*m.y + seconds
-	m.xx = fitDecay*m.xx + tokens*tokens
-	m.xy = fitDecay*m.xy + tokens*seconds
+	weight := 1.0
+	if m.n > 0 && seconds > m.y/m.n+m.secondsPerToken()*(tokens-m.x/m.n) {
+		weight = longTimeWeight
+	}
+	m.n = fitDecay*m.n + weight
+	m.x = fitDecay*m.x + weight*tokens
+	m.y = fitDecay*m.y + weight*seconds
+	m.xx = fitDecay*m.xx + weight*tokens*tokens
+	m.xy = fitDecay*m.xy + weight*tokens*seconds
 }
 
 // secondsPerToken returns the slope of the fit, or the default if the observations
--- a/internal/process/separator/separator.go
+++ b/internal/process/separator/separator.go
@@ -36,6 +36,9 @@
 	// maxCompared bounds the number of kinds that [Choose] gets. Kinds with less
 	// traffic are separated by their prefill time alone.
 	maxCompared = 8
+	// minRateShare is the share of the highest rate of a kind from which another kind
+	// is compared. Below it, its route may have been removed.
+	minRateShare = 0.01
 	// rateHalfLife is the half-life of the arrivals from which a rate is computed.
 	rateHalfLife = 15 * time.Second
 	// observationWeight is the weight of one answer in the moving averages.
@@ -53,7 +56,10 @@
 	maxStartArrivals = 128
 	// sharedWeight is the weight of the demand of a kind that is not separated. Its
 	// engines must be less busy to keep gaps short.
-	sharedWeight = 4
+	sharedWeight = 3
+	// maxSharedUtilisation is the utilisation up to which the engines of kinds that
+	// are not separated may be loaded by a burst of separated ones.
+	maxSharedUtilisation = 0.8
 	// minLossDifference is the share of late requests below which two choices are
 	// equally good.
 	minLossDifference = 0.01
@@ -102,8 +108,10 @@
 	arrivals int
 	// decisive is true once enough answers have arrived for a decision.
 	decisive bool
-	// share is the share of the demand of the separated kinds.
-	share float64
+	// share is the share of the demand of the separated kinds, and leastUrgent the
+	// highest priority number among them.
+	share       float64
+	leastUrgent int
 	// separated is the number of kinds that are separated, those with the longest
 	// prefill, and threshold the prefill time from which a kind belongs to them.
 	separated int
@@ -170,7 +178,7 @@
 	k.updated = now
 	// The first arrivals have equal weights.
 	k.promptTokens += max(observationWeight, 1/k.arrivals) * (float64(e.PromptTokens) - k.promptTokens)
-	k.profile.GapTarget, k.profile.LatencyTarget, k.profile.Weight = e.GapTarget, e.LatencyTarget, 1/float64(1+e.Priority)
+	k.profile.GapTarget, k.profile.LatencyTarget, k.profile.Priority = e.GapTarget, e.LatencyTarget, e.Priority
 }
 
 // rate returns the arrivals per second.
@@ -201,7 +209,13 @@
 	if s.decisive {
 		s.choose(profiles, f.Engines)
 	}
-	s.share = s.separatedShare(profiles, f.Slots)
+	s.share = s.separatedShare(profiles, f.Engines, f.Slots)
+	s.leastUrgent = 0
+	for _, p := range profiles {
+		if s.IsSeparated(p.Name) {
+			s.leastUrgent = max(s.leastUrgent, p.Priority)
+		}
+	}
 }
 
 // allAnswered reports whether each kind has got an answer.
@@ -226,7 +240,8 @@
 
 // separatedShare returns the share of the separated kinds in the demand for engines.
 // A request needs the time to prefill its prompt and a slot for the time of its run.
-func (s *Separator) separatedShare(profiles []Profile, slots int) float64 {
+// In a burst of separated requests the other ones keep the engines that they need.
+func (s *Separator) separatedShare(profiles []Profile, engines, slots int) float64 {
 	separated, shared := 0.0, 0.0
 	for _, p := range profiles {
 		demand := p.Prefill.Seconds()
@@ -237,13 +252,17 @@
 		if s.IsSeparated(p.Name) {
 			separated += demand
 		} else {
-			shared += sharedWeight * demand
+			shared += demand
 		}
 	}
 	if separated == 0 {
 		return 0
 	}
-	return separated / (separated + shared)
+	share := separated / (separated + sharedWeight*shared)
+	if engines > 0 {
+		share = min(share, max(1./engineSteps, 1-shared/(maxSharedUtilisation*float64(engines))))
+	}
+	return share
 }
 
 // profiles returns the kinds with the most traffic, the longest prefill first.
@@ -260,6 +279,9 @@
 	}
 	slices.SortFunc(out, func(a, b Profile) int { return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Name, b.Name)) })
 	out = out[:min(len(out), maxCompared)]
+	for len(out) > 1 && out[len(out)-1].Rate < minRateShare*out[0].Rate {
+		out = out[:len(out)-1]
+	}
 	slices.SortFunc(out, func(a, b Profile) int {
 		return cmp.Or(cmp.Compare(b.Prefill, a.Prefill), cmp.Compare(a.Name, b.Name))
 	})
@@ -285,6 +307,13 @@
 	return prefill >= startStallShare*s.shortestGapTarget().Seconds()
 }
 
+// IsLeastUrgent reports whether a kind of request is separated and no separated kind
+// with traffic is less urgent.
+func (s *Separator) IsLeastUrgent(request string) bool {
+	k := s.kinds[request]
+	return k != nil && k.profile.Priority >= s.leastUrgent && s.IsSeparated(request)
+}
+
 // shortestGapTarget returns the shortest gap target of the known kinds.
 func (s *Separator) shortestGapTarget() time.Duration {
 	shortest := time.Duration(math.MaxInt64)
--- a/internal/process/separator/separator_test.go
+++ b/internal/process/separator/separator_test.go
@@ -113,6 +113,22 @@
 	return t
 }
 
+// In a burst, requests of the middle priority were refused while less urgent ones with
+// longer prompts began, since both were separated.
+func TestOnlyLeastUrgentSeparatedKindIsDeferrable(t *testing.T) {
+	var s Separator
+	report := change(letter(), func(k *traffic) { k.name, k.promptTokens, k.priority = "report", 12_000, 2 })
+	now := play(&s, start(), 10, engine{50, 20 * ms}, Fleet{Engines: 9, Slots: 64, Entries: 1}, chat(), letter(), report)
+	is := is.New(t)
+	is.True(s.IsSeparated("letter"))
+	is.True(!s.IsLeastUrgent("letter"))
+	is.True(s.IsLeastUrgent("report"))
+	is.True(!s.IsLeastUrgent("chat"))
+	// Without traffic of the less urgent kind, the other one is deferrable.
+	play(&s, now, 150, engine{50, 20 * ms}, Fleet{Engines: 9, Slots: 64, Entries: 1}, chat(), letter())
+	is.True(s.IsLeastUrgent("letter"))
+}
+
 // Until answers have shown the speed of the engines, long prompts must be separated by
 // their length, since the first seconds of a process would else be late.
 func TestSeparationBeforeTheFirstAnswer(t *testing.T) {
@@ -208,7 +224,7 @@
 			profiles[i] = Profile{
 				Name: fmt.Sprint(i), Rate: 1 + 100*random.Float64(), Prefill: time.Duration(random.IntN(300)) * ms, Run: time.Duration(random.IntN(4000)) * ms,
 				Gap: time.Duration(random.IntN(60)) * ms, GapTarget: time.Duration(50+random.IntN(900)) * ms, LatencyTarget: time.Duration(100+random.IntN(1500)) * ms,
-				Weight: 1 / float64(1+random.IntN(4)),
+				Priority: random.IntN(4),
 			}
 		}
 		slices.SortFunc(profiles, func(a, b Profile) int { return int(b.Prefill - a.Prefill) })
