Wait for the store as long as the time without touch allows

Cause: calls of the store are the largest price of the large site. The polls for the configuration and the upstreams ended after 2 s each, whatever the site allows.

--- a/internal/process/loader/loader.go
+++ b/internal/process/loader/loader.go
@@ -88,6 +88,10 @@
 	// LeavingLimit is the time after which an upstream that has announced that it is
 	// leaving must get no more requests, a duration such as 2s.
 	LeavingLimit string `json:"leaving_limit"`
+	// StallLimit is the time for which a wait for changes of the store may be stalled
+	// unnoticed, a duration such as 3s. Empty means the minimum, about 2.6 s. The
+	// longer it is, the fewer calls the store gets.
+	StallLimit string `json:"stall_limit,omitempty"`
 	// RetryShare and RetrySlack are the retry budget of all entries together:
 	// RetryShare retries per request and RetrySlack additional ones.
 	RetryShare float64 `json:"retry_share"`
@@ -100,6 +104,9 @@
 // NoticePeriodDuration returns NoticePeriod as a duration.
 func (g Gateway) NoticePeriodDuration() time.Duration { return parseDuration(g.NoticePeriod) }
 
+// StallLimitDuration returns StallLimit as a duration, zero if it is empty.
+func (g Gateway) StallLimitDuration() time.Duration { return parseDuration(g.StallLimit) }
+
 // LeavingLimitDuration returns LeavingLimit as a duration.
 func (g Gateway) LeavingLimitDuration() time.Duration { return parseDuration(g.LeavingLimit) }
 
@@ -142,6 +149,7 @@
 	}
 	c.require("grace_period", g.GracePeriodDuration() > 0, fmt.Sprintf("a duration such as 8s, got %q", g.GracePeriod))
 	c.require("leaving_limit", g.LeavingLimitDuration() > 0, fmt.Sprintf("a duration such as 2s, got %q", g.LeavingLimit))
+	c.require("stall_limit", g.StallLimit == "" || g.StallLimitDuration() > 0, fmt.Sprintf("a duration such as 3s, got %q", g.StallLimit))
 	c.require("notice_period", g.NoticePeriodDuration() > 0 && g.NoticePeriodDuration() < g.GracePeriodDuration(),
 		fmt.Sprintf("a duration such as 3s, shorter than the grace period %q, got %q", g.GracePeriod, g.NoticePeriod))
 	c.require("retry_share", g.RetryShare >= 0, fmt.Sprintf("a number of attempts for each request, not below zero, got %v", g.RetryShare))
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -141,7 +141,7 @@
 	}
 	p.linker = linker.New(linker.Options{Self: self, Secret: []byte(s.SharedSecret), Clock: c, Members: members, Handle: handle})
 	p.syncer = syncer.New(syncer.Options{
-		Self: self, MaxDrainDelay: s.LeavingLimitDuration(), Address: s.PeerListen, Seeds: s.Peers, Store: store, Clock: c, Forwarder: f,
+		Self: self, MaxDrainDelay: s.LeavingLimitDuration(), MaxStall: s.StallLimitDuration(), Address: s.PeerListen, Seeds: s.Peers, Store: store, Clock: c, Forwarder: f,
 		Kinds: syncer.Kinds{Configuration: platform.KindConfiguration, Upstreams: platform.KindUpstreams, Entries: platform.KindEntries},
 		Decoder: syncer.Decoder{
 			Configuration: platform.DecodeConfiguration, Upstream: platform.DecodeUpstream, Name: platform.Name,
--- a/internal/process/subscriber/subscriber.go
+++ b/internal/process/subscriber/subscriber.go
@@ -28,11 +28,11 @@
 	// responds within milliseconds.
 	snapshotTimeout = time.Second
 	// defaultPollTimeout is the default time after which the platform ends a poll
-	// without a change. pollTimeoutMargin is the additional time after which the
-	// client cancels the poll. A dead connection is detected only then, so the sum
-	// must be well below the time within which changes must be in force.
+	// without a change.
 	defaultPollTimeout = 2 * time.Second
-	pollTimeoutMargin  = 400 * time.Millisecond
+	// PollTimeoutMargin is the additional time after which the client cancels the
+	// poll. A dead connection is detected only then.
+	PollTimeoutMargin = 400 * time.Millisecond
 	// The backoff after n consecutive failures is backoffBase * 2^n, at most
 	// defaultMaxBackoff. The values are a compromise: each call costs money, even if
 	// it fails, but changes must be in force within 2 s.
@@ -118,13 +118,17 @@
 		return
 	}
 	d := cmp.Or(s.options.PollTimeout, defaultPollTimeout)
-	wait, cancel := context.WithTimeout(ctx, d+pollTimeoutMargin)
+	wait, cancel := context.WithTimeout(ctx, d+PollTimeoutMargin)
 	changes, version, err := s.options.Feed.Changes(wait, s.options.Kind, s.version, d)
+	silent := wait.Err() != nil
 	cancel()
 	if err != nil {
-		// The cause of the failure does not matter: the snapshot that follows shows
-		// whether the platform is reachable.
+		// The snapshot that follows shows whether the platform is reachable.
 		s.lastSnapshot = time.Time{}
+		if silent && ctx.Err() == nil {
+			// The poll may have waited during an outage that has ended since.
+			s.reportUnreachable()
+		}
 		if ctx.Err() == nil && !accessor.IsKind(err, accessor.ErrorCompacted) {
 			klog.InfoS("wait for changes failed", "kind", s.options.Kind, "version", s.version, "err", err)
 		}
@@ -169,10 +173,7 @@
 		if s.failures == 0 {
 			klog.InfoS("platform out of reach", "kind", s.options.Kind, "version", s.version, "err", err)
 		}
-		if s.reachable {
-			s.reachable = false
-			s.options.OnUpdate(Update{Kind: s.options.Kind})
-		}
+		s.reportUnreachable()
 		s.failures++
 		s.sleep(ctx, min(backoffBase<<min(s.failures, 8), cmp.Or(s.options.MaxBackoff, defaultMaxBackoff)))
 		return
@@ -185,6 +186,15 @@
 	s.options.OnUpdate(Update{Kind: s.options.Kind, Reachable: true, Complete: true, Objects: all, Version: version})
 }
 
+// reportUnreachable reports that the platform is unreachable, once until it is
+// reachable again.
+func (s *Subscriber) reportUnreachable() {
+	if s.reachable {
+		s.reachable = false
+		s.options.OnUpdate(Update{Kind: s.options.Kind})
+	}
+}
+
 // sleep waits for d or until ctx ends.
 func (s *Subscriber) sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -89,8 +89,10 @@
 	// MaxDrainDelay is the time after which a draining upstream must get no more
 	// requests.
 	MaxDrainDelay time.Duration
-	Clock         timer.Clock
-	Forwarder     *forwarder.Forwarder
+	// MaxStall is the time for which a wait for changes may be stalled unnoticed.
+	MaxStall  time.Duration
+	Clock     timer.Clock
+	Forwarder *forwarder.Forwarder
 	// Send sends a message to another entry by its identity. It must not block.
 	Send func(identity, method string, params any) bool
 }
@@ -157,6 +159,11 @@
 	// entriesPollTimeout is the poll timeout for the entries. It bounds the time for
 	// which a change goes undetected on a connection that has become unresponsive.
 	entriesPollTimeout = 20 * time.Second
+	// minPollTimeout is the minimum poll timeout of the configuration and the upstreams.
+	// snapshotAllowance is the part of MaxStall for reading a snapshot after a stalled
+	// poll.
+	minPollTimeout    = 2 * time.Second
+	snapshotAllowance = 200 * time.Millisecond
 	// maxEntriesBackoff is the maximum backoff between two attempts to read the
 	// entries. The known entries remain in use meanwhile.
 	maxEntriesBackoff = 2 * time.Second
@@ -177,10 +184,11 @@
 		}
 	}()
 	batchDelay := time.Duration(batchDelayShare * float64(o.MaxDrainDelay))
+	pollTimeout := max(minPollTimeout, o.MaxStall-subscriber.PollTimeoutMargin-snapshotAllowance)
 	handleUpdate := func(u subscriber.Update) { s.input.Put(ctx, input{update: u}) }
 	for _, k := range []subscriber.Options{
-		{Kind: o.Kinds.Configuration},
-		{Kind: o.Kinds.Upstreams, BatchDelay: batchDelay},
+		{Kind: o.Kinds.Configuration, PollTimeout: pollTimeout},
+		{Kind: o.Kinds.Upstreams, BatchDelay: batchDelay, PollTimeout: pollTimeout},
 		{Kind: o.Kinds.Entries, BatchDelay: batchDelay, PollTimeout: entriesPollTimeout, MaxBackoff: maxEntriesBackoff},
 	} {
 		k.Feed, k.Clock, k.OnUpdate = o.Store, o.Clock, handleUpdate
