Recover from panics in the handling of one message

Cause: a panic in a goroutine of an entry ended the process: in the connection to an upstream, the goroutine that forwards all requests, the one that applies updates of the store, and the handlers of messages of other entries.

Change: the new package recoverer runs the handling of one message. A panic ends that call (as lost, since the request may have run), request (its connection is closed) or message (refused), with a log line and the counter magnoliafront_panics.

Tests: TestPanicEndsCallAsLost, TestPanicEndsOneRequest, TestPanicInDecoderSkipsUpdate and TestPanicOfHandlerRefusesMessage, which ended the test process before.

--- a/internal/connection/carrier/carrier.go
+++ b/internal/connection/carrier/carrier.go
@@ -30,6 +30,7 @@
 	"net/http"
 	"time"
 
+	"magnoliafront.dev/magnoliafront/internal/process/recoverer"
 	"magnoliafront.dev/magnoliafront/internal/request/relayer"
 	"magnoliafront.dev/magnoliafront/pkg/buffer"
 	"magnoliafront.dev/magnoliafront/pkg/timer"
@@ -168,6 +169,8 @@
 	// Report is called on the goroutine of the connection with the progress and
 	// the result of each call.
 	Report func(Report)
+	// Recoverer handles a panic during a call. It may be nil.
+	Recoverer *recoverer.Recoverer
 }
 
 // Conn is a connection to an upstream.
--- a/internal/connection/carrier/endless_test.go
+++ b/internal/connection/carrier/endless_test.go
@@ -222,3 +222,11 @@
 		})
 	}
 }
+
+// A panic while an answer is handled ended the process. It must end the call only, as
+// one that may have run.
+func TestPanicEndsCallAsLost(t *testing.T) {
+	u := newRawUpstream(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "", 0)
+	r, replies := u.call(t, func(c *Call) { c.Classify = func(*http.Response) Verdict { panic("fault") } })
+	assertLost(t, u, r, replies)
+}
--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -82,7 +82,12 @@
 		// then closes it.
 		return func() { _ = conn.SetDeadline(time.Unix(1, 0)) }
 	}(c.conn))
-	r := c.roundTrip(a)
+	var r Report
+	if err := c.options.Recoverer.Run("call of an upstream", func() { r = c.roundTrip(a) }); err != nil {
+		// The request may have been sent, and the caller may have got a part of the
+		// answer.
+		r = a.newReport(OutcomeLost, err)
+	}
 	if !stop() {
 		// The function has started and sets the deadline in the past, so the
 		// connection cannot be reused.
--- a/internal/connection/messenger/messenger.go
+++ b/internal/connection/messenger/messenger.go
@@ -42,6 +42,7 @@
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"magnoliafront.dev/magnoliafront/internal/process/recoverer"
 	"magnoliafront.dev/magnoliafront/pkg/buffer"
 )
 
@@ -92,6 +93,8 @@
 	// Secret is shared by all processes of the system.
 	Secret []byte
 	Handle Handler
+	// Recoverer handles panics of Handle. It may be nil.
+	Recoverer *recoverer.Recoverer
 	// Refused counts refused messages, and connections that were closed because
 	// the peer failed the handshake or reads too slowly. It may be nil.
 	Refused *atomic.Uint64
@@ -250,7 +253,7 @@
 	}
 	c.Close()
 	if c.authenticated() {
-		_, _ = c.options.Handle(c, Message{})
+		_, _ = c.handle(Message{})
 	}
 }
 
@@ -309,6 +312,14 @@
 	}
 }
 
+// handle passes a message to the handler. A panic of the handler refuses the message.
+func (c *Conn) handle(m Message) (result any, err error) {
+	if failure := c.options.Recoverer.Run("message "+m.Method, func() { result, err = c.options.Handle(c, m) }); failure != nil {
+		return nil, &Error{Op: "handle " + m.Method, Kind: ErrorProtocol, Err: failure}
+	}
+	return result, err
+}
+
 // dispatch passes a message to the handler, or to the handshake while it is not
 // complete.
 func (c *Conn) dispatch(r *jsonrpc2.Request) (any, error) {
@@ -318,7 +329,7 @@
 	}
 	m := Message{Method: r.Method, Params: params}
 	if c.authenticated() {
-		return c.options.Handle(c, m)
+		return c.handle(m)
 	}
 	if c.dialled {
 		// The accepting peer sends no request before the handshake is complete.
--- a/internal/connection/messenger/messenger_test.go
+++ b/internal/connection/messenger/messenger_test.go
@@ -34,6 +34,9 @@
 	s := &testServer{listener: l, messages: make(chan Message, 16), accepted: make(chan *Conn, 16)}
 	o := Options{Self: Peer{Role: RoleAgent, Identity: "agent-1"}, Secret: testSecret, Refused: &s.refused, HandshakeTimeout: time.Minute}
 	o.Handle = func(_ *Conn, m Message) (any, error) {
+		if m.Method == "panic" {
+			panic("fault")
+		}
 		s.messages <- m
 		return nil, nil
 	}
@@ -332,3 +335,17 @@
 		is.Equal((<-s.messages).Method, "")
 	}
 }
+
+// A message on which the handler panicked ended the process. It must be refused, and
+// the next message must be handled.
+func TestPanicOfHandlerRefusesMessage(t *testing.T) {
+	s := startTestServer(t)
+	c, err := Dial(t.Context(), s.listener.Addr().String(), Options{Self: Peer{Role: RoleEntry, Identity: "entry-1"}, Secret: testSecret})
+	is := is.New(t)
+	is.NoErr(err)
+	defer c.Close()
+	c.Notify("panic", nil)
+	c.Notify("next", nil)
+	is.Equal((<-s.messages).Method, "next")
+	is.Equal(s.refused.Load(), uint64(1))
+}
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -87,7 +87,7 @@
 		p := t.pool
 		p.connections++
 		c = carrier.New(carrier.Options{
-			Address: p.upstream.Address, Clock: f.options.Clock,
+			Address: p.upstream.Address, Clock: f.options.Clock, Recoverer: f.options.Recoverer,
 			Report: func(r carrier.Report) { f.put(event{kind: eventReport, pool: p, report: r}) },
 		})
 	}
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -28,6 +28,7 @@
 	"magnoliafront.dev/magnoliafront/internal/connection/carrier"
 	"magnoliafront.dev/magnoliafront/internal/process/detector"
 	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
+	"magnoliafront.dev/magnoliafront/internal/process/recoverer"
 	"magnoliafront.dev/magnoliafront/internal/process/registrar"
 	"magnoliafront.dev/magnoliafront/internal/request/relayer"
 	"magnoliafront.dev/magnoliafront/internal/version/matcher"
@@ -81,6 +82,8 @@
 	// Observe is called at the end of each request. It must not block. It may be
 	// nil.
 	Observe func(Observation)
+	// Recoverer handles panics while an event or a call is handled. It may be nil.
+	Recoverer *recoverer.Recoverer
 }
 
 // Observation describes a request that has ended, for metrics.
@@ -252,11 +255,15 @@
 	defer stop()
 	select {
 	case e := <-f.events.C():
-		f.handleEvent(e)
+		_ = f.options.Recoverer.Run("forwarder event", func() { f.handleEvent(e) })
 	case j := <-f.jobs.C():
-		f.handleJob(j)
+		if err := f.options.Recoverer.Run("forwarder job", func() { f.handleJob(j) }); err != nil {
+			// The caller sees its connection close, since a part of the request may have
+			// been sent.
+			j.Replies.Close()
+		}
 	case <-timeout:
-		f.handleTimer()
+		_ = f.options.Recoverer.Run("forwarder timer", f.handleTimer)
 	case <-f.events.Done():
 		return false
 	}
--- a/internal/process/forwarder/forwarder_test.go
+++ b/internal/process/forwarder/forwarder_test.go
@@ -1,13 +1,19 @@
 package forwarder_test
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"magnoliafront.dev/magnoliafront/internal/connection/carrier"
+	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
 	"magnoliafront.dev/magnoliafront/internal/process/forwarder"
+	"magnoliafront.dev/magnoliafront/internal/process/recoverer"
 	"magnoliafront.dev/magnoliafront/internal/process/registrar"
+	"magnoliafront.dev/magnoliafront/internal/request/relayer"
 	"magnoliafront.dev/magnoliafront/internal/version/matcher"
 	"magnoliafront.dev/magnoliafront/pkg/timer"
 )
@@ -39,6 +45,53 @@
 	}
 }
 
+// faultyCodec panics when it encodes a request with the given identity.
+type faultyCodec struct{ identity string }
+
+func (c faultyCodec) Encode(j forwarder.Job, _ dispatcher.Action, _ time.Duration) *http.Request {
+	if j.Request.ID == c.identity {
+		panic("fault")
+	}
+	return httptest.NewRequest(http.MethodGet, "/x", nil)
+}
+
+func (faultyCodec) ClassifyResponse(string) func(*http.Response) carrier.Verdict {
+	return func(*http.Response) carrier.Verdict { return carrier.VerdictAccepted }
+}
+
+// A panic of the goroutine that forwards all requests ended the process. It must end
+// the request that caused it, and the next one must be handled.
+func TestPanicEndsOneRequest(t *testing.T) {
+	var r recoverer.Recoverer
+	f := forwarder.New(forwarder.Options{Clock: timer.NewManual(time.Unix(1000, 0)), Codec: faultyCodec{"bad"}, Recoverer: &r})
+	t.Cleanup(f.Stop)
+	f.HandleRegistrarEvent(registrar.Event{Kind: registrar.EventListed, Upstreams: []registrar.Upstream{{Name: "desk-1", Service: "desk", Address: "127.0.0.1:1"}}})
+	f.Configure(matcher.New(matcher.Configuration{Version: 1, Routes: []matcher.Route{{
+		Name: "all", Host: "h", PathPrefix: "/", Public: true, MaxAttempts: 1, Timeout: time.Minute,
+		WeightedServices: []matcher.WeightedService{{Service: "desk", Weight: 1}},
+	}}, Services: []matcher.Service{{Name: "desk"}}}))
+	send := func(id string) *relayer.Ring {
+		replies := relayer.NewRing()
+		is.New(t).True(f.Submit(t.Context(), forwarder.Job{Request: dispatcher.Request{
+			ID: id, Received: time.Unix(1000, 0), Query: matcher.Query{Host: "h", Path: "/x", RequestID: id},
+		}, Context: t.Context(), Replies: replies}))
+		return replies
+	}
+	t.Run("request with the fault gets no answer", func(t *testing.T) {
+		_, ok := send("bad").Take(t.Context())
+		is := is.New(t)
+		is.True(!ok)
+		is.Equal(r.Panics.Load(), uint64(1))
+	})
+	t.Run("next request is answered", func(t *testing.T) {
+		reply, ok := send("good").Take(t.Context())
+		is := is.New(t)
+		is.True(ok)
+		// Nothing listens at the address of the upstream.
+		is.Equal(reply.Kind, relayer.KindFailed)
+	})
+}
+
 // awaitConfigured waits until f has handled a configuration, and with it all earlier
 // events.
 func awaitConfigured(f *forwarder.Forwarder) {
--- a/internal/process/linker/linker.go
+++ b/internal/process/linker/linker.go
@@ -18,6 +18,7 @@
 
 	"magnoliafront.dev/magnoliafront/internal/connection/dialer"
 	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
+	"magnoliafront.dev/magnoliafront/internal/process/recoverer"
 	"magnoliafront.dev/magnoliafront/pkg/buffer"
 	"magnoliafront.dev/magnoliafront/pkg/timer"
 )
@@ -48,6 +49,8 @@
 	// Count is called with the method of each message before it is sent. It may be
 	// nil.
 	Count func(method string)
+	// Recoverer handles panics of Handle. It may be nil.
+	Recoverer *recoverer.Recoverer
 }
 
 // Linker maintains connections to other entries.
@@ -192,7 +195,7 @@
 	}
 	k.dialer = dialer.New(dialer.Options{
 		Address: address, Clock: l.options.Clock,
-		Messenger: messenger.Options{Self: l.options.Self, Secret: l.options.Secret, Handle: handle},
+		Messenger: messenger.Options{Self: l.options.Self, Secret: l.options.Secret, Handle: handle, Recoverer: l.options.Recoverer},
 		OnConnect: func(c *messenger.Conn) {
 			l.connEvents.Put(context.Background(), connEvent{link: k, conn: c})
 		},
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -47,6 +47,8 @@
 	// requestSeconds is the distribution of the time from the arrival of a request
 	// to its end.
 	requestSeconds metric.Float64Histogram
+	// panics counts the recovered panics.
+	panics metric.Int64ObservableCounter
 	// peerRefused counts the refused connections and messages of peers.
 	peerRefused metric.Int64ObservableCounter
 }
@@ -144,6 +146,18 @@
 	return nil
 }
 
+// WatchPanics exports count as the number of recovered panics. Each scrape reads it.
+func (m *Meter) WatchPanics(count *atomic.Uint64) error {
+	_, err := m.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		o.ObserveInt64(m.panics, int64(count.Load()))
+		return nil
+	}, m.panics)
+	if err != nil {
+		return &Error{Op: "register callback for panics", Kind: ErrorInstrument, Err: err}
+	}
+	return nil
+}
+
 // Stop shuts down the export. Later scrapes get no metrics.
 func (m *Meter) Stop(ctx context.Context) error {
 	if err := m.provider.Shutdown(ctx); err != nil {
@@ -173,6 +187,9 @@
 		metric.WithExplicitBucketBoundaries(requestSecondsBuckets()...)); err != nil {
 		return err
 	}
+	if m.panics, err = m.meter.Int64ObservableCounter("magnoliafront_panics", metric.WithDescription("Panics that ended the handling of one message.")); err != nil {
+		return err
+	}
 	if m.peerRefused, err = m.meter.Int64ObservableCounter("magnoliafront_peer_refused", metric.WithDescription("Connections and messages of peers that were refused.")); err != nil {
 		return err
 	}
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -23,6 +23,7 @@
 	"magnoliafront.dev/magnoliafront/internal/process/loader"
 	"magnoliafront.dev/magnoliafront/internal/process/meter"
 	"magnoliafront.dev/magnoliafront/internal/process/receiver"
+	"magnoliafront.dev/magnoliafront/internal/process/recoverer"
 	"magnoliafront.dev/magnoliafront/internal/process/reloader"
 	"magnoliafront.dev/magnoliafront/internal/process/syncer"
 	"magnoliafront.dev/magnoliafront/pkg/buffer"
@@ -65,9 +66,11 @@
 		fx.Provide(
 			func() timer.Clock { return timer.System{} },
 			func() *syncerRef { return &syncerRef{} },
+			func() *recoverer.Recoverer { return &recoverer.Recoverer{} },
 			newStore, newMeter, newForwarder, newPeering, newReceiver,
 		),
 		fx.Invoke(serveGatewayMetrics),
+		fx.Invoke(func(m *meter.Meter, r *recoverer.Recoverer) error { return m.WatchPanics(&r.Panics) }),
 		fx.Invoke(func(m *meter.Meter, f *forwarder.Forwarder, p *peering) error {
 			return m.WatchRings(func() []buffer.Stats { return append(f.Stats(), p.syncer.Stats()...) })
 		}),
@@ -115,9 +118,9 @@
 	}
 }
 
-func newForwarder(lc fx.Lifecycle, s loader.Gateway, c timer.Clock, ref *syncerRef, m *meter.Meter) *forwarder.Forwarder {
+func newForwarder(lc fx.Lifecycle, s loader.Gateway, c timer.Clock, ref *syncerRef, m *meter.Meter, rec *recoverer.Recoverer) *forwarder.Forwarder {
 	f := forwarder.New(forwarder.Options{
-		Clock: c, Codec: platform.Codec{}, SendStrikes: ref.sendStrikes, SendLoad: ref.sendLoad,
+		Clock: c, Codec: platform.Codec{}, Recoverer: rec, SendStrikes: ref.sendStrikes, SendLoad: ref.sendLoad,
 		Observe: func(o forwarder.Observation) { m.Request(o.Route, o.Result, o.Elapsed) },
 		Dispatcher: dispatcher.Settings{
 			AvailabilityZone: s.AvailabilityZone, Seed: uint64(c.Now().UnixNano()),
@@ -128,7 +131,7 @@
 	return f
 }
 
-func newPeering(lc fx.Lifecycle, s loader.Gateway, self messenger.Peer, c timer.Clock, store *platform.Store, f *forwarder.Forwarder, ref *syncerRef) (*peering, error) {
+func newPeering(lc fx.Lifecycle, s loader.Gateway, self messenger.Peer, c timer.Clock, store *platform.Store, f *forwarder.Forwarder, ref *syncerRef, rec *recoverer.Recoverer) (*peering, error) {
 	p := &peering{}
 	ready := make(chan struct{})
 	handle := func(conn *messenger.Conn, m messenger.Message) (any, error) {
@@ -139,18 +142,18 @@
 		<-ready
 		return p.syncer.Members()
 	}
-	p.linker = linker.New(linker.Options{Self: self, Secret: []byte(s.SharedSecret), Clock: c, Members: members, Handle: handle})
+	p.linker = linker.New(linker.Options{Self: self, Secret: []byte(s.SharedSecret), Clock: c, Members: members, Handle: handle, Recoverer: rec})
 	p.syncer = syncer.New(syncer.Options{
 		Self: self, MaxDrainDelay: s.LeavingLimitDuration(), MaxStall: s.StallLimitDuration(), Address: s.PeerListen, Seeds: s.Peers, Store: store, Clock: c, Forwarder: f,
 		Kinds: syncer.Kinds{Configuration: platform.KindConfiguration, Upstreams: platform.KindUpstreams, Entries: platform.KindEntries},
 		Decoder: syncer.Decoder{
 			Configuration: platform.DecodeConfiguration, Upstream: platform.DecodeUpstream, Name: platform.Name,
 		},
-		Send: p.linker.Send,
+		Send: p.linker.Send, Recoverer: rec,
 	})
 	close(ready)
 	var err error
-	p.acceptor, err = acceptor.New(s.PeerListen, messenger.Options{Self: self, Secret: []byte(s.SharedSecret)}, acceptor.Routes{
+	p.acceptor, err = acceptor.New(s.PeerListen, messenger.Options{Self: self, Secret: []byte(s.SharedSecret), Recoverer: rec}, acceptor.Routes{
 		messenger.MethodFetchState: handle, messenger.MethodStrike: handle, messenger.MethodLoad: handle,
 	})
 	if err != nil {
--- a/internal/process/syncer/outage_test.go
+++ b/internal/process/syncer/outage_test.go
@@ -164,3 +164,13 @@
 		}
 	})
 }
+
+// A panic in the decoder of an object ended the process. The next object must be
+// applied.
+func TestPanicInDecoderSkipsUpdate(t *testing.T) {
+	f := newOutageFixture(t)
+	f.syncer.options.Decoder.Upstream = func(accessor.Object) (registrar.Upstream, error) { panic("fault") }
+	f.answer(upstreamsKind, storeAnswer{objects: []accessor.Object{{Key: "desk-1"}}})
+	f.configure()
+	is.New(t).Equal(f.forwarder.State().EligibleCount, 0)
+}
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -32,6 +32,7 @@
 	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
 	"magnoliafront.dev/magnoliafront/internal/process/accessor"
 	"magnoliafront.dev/magnoliafront/internal/process/forwarder"
+	"magnoliafront.dev/magnoliafront/internal/process/recoverer"
 	"magnoliafront.dev/magnoliafront/internal/process/registrar"
 	"magnoliafront.dev/magnoliafront/internal/process/subscriber"
 	"magnoliafront.dev/magnoliafront/internal/version/matcher"
@@ -95,6 +96,8 @@
 	Forwarder *forwarder.Forwarder
 	// Send sends a message to another entry by its identity. It must not block.
 	Send func(identity, method string, params any) bool
+	// Recoverer handles panics while an update or a message is handled. It may be nil.
+	Recoverer *recoverer.Recoverer
 }
 
 // Entry is the content of the object that an entry writes to the platform.
@@ -233,7 +236,7 @@
 	}
 	select {
 	case i := <-s.input.C():
-		s.handleInput(i)
+		_ = s.options.Recoverer.Run("syncer input", func() { s.handleInput(i) })
 	case <-fetchDue:
 		s.fetchStates()
 	case <-s.input.Done():
