Ignore stale load reports in averages and keep the backoff over a reconnect

Cause: a load report older than the last one entered the average of the fleet, with the values of the newer one. A disconnect reset the backoff of an upstream that crashes and reconnects at once.

--- a/internal/process/picker/picker.go
+++ b/internal/process/picker/picker.go
@@ -205,8 +205,9 @@
 	}
 	switch e.Kind {
 	case EventLoad:
-		u.updateLoad(e.At, e.Load)
-		p.fleet.recordLoad(u)
+		if u.updateLoad(e.At, e.Load) {
+			p.fleet.recordLoad(u)
+		}
 	case EventSent:
 		p.dispatches++
 		u.recordDispatch(now, p.dispatches)
@@ -235,7 +236,7 @@
 	case EventConnected:
 		u.Connected, u.Leaving, u.AvailabilityZone, u.Slots = true, false, e.AvailabilityZone, e.Slots
 	case EventDisconnected:
-		*u = Upstream{Name: u.Name, AvailabilityZone: u.AvailabilityZone}
+		*u = Upstream{Name: u.Name, AvailabilityZone: u.AvailabilityZone, BackoffUntil: u.BackoffUntil, failures: u.failures}
 	case EventLeaving:
 		u.Leaving = true
 	case EventCached:
--- a/internal/process/picker/picker_test.go
+++ b/internal/process/picker/picker_test.go
@@ -264,3 +264,29 @@
 		assertChoices(t, p, start(), Query{Candidates: []string{"a", "b"}, Tier: tier}, want)
 	}
 }
+
+// A load report that is older than the last one must not count in the average of the
+// fleet, which would count the newer report twice.
+func TestStaleLoadReportDoesNotCount(t *testing.T) {
+	p := New[ExpectedFirstToken](1)
+	p.Step(start(), Event{Kind: EventLoad, Upstream: "a", At: start(), Load: scheduler.Load{Slots: 1, Active: 1}})
+	before := p.fleet
+	p.Step(start(), Event{Kind: EventLoad, Upstream: "a", At: start().Add(-time.Second), Load: scheduler.Load{Slots: 1, Active: 9}})
+	is.New(t).Equal(p.fleet, before)
+}
+
+// An upstream that crashes and reconnects at once must stay in its backoff, which must
+// grow with each crash. A disconnect used to reset it.
+func TestReconnectKeepsBackoff(t *testing.T) {
+	p := New[ExpectedFirstToken](1)
+	backoff := func(now time.Time) time.Duration {
+		for _, kind := range []EventKind{EventConnected, EventSent, EventLost, EventDisconnected, EventConnected} {
+			p.Step(now, Event{Kind: kind, Upstream: "a"})
+		}
+		return p.Upstream("a").BackoffUntil.Sub(now)
+	}
+	is := is.New(t)
+	is.Equal(backoff(start()), minBackoff)
+	is.Equal(backoff(start().Add(time.Minute)), 2*minBackoff)
+	is.Equal(p.Upstream("a").Outstanding, 0)
+}
--- a/internal/process/picker/upstream.go
+++ b/internal/process/picker/upstream.go
@@ -100,14 +100,16 @@
 	outstanding int
 }
 
-// updateLoad stores a load report unless it is older than the current one. It
-// subtracts the requests of this entry to get the runs of the other entries.
-func (u *Upstream) updateLoad(at time.Time, l scheduler.Load) {
+// updateLoad stores a load report unless it is older than the current one, and
+// reports whether it did. It subtracts the requests of this entry to get the runs of
+// the other entries.
+func (u *Upstream) updateLoad(at time.Time, l scheduler.Load) bool {
 	if at.Before(u.ReportedAt) {
-		return
+		return false
 	}
 	u.Load, u.ReportedAt = l, at
 	u.OtherRuns = max(0, l.Waiting+l.Active-u.outstandingAt(at))
+	return true
 }
 
 // outstandingAt returns the number of requests in flight at a past time. For a
