--- a/internal/process/subscriber/subscriber.go
+++ b/internal/process/subscriber/subscriber.go
@@ -39,7 +39,7 @@
 	backoffBase       = 50 * time.Millisecond
 	defaultMaxBackoff = 500 * time.Millisecond
 	// resyncInterval is the maximum age of the last snapshot.
-	resyncInterval = 20 * time.Second
+	resyncInterval = time.Minute
 )
 
 // Update is a snapshot, a set of changes, or a report that the platform is
