Log which routes get upstreams of their own

Cause: the entry changed where it sends the requests of a route without a line in its log.

Change: the separator reports a change of the separated kinds, which the dispatcher returns as an action and the forwarder logs with the share of the upstreams and the learned prefill time. The code of the dispatcher about it is in a file of its own, and the end of a stream in the carrier in a function of its own.

Test: TestSeparationIsReportedOnce.

--- a/internal/connection/carrier/stream.go
+++ b/internal/connection/carrier/stream.go
@@ -23,7 +23,8 @@
 		if !ok {
 			return a.newReport(OutcomeLost, errors.Errorf("an event exceeds %d bytes", maxEventBytes))
 		}
-		if errors.Is(err, io.EOF) && len(a.splitter.partial) > 0 && !isCloseDelimited(resp) && !a.call.Begun {
+		cutOff := len(a.splitter.partial) > 0 && (isCloseDelimited(resp) || a.call.Begun)
+		if errors.Is(err, io.EOF) && !cutOff {
 			// The framing of the response shows that it is complete, so the rest is
 			// relayed although no blank line ends it.
 			whole = append(whole, a.splitter.partial...)
@@ -36,20 +37,26 @@
 			// Only new events show progress. A stalled upstream may still send bytes.
 			err = c.setReadDeadline(a)
 		}
-		switch {
-		case errors.Is(err, io.EOF) && len(a.splitter.partial) > 0 && (isCloseDelimited(resp) || a.call.Begun):
-			return c.classifyError(a, errors.New("the stream ends within an event"))
-		case errors.Is(err, io.EOF):
-			if !a.relayHead(resp) {
-				return a.newReport(OutcomeCancelled, nil)
-			}
-			return c.relayEnd(a, resp)
-		case err != nil:
-			return c.classifyError(a, errors.Wrap(err, "read the stream"))
+		if err != nil {
+			return c.endStream(a, resp, err, cutOff)
 		}
 	}
 }
 
+// endStream returns the report of a stream whose last read returned err. With cutOff,
+// it ended within an event.
+func (c *Conn) endStream(a *attempt, resp *http.Response, err error, cutOff bool) Report {
+	switch {
+	case errors.Is(err, io.EOF) && cutOff:
+		return c.classifyError(a, errors.New("the stream ends within an event"))
+	case !errors.Is(err, io.EOF):
+		return c.classifyError(a, errors.Wrap(err, "read the stream"))
+	case !a.relayHead(resp):
+		return a.newReport(OutcomeCancelled, nil)
+	}
+	return c.relayEnd(a, resp)
+}
+
 // reportProgress counts events of a stream. It reports the first ones immediately
 // and later ones at most once per progressInterval.
 func (c *Conn) reportProgress(a *attempt, events int) {
--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -187,6 +187,8 @@
 	ActionSendStrikes
 	// ActionSendLoad sends the load report of this entry to the other entries.
 	ActionSendLoad
+	// ActionRoutesSeparated means that the routes with long prompts have changed.
+	ActionRoutesSeparated
 )
 
 // Action is an instruction for the caller of [Dispatcher.Step]. Only the fields of
@@ -217,6 +219,8 @@
 	Received   bool
 	Loads      []Load
 	Placements []Placement
+	// Separation is set for ActionRoutesSeparated.
+	Separation Separation
 	// Summary describes the request for logs and metrics.
 	Summary Summary
 }
--- a/internal/process/dispatcher/dispatcher_test.go
+++ b/internal/process/dispatcher/dispatcher_test.go
@@ -244,3 +244,29 @@
 		})
 	}
 }
+
+// A change of the routes with long prompts must be returned as an action, so that the
+// log shows why requests of a route went to other upstreams.
+func TestSeparationIsReportedOnce(t *testing.T) {
+	d := newDispatcher()
+	reports := 0
+	for i := range 200 {
+		path, tokens := "/chat/1", 800
+		if i%2 == 0 {
+			path, tokens = "/brief/1", 12_000
+		}
+		r := request(path)
+		r.ID, r.PromptTokens = fmt.Sprint("q", i), tokens
+		now := testTime().Add(time.Duration(i) * 20 * ms)
+		for _, a := range d.Step(now, Event{Kind: EventArrived, Request: r}) {
+			if a.Kind == ActionRoutesSeparated {
+				reports++
+				is.New(t).Equal(a.Separation.Routes, []string{"brief"})
+				is.New(t).Equal(a.Summary.Service, "desk")
+			}
+		}
+		d.Step(now, Event{Kind: EventProgress, ID: r.ID, Attempt: 1, First: true, Elapsed: 80 * ms})
+		d.Step(now, Event{Kind: EventEnded, ID: r.ID, Attempt: 1, Outcome: OutcomeAnswered})
+	}
+	is.New(t).Equal(reports, 1)
+}
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -118,48 +118,7 @@
 	d.inFlight[r.ID] = f
 	s := d.service(a.Service.Name)
 	s.budget.RequestAdmitted()
-	d.recordKind(now, s, f)
-	return d.send(now, f)
-}
-
-// idleDivisor is the ratio of a prompt to the prompts before it, and of the slots of
-// an upstream to its requests in flight, from which the time to the first event shows
-// the prefill time of the prompt alone.
-const idleDivisor = 8
-
-// isIdle reports whether hardly any other request delays a prompt on u.
-func isIdle(u *picker.Upstream, promptTokens int) bool {
-	return idleDivisor*(u.PendingTokens+u.SharedPendingTokens) <= promptTokens && idleDivisor*(u.Outstanding+u.SharedRuns) <= u.Slots
-}
-
-// recordKind tells the separator of a service about a new request.
-func (d *Dispatcher) recordKind(now time.Time, s *service, f *inFlightRequest) {
-	r := f.admission.Route
-	if r.Kind != matcher.Streaming {
-		return
-	}
-	s.separator.Step(now, separator.Event{
-		Kind: separator.EventArrived, Request: r.Name, PromptTokens: f.request.PromptTokens,
-		GapTarget: r.GapTarget, LatencyTarget: r.LatencyTarget, Priority: r.Priority,
-	})
-	fleet := separator.Fleet{Engines: len(s.instanceIDs), Entries: d.entries}
-	if fleet.Engines > 0 {
-		fleet.Slots = s.upstreams[s.instanceIDs[0]].Slots
-	}
-	s.separator.Decide(now, fleet)
-}
-
-// hasLongPrompt reports whether the prompts of the route of f would delay the streams
-// of other requests too much.
-func (f *inFlightRequest) hasLongPrompt(s *service) bool {
-	return s.separator.IsSeparated(f.admission.Route.Name)
-}
-
-// isDeferrable reports whether f must make way for more urgent requests in a burst: it
-// has a long prompt, is not of the most urgent priority, and no other request with a
-// long prompt is less urgent.
-func (f *inFlightRequest) isDeferrable(s *service) bool {
-	return f.admission.Priority > 0 && s.separator.IsLeastUrgent(f.admission.Route.Name)
+	return append(d.recordKind(now, s, f), d.send(now, f)...)
 }
 
 // fingerprint returns the fingerprint of organisation and content for the
@@ -211,14 +170,6 @@
 	}}
 }
 
-// mustShed reports whether a deferrable request must be shed because it would wait
-// for more than half of its latency target on the best upstream. Its first event
-// would be late, and its prompt would delay all others.
-func (d *Dispatcher) mustShed(s *service, f *inFlightRequest, best string) bool {
-	r := f.admission.Route
-	return r.LatencyTarget > 0 && f.isDeferrable(s) && s.picker.ExpectedWait(best, true) > r.LatencyTarget/2
-}
-
 // exclude returns the instance IDs of the upstreams that must not get f: those of
 // its previous attempts, and those on which this entry has used up its share of the
 // connection limit.
--- /dev/null
+++ b/internal/process/dispatcher/separation.go
@@ -0,0 +1,73 @@
+package dispatcher
+
+import (
+	"time"
+
+	"magnoliafront.dev/magnoliafront/internal/process/picker"
+	"magnoliafront.dev/magnoliafront/internal/process/separator"
+	"magnoliafront.dev/magnoliafront/internal/version/matcher"
+)
+
+// Separation describes the routes whose requests get upstreams of their own.
+type Separation struct {
+	Routes []string
+	// Share is the share of the upstreams that they get.
+	Share float64
+	// PrefillPerToken is the time in which an upstream prefills a prompt token, as
+	// learned from answers.
+	PrefillPerToken time.Duration
+}
+
+// recordKind tells the separator of a service about a new request. It returns an
+// action if the routes with long prompts have changed.
+func (d *Dispatcher) recordKind(now time.Time, s *service, f *inFlightRequest) []Action {
+	r := f.admission.Route
+	if r.Kind != matcher.Streaming {
+		return nil
+	}
+	s.separator.Step(now, separator.Event{
+		Kind: separator.EventArrived, Request: r.Name, PromptTokens: f.request.PromptTokens,
+		GapTarget: r.GapTarget, LatencyTarget: r.LatencyTarget, Priority: r.Priority,
+	})
+	fleet := separator.Fleet{Engines: len(s.instanceIDs), Entries: d.entries}
+	if fleet.Engines > 0 {
+		fleet.Slots = s.upstreams[s.instanceIDs[0]].Slots
+	}
+	if !s.separator.Decide(now, fleet) {
+		return nil
+	}
+	return []Action{{Kind: ActionRoutesSeparated, Summary: Summary{Service: f.admission.Service.Name}, Separation: Separation{
+		Routes: s.separator.Separated(), Share: s.separator.Share(), PrefillPerToken: s.separator.PrefillPerToken(),
+	}}}
+}
+
+// hasLongPrompt reports whether the prompts of the route of f would delay the streams
+// of other requests too much.
+func (f *inFlightRequest) hasLongPrompt(s *service) bool {
+	return s.separator.IsSeparated(f.admission.Route.Name)
+}
+
+// isDeferrable reports whether f must make way for more urgent requests in a burst: it
+// has a long prompt, is not of the most urgent priority, and no other request with a
+// long prompt is less urgent.
+func (f *inFlightRequest) isDeferrable(s *service) bool {
+	return f.admission.Priority > 0 && s.separator.IsLeastUrgent(f.admission.Route.Name)
+}
+
+// mustShed reports whether a deferrable request must be shed because it would wait
+// for more than half of its latency target on the best upstream. Its first event
+// would be late, and its prompt would delay all others.
+func (d *Dispatcher) mustShed(s *service, f *inFlightRequest, best string) bool {
+	r := f.admission.Route
+	return r.LatencyTarget > 0 && f.isDeferrable(s) && s.picker.ExpectedWait(best, true) > r.LatencyTarget/2
+}
+
+// idleDivisor is the ratio of a prompt to the prompts before it, and of the slots of
+// an upstream to its requests in flight, from which the time to the first event shows
+// the prefill time of the prompt alone.
+const idleDivisor = 8
+
+// isIdle reports whether hardly any other request delays a prompt on u.
+func isIdle(u *picker.Upstream, promptTokens int) bool {
+	return idleDivisor*(u.PendingTokens+u.SharedPendingTokens) <= promptTokens && idleDivisor*(u.Outstanding+u.SharedRuns) <= u.Slots
+}
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -41,6 +41,9 @@
 		if f.options.SendStrikes != nil {
 			f.options.SendStrikes(a.Strikes)
 		}
+	case dispatcher.ActionRoutesSeparated:
+		klog.InfoS("routes with long prompts changed", "service", a.Summary.Service, "routes", a.Separation.Routes,
+			"upstream_share", a.Separation.Share, "prefill_per_token", a.Separation.PrefillPerToken)
 	case dispatcher.ActionSendLoad:
 		if f.options.SendLoad != nil {
 			f.options.SendLoad(a.Loads, a.Placements)
--- a/internal/process/separator/separator.go
+++ b/internal/process/separator/separator.go
@@ -198,14 +198,16 @@
 	Entries int
 }
 
-// Decide chooses the separated kinds again if the last decision is old enough.
-func (s *Separator) Decide(now time.Time, f Fleet) {
+// Decide chooses the separated kinds again if the last decision is old enough. It
+// reports whether their number has changed.
+func (s *Separator) Decide(now time.Time, f Fleet) bool {
 	if s.decisive && now.Sub(s.decided) < decisionInterval {
-		return
+		return false
 	}
 	s.decided = now
 	profiles := s.profiles(now, f.Entries)
 	s.decisive = s.decisive || s.arrivals >= maxStartArrivals || s.arrivals >= minStartArrivals && allAnswered(profiles)
+	before := s.separated
 	if s.decisive {
 		s.choose(profiles, f.Engines)
 	}
@@ -216,6 +218,24 @@
 			s.leastUrgent = max(s.leastUrgent, p.Priority)
 		}
 	}
+	return s.separated != before
+}
+
+// Separated returns the names of the separated kinds in ascending order.
+func (s *Separator) Separated() []string {
+	var out []string
+	for name := range s.kinds {
+		if s.IsSeparated(name) {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// PrefillPerToken returns the time in which an engine prefills a prompt token.
+func (s *Separator) PrefillPerToken() time.Duration {
+	return time.Duration(s.prefill.secondsPerToken() * float64(time.Second))
 }
 
 // allAnswered reports whether each kind has got an answer.
--- a/internal/process/separator/separator_test.go
+++ b/internal/process/separator/separator_test.go
@@ -64,14 +64,7 @@
 
 func assertSeparated(t *testing.T, s *Separator, want ...string) {
 	t.Helper()
-	var got []string
-	for name := range s.kinds {
-		if s.IsSeparated(name) {
-			got = append(got, name)
-		}
-	}
-	slices.Sort(got)
-	is.New(t).Equal(fmt.Sprint(got), fmt.Sprint(want))
+	is.New(t).Equal(s.Separated(), want)
 	is.New(t).Equal(s.Share() > 0, len(want) > 0)
 }
 
