Leave more engines to chats when long prompts need more than there are

By the logs of all entries, four of nine engines were gone, the prompts of the letters alone asked for 4.4 of the other five, and 77 of 113 chats of four seconds ran on one engine, whose batch of 60 made gaps of 0.16 s.

Change: in such a burst the engines of the other kinds are loaded to 45% at most instead of 80%.

Test: TestBurstOfLongPromptsLeavesEnginesToOthers.

--- a/internal/process/separator/separator.go
+++ b/internal/process/separator/separator.go
@@ -57,9 +57,9 @@
 	// sharedWeight is the weight of the demand of a kind that is not separated. Its
 	// engines must be less busy to keep gaps short.
 	sharedWeight = 3
-	// maxSharedUtilisation is the utilisation up to which the engines of kinds that
-	// are not separated may be loaded by a burst of separated ones.
-	maxSharedUtilisation = 0.8
+	// maxSharedUtilisation is the utilisation of the engines of kinds that are not
+	// separated, in a burst of separated ones. Above it, full batches lengthen gaps.
+	maxSharedUtilisation = 0.45
 	// minLossDifference is the share of late requests below which two choices are
 	// equally good.
 	minLossDifference = 0.01
--- a/internal/process/separator/separator_test.go
+++ b/internal/process/separator/separator_test.go
@@ -122,6 +122,20 @@
 	is.True(s.IsLeastUrgent("letter"))
 }
 
+// With long prompts for more engines than there are, chats got a single engine, whose
+// full batch made each of their gaps too long.
+func TestBurstOfLongPromptsLeavesEnginesToOthers(t *testing.T) {
+	var s Separator
+	fleet := Fleet{Engines: 9, Slots: 64, Entries: 1}
+	burst := change(letter(), func(k *traffic) { k.perSecond = 90 })
+	play(&s, start(), 20, engine{50, 20 * ms}, fleet, chat(), burst)
+	// A chat needs 16 ms for its prompt and one of 64 slots for 2.5 s.
+	demand := 20 * (0.016 + 2.5/64)
+	left := (1 - s.Share()) * float64(fleet.Engines)
+	is.New(t).True(left >= 0.9*demand/maxSharedUtilisation)
+	is.New(t).True(s.Share() >= 1./engineSteps)
+}
+
 // Until answers have shown the speed of the engines, long prompts must be separated by
 // their length, since the first seconds of a process would else be late.
 func TestSeparationBeforeTheFirstAnswer(t *testing.T) {
