--- a/internal/process/forwarder/forwarder_test.go
+++ b/internal/process/forwarder/forwarder_test.go
@@ -70,6 +70,10 @@
 		Name: "all", Host: "h", PathPrefix: "/", Public: true, MaxAttempts: 1, Timeout: time.Minute,
 		WeightedServices: []matcher.WeightedService{{Service: "desk", Weight: 1}},
 	}}, Services: []matcher.Service{{Name: "desk"}}}))
+	for f.State().Table == nil {
+		// Until then, the goroutine may take the job first.
+		time.Sleep(time.Millisecond)
+	}
 	send := func(id string) *relayer.Ring {
 		replies := relayer.NewRing()
 		is.New(t).True(f.Submit(t.Context(), forwarder.Job{Request: dispatcher.Request{
