Wait in a test until the entries are connected to a replaced agent

Cause: the test stopped the next agent as soon as the replaced one was ready, while the entries could still wait for their next attempt to connect to it. With several agents in that state no upstream was left. Change: the test reads member_joined from the time line of each entry before it stops the next agent.

--- a/cmd/magnoliafront/process_test.go
+++ b/cmd/magnoliafront/process_test.go
@@ -22,6 +22,7 @@
 
 	"magnoliafront.dev/magnoliafront/internal/process/emulator"
 	"magnoliafront.dev/magnoliafront/internal/process/starter"
+	"magnoliafront.dev/magnoliafront/pkg/tracer"
 )
 
 // fleet is a set of processes started from the built command.
@@ -67,8 +68,11 @@
 		balancer.t = t
 		stopLoad := balancer.startLoad(4)
 		for i, agent := range agents {
+			name := upstreams[i].name
+			joined := f.countJoined(name, entries)
 			assertGracefulExit(t, agent)
-			agents[i] = f.startAgent(upstreams[i].name, upstreams[i].engineURL, upstreams[i].address)
+			agents[i] = f.startAgent(name, upstreams[i].engineURL, upstreams[i].address)
+			f.awaitJoined(name, entries, joined)
 		}
 		for i, entry := range entries {
 			balancer.remove(entry.readyFields[2])
@@ -194,6 +198,50 @@
 	f.t.Fatalf("entry %s was not ready within 30s", p.readyFields[2])
 }
 
+// countJoined returns how often each entry has connected to the agent of an
+// upstream, as its time line tells an operator.
+func (f *fleet) countJoined(upstream string, entries []*process) []int {
+	f.t.Helper()
+	counts := make([]int, len(entries))
+	for i, entry := range entries {
+		c := timelineCommand{ctx: f.t.Context(), Peers: []string{entry.readyFields[4]}, Settings: f.writeSettings(map[string]any{})}
+		// An agent that is starting cannot be asked for its events yet.
+		events, _ := c.gatherEvents()
+		for _, e := range events {
+			if e.Kind == tracer.KindMemberJoined && e.Upstream == upstream && strings.HasPrefix(e.Process, "entry-") {
+				counts[i]++
+			}
+		}
+	}
+	return counts
+}
+
+// awaitJoined waits at most 30 s until each entry has connected to the agent of an
+// upstream again since it was counted. Until then another agent must not be stopped:
+// the entries could be left without an upstream.
+func (f *fleet) awaitJoined(upstream string, entries []*process, before []int) {
+	f.t.Helper()
+	deadline := time.Now().Add(30 * time.Second)
+	for time.Now().Before(deadline) {
+		now := f.countJoined(upstream, entries)
+		if everyGreater(now, before) {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.t.Fatalf("the entries did not connect to %s again within 30s", upstream)
+}
+
+// everyGreater reports whether each element of a is greater than that of b.
+func everyGreater(a, b []int) bool {
+	for i := range a {
+		if a[i] <= b[i] {
+			return false
+		}
+	}
+	return true
+}
+
 // loadBalancer emulates the platform's load balancer: it sends the requests in
 // turn to the entries that are in service.
 type loadBalancer struct {
