Keep long prompts out of engines whose streams they would stall

Long prompts spilled out of their pool onto any engine with up to 16,000 pending tokens. That is 100 ms on an engine that reads 157 tokens a ms and 320 ms on one that reads 50, with a gap target of 150 ms. Change: the limit is the number of tokens that an engine prefills within the shortest gap target of the kinds that are not separated, at the learned speed. The speed is learned from requests with up to half as many prompt tokens before them, which count; before, engines in use hardly ever showed it. TestSpilloverKeepsTokenGapsWithinTargets fails with the fixed number.

--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -78,13 +78,14 @@
 	// the first event, then zero.
 	pendingTokens int
 	sentAt        time.Time
-	// showsPrefill is true if the time to the first event of the current attempt shows
-	// the prefill time of its prompt: hardly any other request was on the upstream when
-	// it was sent, and no upstream had cached its prefix.
-	showsPrefill bool
-	begun        bool
-	lastEvent    string
-	summary      Summary
+	// prefillTokens is the number of prompt tokens, its own included, whose prefill the
+	// time to the first event of the current attempt shows. It is zero if the time
+	// depends on other things: many requests were on the upstream when it was sent, or
+	// an upstream had cached its prefix.
+	prefillTokens int
+	begun         bool
+	lastEvent     string
+	summary       Summary
 }
 
 func (d *Dispatcher) admit(now time.Time, r Request) []Action {
@@ -138,7 +139,8 @@
 		Candidates: s.instanceIDs, AvailabilityZone: d.settings.AvailabilityZone, Exclude: d.exclude(s, f),
 		Tier: f.admission.Priority + 1, TokenGapTarget: f.admission.Route.GapTarget, LatencyTarget: f.admission.Route.LatencyTarget,
 		Prefix: f.request.Prefix, PrefixTokens: f.request.PrefixTokens, PromptTokens: f.request.PromptTokens,
-		Suspect: f.suspect, LongPrompt: f.hasLongPrompt(s), LongPromptShare: s.separator.Share(), Deferrable: f.isDeferrable(s),
+		Suspect: f.suspect, LongPrompt: f.hasLongPrompt(s), LongPromptShare: s.separator.Share(),
+		MaxSpilloverTokens: s.separator.MaxSpilloverTokens(), Deferrable: f.isDeferrable(s),
 	}
 	id, ok := s.picker.Pick(now, q)
 	if !ok {
@@ -154,7 +156,10 @@
 	d.recordPlacement(f)
 	f.pendingTokens, f.sentAt = f.request.PromptTokens, now
 	u := s.picker.Upstream(id)
-	f.showsPrefill = isIdle(u, f.pendingTokens) && (f.request.PrefixTokens < minPlacementTokens || !s.picker.IsCached(f.request.Prefix))
+	f.prefillTokens = 0
+	if f.request.PrefixTokens < minPlacementTokens || !s.picker.IsCached(f.request.Prefix) {
+		f.prefillTokens = prefillTokens(u, f.pendingTokens)
+	}
 	f.summary.Upstream, f.summary.Attempts = id, f.attempt
 	f.summary.Outstanding, f.summary.PendingTokens = u.Outstanding, u.PendingTokens
 	s.picker.Step(now, picker.Event{Kind: picker.EventSent, Upstream: id, Prefix: f.request.Prefix, Suspect: f.suspect, PromptTokens: f.pendingTokens})
@@ -211,8 +216,8 @@
 	if e.First {
 		s.picker.Step(now, picker.Event{Kind: picker.EventFirstToken, Upstream: f.upstream, Elapsed: e.Elapsed, PromptTokens: f.pendingTokens})
 		f.pendingTokens = 0
-		if f.showsPrefill {
-			s.separator.Step(now, separator.Event{Kind: separator.EventPrefilled, Request: f.admission.Route.Name, PromptTokens: f.request.PromptTokens, Elapsed: e.Elapsed})
+		if f.prefillTokens > 0 {
+			s.separator.Step(now, separator.Event{Kind: separator.EventPrefilled, Request: f.admission.Route.Name, PromptTokens: f.prefillTokens, Elapsed: e.Elapsed})
 		}
 		return
 	}
--- a/internal/process/dispatcher/separation.go
+++ b/internal/process/dispatcher/separation.go
@@ -62,12 +62,17 @@
 	return r.LatencyTarget > 0 && f.isDeferrable(s) && s.picker.ExpectedWait(best, true) > r.LatencyTarget/2
 }
 
-// idleDivisor is the ratio of a prompt to the prompts before it, and of the slots of
-// an upstream to its requests in flight, from which the time to the first event shows
-// the prefill time of the prompt alone.
-const idleDivisor = 8
+// busyDivisor is the ratio of a prompt to the prompts before it, and of the slots of an
+// upstream to its requests in flight, up to which the time to the first event does not
+// show the prefill time.
+const busyDivisor = 2
 
-// isIdle reports whether hardly any other request delays a prompt on u.
-func isIdle(u *picker.Upstream, promptTokens int) bool {
-	return idleDivisor*(u.PendingTokens+u.SharedPendingTokens) <= promptTokens && idleDivisor*(u.Outstanding+u.SharedRuns) <= u.Slots
+// prefillTokens returns the number of prompt tokens that u prefills until the first
+// event of a new request, or zero if it is too busy for the time to show their prefill.
+func prefillTokens(u *picker.Upstream, promptTokens int) int {
+	before := u.PendingTokens + u.SharedPendingTokens
+	if busyDivisor*before > promptTokens || busyDivisor*(u.Outstanding+u.SharedRuns) > u.Slots {
+		return 0
+	}
+	return before + promptTokens
 }
--- a/internal/process/picker/backlog.go
+++ b/internal/process/picker/backlog.go
@@ -28,11 +28,8 @@
 	// cost of sending a long prompt to an upstream outside the pool.
 	shortPromptMismatchSeconds = 0.25
 	spilloverSeconds           = 0.05
-	// maxSpilloverTokens is the number of pending prompt tokens up to which a request
-	// with a long prompt may spill over to an upstream outside the pool.
-	// Their prefill takes less than the shortest token gaps that callers accept.
-	// Above it, spilloverDeniedSeconds keeps the request away from the upstream.
-	maxSpilloverTokens     = 16_000
+	// spilloverDeniedSeconds is the cost of sending it to one where it would make gaps
+	// too long. It keeps the request away.
 	spilloverDeniedSeconds = 5
 	// preferredCachedShare is the share of a prefix that the preferred upstream is
 	// expected to have in its cache before this entry has sent the prefix there.
@@ -111,7 +108,7 @@
 		return 0
 	case !q.LongPrompt:
 		return shortPromptMismatchSeconds
-	case c.PendingTokens+c.SharedPendingTokens+q.PromptTokens > maxSpilloverTokens:
+	case c.PendingTokens+c.SharedPendingTokens+q.PromptTokens > q.MaxSpilloverTokens:
 		return spilloverDeniedSeconds
 	}
 	return spilloverSeconds
--- a/internal/process/picker/backlog_test.go
+++ b/internal/process/picker/backlog_test.go
@@ -94,6 +94,27 @@
 	})
 }
 
+// On slow engines a long prompt must wait in the pool rather than stall the streams of
+// the other upstreams. On fast ones it may be sent there.
+func TestSpilloverKeepsTokenGapsWithinTargets(t *testing.T) {
+	pick := func(maxSpilloverTokens int) (inPool bool) {
+		p, names := backlogPicker(1, 9)
+		_, short := sendAndEnd(p, names, 200)
+		now := start().Add(10 * time.Second)
+		for _, name := range names {
+			if !short[name] {
+				p.Step(now, Event{Kind: EventSent, Upstream: name, PromptTokens: 200_000})
+			}
+		}
+		q := longPromptQuery(names, 1)
+		q.MaxSpilloverTokens = maxSpilloverTokens
+		name, _ := p.Pick(now, q)
+		return !short[name]
+	}
+	t.Run("prompt within the gap targets", func(t *testing.T) { is.New(t).True(!pick(12_000)) })
+	t.Run("prompt beyond the gap targets", func(t *testing.T) { is.New(t).True(pick(11_999)) })
+}
+
 // LeastBacklog must prefer the upstream with the smaller backlog, counting the
 // pending prompts, requests and failures of this entry and of other entries.
 func TestLeastBacklogPicksSmallerBacklog(t *testing.T) {
--- a/internal/process/picker/picker.go
+++ b/internal/process/picker/picker.go
@@ -133,6 +133,9 @@
 	// LongPromptShare is the share of the upstreams that requests with long prompts
 	// need. Zero or one means that all requests share all upstreams.
 	LongPromptShare float64
+	// MaxSpilloverTokens is the number of pending prompt tokens, with those of this
+	// request, up to which a long prompt may be sent to an upstream outside the pool.
+	MaxSpilloverTokens int
 	// Deferrable is true for a request that must leave some slots to more urgent
 	// ones.
 	Deferrable bool
--- a/internal/process/separator/separator.go
+++ b/internal/process/separator/separator.go
@@ -73,8 +73,8 @@
 	// EventArrived carries a new request with its prompt and its targets.
 	EventArrived EventKind = iota
 	// EventPrefilled means that the first event of an answer arrived Elapsed after
-	// the request was sent to an engine without other prompts to prefill, which had
-	// no part of this prompt cached.
+	// the request was sent to an engine that had PromptTokens to prefill until then
+	// and no part of this prompt cached.
 	EventPrefilled
 	// EventProgress means that Events further events arrived within Elapsed.
 	EventProgress
@@ -116,7 +116,9 @@
 	// prefill, and threshold the prefill time from which a kind belongs to them.
 	separated int
 	threshold time.Duration
-	prefill   prefillModel
+	// maxSpillover is the result of MaxSpilloverTokens.
+	maxSpillover int
+	prefill      prefillModel
 }
 
 // kind is what is known of one kind of request.
@@ -212,6 +214,7 @@
 		s.choose(profiles, f.Engines)
 	}
 	s.share = s.separatedShare(profiles, f.Engines, f.Slots)
+	s.maxSpillover = s.tokensWithinGaps(profiles)
 	s.leastUrgent = 0
 	for _, p := range profiles {
 		if s.IsSeparated(p.Name) {
@@ -349,6 +352,20 @@
 // is separated and one if all are.
 func (s *Separator) Share() float64 { return s.share }
 
+// MaxSpilloverTokens returns the number of prompt tokens that an engine of the kinds
+// that are not separated can prefill while their gaps stay within the targets.
+func (s *Separator) MaxSpilloverTokens() int { return s.maxSpillover }
+
+func (s *Separator) tokensWithinGaps(profiles []Profile) int {
+	room := time.Duration(math.MaxInt64)
+	for _, p := range profiles {
+		if p.GapTarget > 0 && !s.IsSeparated(p.Name) {
+			room = min(room, max(0, p.GapTarget-p.Gap))
+		}
+	}
+	return int(min(room.Seconds()/s.prefill.secondsPerToken(), math.MaxInt32))
+}
+
 // average returns the moving average after an observation, which is the first one
 // if old is zero.
 func average(old, observed time.Duration, weight float64) time.Duration {
--- a/internal/process/separator/separator_test.go
+++ b/internal/process/separator/separator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -157,6 +158,29 @@
 	})
 }
 
+// The prompts that may be sent to the engines of other kinds must follow from the speed
+// of the engines and from the gap targets. A fixed number stalled streams on slow
+// engines.
+func TestSpilloverFollowsSpeedAndGapTargets(t *testing.T) {
+	fleet := Fleet{Engines: 9, Slots: 64, Entries: 1}
+	spillover := func(e engine, all ...traffic) int {
+		var s Separator
+		play(&s, start(), 30, e, fleet, all...)
+		return s.MaxSpilloverTokens()
+	}
+	slow := spillover(engine{50, 20 * ms}, chat(), letter())
+	t.Run("slow engines allow fewer tokens", func(t *testing.T) {
+		is.New(t).True(2*slow < spillover(engine{150, 20 * ms}, chat(), letter()))
+	})
+	t.Run("the prefill takes less than the shortest target", func(t *testing.T) {
+		is.New(t).True(slow > 0 && time.Duration(slow)*time.Second/50_000 < chat().gapTarget)
+	})
+	t.Run("without gap targets nothing limits it", func(t *testing.T) {
+		none := func(k *traffic) { k.gapTarget = 0 }
+		is.New(t).Equal(spillover(engine{50, 20 * ms}, change(chat(), none), change(letter(), none)), math.MaxInt32)
+	})
+}
+
 // Entries that see the same traffic with different noise must agree, and one entry
 // must not change its choice with the noise.
 func TestChoiceIsStable(t *testing.T) {
