Let entries agree on the share of the upstreams for long prompts

Cause: each entry estimated the share from its own part of the traffic. Change: load reports carry the share that the entry wants for each service (5 bytes a service), and each entry uses the mean of its own and those of the last reports. A report is now one struct in the dispatcher and the forwarder.

--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -154,12 +154,9 @@
 	Entries   int
 	Strikes   []detector.Strike
 	Synced    bool
-	// Entry is the identity of the entry that sent EventLoadReceived, and Loads
-	// its complete load on all upstreams.
-	Entry string
-	Loads []Load
-	// Placements are the placements since the previous report.
-	Placements []Placement
+	// Entry is the identity of the entry that sent the Report of EventLoadReceived.
+	Entry  string
+	Report LoadReport
 	// RetryRatio and RetryCapacity replace the values of [Settings], with
 	// EventRetryBudget.
 	RetryRatio    float64
@@ -216,9 +213,9 @@
 	Failure     *admitter.Failure
 	Strikes     []detector.Strike
 	// Received is true if the strikes of ActionSendStrikes came from another entry.
-	Received   bool
-	Loads      []Load
-	Placements []Placement
+	Received bool
+	// Report is set for ActionSendLoad.
+	Report LoadReport
 	// Separation is set for ActionRoutesSeparated.
 	Separation Separation
 	// Summary describes the request for logs and metrics.
@@ -275,6 +272,10 @@
 	picker    *picker.Picker[picker.LeastBacklog]
 	budget    retrier.Budget
 	separator separator.Separator
+	// sharesSum is the sum of the shares of long prompts in the reports of
+	// sharesCount other entries.
+	sharesSum   float64
+	sharesCount int
 	// upstreams holds the upstreams that may get requests by instance ID, and
 	// instanceIDs lists their instance IDs in the order of the last update.
 	upstreams   map[string]registrar.Upstream
@@ -311,7 +312,7 @@
 	case EventStrikesReceived:
 		return d.receiveStrikes(now, e.Strikes)
 	case EventLoadReceived:
-		d.receiveLoad(now, e.Entry, e.Loads, e.Placements)
+		d.receiveLoad(now, e.Entry, e.Report)
 	case EventTick:
 		return d.tick(now)
 	case EventSynced:
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -139,7 +139,7 @@
 		Candidates: s.instanceIDs, AvailabilityZone: d.settings.AvailabilityZone, Exclude: d.exclude(s, f),
 		Tier: f.admission.Priority + 1, TokenGapTarget: f.admission.Route.GapTarget, LatencyTarget: f.admission.Route.LatencyTarget,
 		Prefix: f.request.Prefix, PrefixTokens: f.request.PrefixTokens, PromptTokens: f.request.PromptTokens,
-		Suspect: f.suspect, LongPrompt: f.hasLongPrompt(s), LongPromptShare: s.separator.Share(),
+		Suspect: f.suspect, LongPrompt: f.hasLongPrompt(s), LongPromptShare: s.longPromptShare(),
 		MaxSpilloverTokens: s.separator.MaxSpilloverTokens(), Deferrable: f.isDeferrable(s),
 	}
 	id, ok := s.picker.Pick(now, q)
--- a/internal/process/dispatcher/load.go
+++ b/internal/process/dispatcher/load.go
@@ -30,6 +30,22 @@
 	PendingTokens int
 }
 
+// LongPromptShare is the share of the upstreams of a service that an entry wants for
+// requests with long prompts.
+type LongPromptShare struct {
+	Service string
+	Share   float64
+}
+
+// LoadReport is what an entry tells the others.
+type LoadReport struct {
+	// Loads is the complete load of the entry on all upstreams.
+	Loads []Load
+	// Placements are the placements since the previous report.
+	Placements []Placement
+	Shares     []LongPromptShare
+}
+
 // Placement means that a request with a prompt prefix was sent to an upstream,
 // which therefore caches the prefix for a while.
 type Placement struct {
@@ -51,7 +67,7 @@
 // The zero value has no reports.
 type loadExchange struct {
 	// reports holds the last report of each other entry by its identity.
-	reports map[string]loadReport
+	reports map[string]receivedReport
 	// lastReportHadLoads is true if the last report of this entry contained loads.
 	// The next report must be sent even if it is empty, to remove them.
 	lastReportHadLoads bool
@@ -59,11 +75,12 @@
 	placements []Placement
 }
 
-// loadReport is a report of another entry, reduced to the upstreams that were
+// receivedReport is a report of another entry, reduced to the upstreams that were
 // known on receipt.
-type loadReport struct {
+type receivedReport struct {
 	receivedAt time.Time
 	loads      []Load
+	shares     []LongPromptShare
 }
 
 // recordPlacement records the upstream to which a request with a long prefix is
@@ -75,13 +92,13 @@
 }
 
 // receiveLoad replaces the last report of another entry.
-func (d *Dispatcher) receiveLoad(now time.Time, entry string, loads []Load, placements []Placement) {
+func (d *Dispatcher) receiveLoad(now time.Time, entry string, r LoadReport) {
 	if d.exchange.reports == nil {
-		d.exchange.reports = map[string]loadReport{}
+		d.exchange.reports = map[string]receivedReport{}
 	}
 	d.addSharedLoads(now, d.exchange.reports[entry].loads, -1)
-	d.exchange.reports[entry] = loadReport{now, d.addSharedLoads(now, loads, 1)}
-	for _, p := range placements {
+	d.exchange.reports[entry] = receivedReport{now, d.addSharedLoads(now, r.Loads, 1), r.Shares}
+	for _, p := range r.Placements {
 		for _, s := range d.services {
 			if _, ok := s.upstreams[p.Upstream]; ok {
 				s.picker.Step(now, picker.Event{Kind: picker.EventCached, Upstream: p.Upstream, Prefix: p.Prefix})
@@ -129,18 +146,48 @@
 			delete(d.exchange.reports, entry)
 		}
 	}
-	var loads []Load
-	for _, s := range d.services {
+	d.sumShares()
+	var report LoadReport
+	for name, s := range d.services {
+		if share := s.separator.Share(); share > 0 {
+			report.Shares = append(report.Shares, LongPromptShare{name, share})
+		}
 		for _, id := range s.instanceIDs {
 			if u := s.picker.Upstream(id); u != nil && u.Outstanding > 0 {
-				loads = append(loads, Load{id, u.Outstanding, u.PendingTokens})
+				report.Loads = append(report.Loads, Load{id, u.Outstanding, u.PendingTokens})
 			}
 		}
 	}
-	placements := d.exchange.placements
-	if len(loads)+len(placements) == 0 && !d.exchange.lastReportHadLoads {
+	report.Placements = d.exchange.placements
+	if len(report.Loads)+len(report.Placements) == 0 && !d.exchange.lastReportHadLoads {
 		return nil
 	}
-	d.exchange.lastReportHadLoads, d.exchange.placements = len(loads) > 0, nil
-	return []Action{{Kind: ActionSendLoad, Loads: loads, Placements: placements}}
+	d.exchange.lastReportHadLoads, d.exchange.placements = len(report.Loads) > 0, nil
+	return []Action{{Kind: ActionSendLoad, Report: report}}
+}
+
+// sumShares adds up the shares of long prompts in the reports of the other entries.
+func (d *Dispatcher) sumShares() {
+	for _, s := range d.services {
+		s.sharesSum, s.sharesCount = 0, 0
+	}
+	for _, r := range d.exchange.reports {
+		for _, x := range r.shares {
+			if s := d.services[x.Service]; s != nil {
+				s.sharesSum += x.Share
+				s.sharesCount++
+			}
+		}
+	}
+}
+
+// longPromptShare returns the share of the upstreams for requests with long prompts:
+// the mean of the shares of all entries that separate such requests. Entries must use
+// the same upstreams, and each sees only a part of the traffic.
+func (s *service) longPromptShare() float64 {
+	own := s.separator.Share()
+	if own == 0 {
+		return 0
+	}
+	return (own + s.sharesSum) / float64(1+s.sharesCount)
 }
--- a/internal/process/dispatcher/load_test.go
+++ b/internal/process/dispatcher/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"testing"
 	"time"
@@ -29,7 +30,7 @@
 // The load of another entry must count once, and only until its report expires.
 func TestLoadReportReplacesPreviousUntilExpiry(t *testing.T) {
 	report := func(d *Dispatcher, at time.Time, entry string, loads ...Load) {
-		d.Step(at, Event{Kind: EventLoadReceived, Entry: entry, Loads: loads})
+		d.Step(at, Event{Kind: EventLoadReceived, Entry: entry, Report: LoadReport{Loads: loads}})
 	}
 	t.Run("report replaces the previous one of the entry", func(t *testing.T) {
 		d := newDispatcher()
@@ -66,11 +67,11 @@
 	r := request("/brief/1")
 	r.PromptTokens = 9000
 	sent := d.Step(testTime(), Event{Kind: EventArrived, Request: r})
-	is.Equal(tick()[0].Loads, []Load{{sent[0].Upstream.InstanceID(), 1, 9000}})
+	is.Equal(tick()[0].Report.Loads, []Load{{sent[0].Upstream.InstanceID(), 1, 9000}})
 	endAttempt(d, 1, Event{Outcome: OutcomeAnswered})
 	last := tick()
 	is.Equal(len(last), 1)
-	is.Equal(len(last[0].Loads), 0)
+	is.Equal(len(last[0].Report.Loads), 0)
 	is.Equal(len(tick()), 0)
 }
 
@@ -88,7 +89,7 @@
 		for i := range 3 {
 			loads = append(loads, Load{fmt.Sprint("desk-", i), 1, tokens})
 		}
-		d.Step(testTime(), Event{Kind: EventLoadReceived, Entry: "entry-2", Loads: loads})
+		d.Step(testTime(), Event{Kind: EventLoadReceived, Entry: "entry-2", Report: LoadReport{Loads: loads}})
 		return d
 	}
 	const manyTokens = 500_000
@@ -144,16 +145,69 @@
 	sent := d.Step(testTime(), Event{Kind: EventArrived, Request: long("r1")})
 	report := d.Step(testTime(), Event{Kind: EventTick})
 	is := is.New(t)
-	is.Equal(report[0].Placements, []Placement{{sent[0].Upstream.InstanceID(), 77}})
-	is.Equal(len(d.Step(testTime(), Event{Kind: EventTick})[0].Placements), 0)
+	is.Equal(report[0].Report.Placements, []Placement{{sent[0].Upstream.InstanceID(), 77}})
+	is.Equal(len(d.Step(testTime(), Event{Kind: EventTick})[0].Report.Placements), 0)
 	// The load makes the upstream that caches the prefix too busy to be selected.
 	// Placements of another prefix must not change the cache source.
 	other := newDispatcher()
-	other.Step(testTime(), Event{Kind: EventLoadReceived, Entry: "entry-1", Loads: []Load{{sent[0].Upstream.InstanceID(), 100, 70_000}}, Placements: report[0].Placements})
+	other.Step(testTime(), Event{Kind: EventLoadReceived, Entry: "entry-1", Report: LoadReport{
+		Loads: []Load{{sent[0].Upstream.InstanceID(), 100, 70_000}}, Placements: report[0].Report.Placements,
+	}})
 	for i, u := range []string{"desk-0", "desk-1", "desk-2"} {
-		other.Step(testTime(), Event{Kind: EventLoadReceived, Entry: fmt.Sprint("entry-", 2+i), Placements: []Placement{{u, 78}}})
+		other.Step(testTime(), Event{Kind: EventLoadReceived, Entry: fmt.Sprint("entry-", 2+i), Report: LoadReport{Placements: []Placement{{u, 78}}}})
 	}
 	next := other.Step(testTime(), Event{Kind: EventArrived, Request: long("r2")})
 	is.True(next[0].Upstream.Name != sent[0].Upstream.Name)
 	is.Equal(next[0].Summary.CacheSource, sent[0].Upstream.InstanceID())
 }
+
+// Entries that see different parts of the traffic must agree on the upstreams for long
+// prompts. Where they disagree, the streams of one wait for the prompts of the other.
+func TestEntriesAgreeOnShareOfLongPrompts(t *testing.T) {
+	// dispatcherAfter returns a dispatcher that has got the given numbers of chats and
+	// of briefs.
+	dispatcherAfter := func(chats, briefs int) *Dispatcher {
+		d := newDispatcher()
+		for i := range chats + briefs {
+			r := request("/chat/1")
+			r.PromptTokens = 800
+			if i >= chats {
+				r = request("/brief/1")
+				r.PromptTokens = 12_000
+			}
+			r.ID = fmt.Sprint("r", i)
+			d.Step(testTime(), Event{Kind: EventArrived, Request: r})
+		}
+		return d
+	}
+	exchange := func(to, from *Dispatcher, entry string) {
+		report := from.Step(testTime(), Event{Kind: EventTick})[0].Report
+		to.Step(testTime(), Event{Kind: EventLoadReceived, Entry: entry, Report: report})
+	}
+	share := func(d *Dispatcher) float64 { return d.services["desk"].longPromptShare() }
+	t.Run("after the exchange the shares are equal", func(t *testing.T) {
+		a, b := dispatcherAfter(30, 2), dispatcherAfter(2, 8)
+		is := is.New(t)
+		is.True(share(b)-share(a) > 0.1)
+		before := (share(a) + share(b)) / 2
+		exchange(a, b, "entry-2")
+		exchange(b, a, "entry-1")
+		a.Step(testTime(), Event{Kind: EventTick})
+		b.Step(testTime(), Event{Kind: EventTick})
+		is.True(math.Abs(share(a)-share(b)) < 0.001)
+		is.True(math.Abs(share(a)-before) < 0.001)
+	})
+	t.Run("the share of a silent entry expires", func(t *testing.T) {
+		a := dispatcherAfter(8, 2)
+		own := share(a)
+		exchange(a, dispatcherAfter(2, 8), "entry-2")
+		a.Step(testTime().Add(loadReportExpiry), Event{Kind: EventTick})
+		is.New(t).Equal(share(a), own)
+	})
+	t.Run("an entry without long prompts keeps all upstreams", func(t *testing.T) {
+		a := dispatcherAfter(8, 0)
+		exchange(a, dispatcherAfter(2, 8), "entry-2")
+		a.Step(testTime(), Event{Kind: EventTick})
+		is.New(t).Equal(share(a), 0.0)
+	})
+}
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -46,7 +46,7 @@
 			"upstream_share", a.Separation.Share, "prefill_per_token", a.Separation.PrefillPerToken)
 	case dispatcher.ActionSendLoad:
 		if f.options.SendLoad != nil {
-			f.options.SendLoad(a.Loads, a.Placements)
+			f.options.SendLoad(a.Report)
 		}
 	}
 }
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -78,7 +78,7 @@
 	SendStrikes func([]detector.Strike)
 	// SendLoad sends a load report to the other entries. It must not block. It may
 	// be nil.
-	SendLoad func([]dispatcher.Load, []dispatcher.Placement)
+	SendLoad func(dispatcher.LoadReport)
 	// Observe is called at the end of each request. It must not block. It may be
 	// nil.
 	Observe func(Observation)
@@ -170,8 +170,7 @@
 	strikes       []detector.Strike
 	synced        bool
 	entry         string
-	loads         []dispatcher.Load
-	placements    []dispatcher.Placement
+	loadReport    dispatcher.LoadReport
 	retryRatio    float64
 	retryCapacity float64
 }
@@ -227,8 +226,8 @@
 
 // ReceiveLoad replaces the load report of another entry and adds its placements
 // since its previous report.
-func (f *Forwarder) ReceiveLoad(entry string, loads []dispatcher.Load, placements []dispatcher.Placement) {
-	f.put(event{kind: eventLoadReceived, entry: entry, loads: loads, placements: placements})
+func (f *Forwarder) ReceiveLoad(entry string, r dispatcher.LoadReport) {
+	f.put(event{kind: eventLoadReceived, entry: entry, loadReport: r})
 }
 
 // State returns the current snapshot.
@@ -325,7 +324,7 @@
 	case eventSynced:
 		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventSynced, Synced: e.synced})
 	case eventLoadReceived:
-		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventLoadReceived, Entry: e.entry, Loads: e.loads, Placements: e.placements})
+		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventLoadReceived, Entry: e.entry, Report: e.loadReport})
 		f.publishSharedRuns()
 	case eventRetryBudget:
 		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventRetryBudget, RetryRatio: e.retryRatio, RetryCapacity: e.retryCapacity})
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -112,9 +112,9 @@
 	}
 }
 
-func (r *syncerRef) sendLoad(loads []dispatcher.Load, placed []dispatcher.Placement) {
+func (r *syncerRef) sendLoad(report dispatcher.LoadReport) {
 	if s := r.syncer.Load(); s != nil {
-		s.SendLoad(loads, placed)
+		s.SendLoad(report)
 	}
 }
 
--- a/internal/process/syncer/message.go
+++ b/internal/process/syncer/message.go
@@ -33,60 +33,75 @@
 // for each upstream: 4 bytes with the hash of its instance ID, 1 byte with the
 // number of requests and 1 byte with the pending tokens in units of
 // [pendingTokensUnit]. Placed has a record for each placement: 4 bytes with the
-// same hash and 8 bytes with the prefix.
+// same hash and 8 bytes with the prefix. Shares has a record for each service whose
+// requests with long prompts get upstreams of their own: 4 bytes with the hash of its
+// name and 1 byte with the share of the upstreams in units of 1/255.
 type Load struct {
 	Runs   []byte `json:"runs"`
 	Placed []byte `json:"placed,omitempty"`
+	Shares []byte `json:"shares,omitempty"`
 }
 
 const (
 	runsRecordSize   = 6
 	placedRecordSize = 12
+	sharesRecordSize = 5
 	// pendingTokensUnit is the resolution of pending tokens. An engine prefills
 	// this many tokens in about 7 ms.
 	pendingTokensUnit = 1024
 )
 
-// pack encodes loads and placements.
-func pack(loads []dispatcher.Load, placements []dispatcher.Placement) Load {
-	runs := make([]byte, 0, runsRecordSize*len(loads))
-	for _, l := range loads {
-		runs = binary.BigEndian.AppendUint32(runs, hashInstanceID(l.Upstream))
+// pack encodes a report.
+func pack(r dispatcher.LoadReport) Load {
+	runs := make([]byte, 0, runsRecordSize*len(r.Loads))
+	for _, l := range r.Loads {
+		runs = binary.BigEndian.AppendUint32(runs, hashName(l.Upstream))
 		runs = append(runs, byte(min(l.Runs, math.MaxUint8)), byte(min((l.PendingTokens+pendingTokensUnit/2)/pendingTokensUnit, math.MaxUint8)))
 	}
 	var placed []byte
-	for _, p := range placements {
-		placed = binary.BigEndian.AppendUint32(placed, hashInstanceID(p.Upstream))
+	for _, p := range r.Placements {
+		placed = binary.BigEndian.AppendUint32(placed, hashName(p.Upstream))
 		placed = binary.BigEndian.AppendUint64(placed, p.Prefix)
 	}
-	return Load{runs, placed}
+	var shares []byte
+	for _, s := range r.Shares {
+		shares = binary.BigEndian.AppendUint32(shares, hashName(s.Service))
+		shares = append(shares, byte(math.Round(min(max(s.Share, 0), 1)*math.MaxUint8)))
+	}
+	return Load{runs, placed, shares}
 }
 
-// unpack decodes the loads and placements on known upstreams. Records of other
-// upstreams are skipped.
-func (l Load) unpack(known []registrar.Upstream) ([]dispatcher.Load, []dispatcher.Placement) {
-	instanceIDs := make(map[uint32]string, len(known))
+// unpack decodes the report as far as it concerns known upstreams and their services.
+// Other records are skipped.
+func (l Load) unpack(known []registrar.Upstream) dispatcher.LoadReport {
+	instanceIDs, services := make(map[uint32]string, len(known)), map[uint32]string{}
 	for _, u := range known {
 		id := u.InstanceID()
-		instanceIDs[hashInstanceID(id)] = id
+		instanceIDs[hashName(id)] = id
+		services[hashName(u.Service)] = u.Service
 	}
-	var loads []dispatcher.Load
+	var r dispatcher.LoadReport
 	for b := l.Runs; len(b) >= runsRecordSize; b = b[runsRecordSize:] {
 		if id, ok := instanceIDs[binary.BigEndian.Uint32(b)]; ok {
-			loads = append(loads, dispatcher.Load{Upstream: id, Runs: int(b[4]), PendingTokens: int(b[5]) * pendingTokensUnit})
+			r.Loads = append(r.Loads, dispatcher.Load{Upstream: id, Runs: int(b[4]), PendingTokens: int(b[5]) * pendingTokensUnit})
 		}
 	}
-	var placements []dispatcher.Placement
 	for b := l.Placed; len(b) >= placedRecordSize; b = b[placedRecordSize:] {
 		if id, ok := instanceIDs[binary.BigEndian.Uint32(b)]; ok {
-			placements = append(placements, dispatcher.Placement{Upstream: id, Prefix: binary.BigEndian.Uint64(b[4:])})
+			r.Placements = append(r.Placements, dispatcher.Placement{Upstream: id, Prefix: binary.BigEndian.Uint64(b[4:])})
+		}
+	}
+	for b := l.Shares; len(b) >= sharesRecordSize; b = b[sharesRecordSize:] {
+		if name, ok := services[binary.BigEndian.Uint32(b)]; ok {
+			r.Shares = append(r.Shares, dispatcher.LongPromptShare{Service: name, Share: float64(b[4]) / math.MaxUint8})
 		}
 	}
-	return loads, placements
+	return r
 }
 
-func hashInstanceID(id string) uint32 {
+// hashName returns the hash that stands for an instance ID or the name of a service.
+func hashName(name string) uint32 {
 	h := fnv.New32a()
-	_, _ = h.Write([]byte(id))
+	_, _ = h.Write([]byte(name))
 	return h.Sum32()
 }
--- a/internal/process/syncer/message_test.go
+++ b/internal/process/syncer/message_test.go
@@ -12,7 +12,7 @@
 // A packed load report must be unpacked to the same known upstreams, with its
 // values rounded and bounded.
 func TestUnpackRestoresPackedLoad(t *testing.T) {
-	known := []registrar.Upstream{{Name: "desk-1", StartUnixMilli: 7}, {Name: "desk-2"}}
+	known := []registrar.Upstream{{Name: "desk-1", StartUnixMilli: 7, Service: "desk"}, {Name: "desk-2", Service: "desk"}}
 	for _, c := range []struct {
 		name string
 		sent []dispatcher.Load
@@ -26,23 +26,26 @@
 		{"unknown upstream is skipped", []dispatcher.Load{{Upstream: "desk-1@8", Runs: 3}}, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			loads, placements := pack(c.sent, nil).unpack(known)
-			is := is.New(t)
-			is.Equal(loads, c.want)
-			is.Equal(len(placements), 0)
+			is.New(t).Equal(pack(dispatcher.LoadReport{Loads: c.sent}).unpack(known), dispatcher.LoadReport{Loads: c.want})
 		})
 	}
 	t.Run("truncated records are skipped", func(t *testing.T) {
-		l := pack([]dispatcher.Load{{Upstream: "desk-2", Runs: 1}}, []dispatcher.Placement{{Upstream: "desk-2", Prefix: 5}})
-		l.Runs, l.Placed = l.Runs[:runsRecordSize-1], l.Placed[:placedRecordSize-1]
-		loads, placements := l.unpack(known)
-		is := is.New(t)
-		is.Equal(len(loads), 0)
-		is.Equal(len(placements), 0)
+		l := pack(dispatcher.LoadReport{
+			Loads:      []dispatcher.Load{{Upstream: "desk-2", Runs: 1}},
+			Placements: []dispatcher.Placement{{Upstream: "desk-2", Prefix: 5}},
+			Shares:     []dispatcher.LongPromptShare{{Service: "desk", Share: 0.5}},
+		})
+		l.Runs, l.Placed, l.Shares = l.Runs[:runsRecordSize-1], l.Placed[:placedRecordSize-1], l.Shares[:sharesRecordSize-1]
+		is.New(t).Equal(l.unpack(known), dispatcher.LoadReport{})
 	})
 	t.Run("placements on known upstreams are restored", func(t *testing.T) {
 		sent := []dispatcher.Placement{{Upstream: "desk-1@7", Prefix: 1 << 60}, {Upstream: "desk-9", Prefix: 3}, {Upstream: "desk-2", Prefix: 5}}
-		_, placements := pack(nil, sent).unpack(known)
-		is.New(t).Equal(placements, []dispatcher.Placement{sent[0], sent[2]})
+		got := pack(dispatcher.LoadReport{Placements: sent}).unpack(known)
+		is.New(t).Equal(got.Placements, []dispatcher.Placement{sent[0], sent[2]})
+	})
+	t.Run("shares of known services are restored", func(t *testing.T) {
+		sent := []dispatcher.LongPromptShare{{Service: "desk", Share: 0.2}, {Service: "unknown", Share: 0.5}, {Service: "desk", Share: 7}}
+		got := pack(dispatcher.LoadReport{Shares: sent}).unpack(known)
+		is.New(t).Equal(got.Shares, []dispatcher.LongPromptShare{sent[0], {Service: "desk", Share: 1}})
 	})
 }
--- a/internal/process/syncer/share.go
+++ b/internal/process/syncer/share.go
@@ -18,11 +18,11 @@
 }
 
 // SendLoad sends the load report of this entry to all other entries.
-func (s *Syncer) SendLoad(loads []dispatcher.Load, placements []dispatcher.Placement) {
+func (s *Syncer) SendLoad(r dispatcher.LoadReport) {
 	// The message is encoded once for all entries.
-	encoded, err := json.Marshal(pack(loads, placements))
+	encoded, err := json.Marshal(pack(r))
 	if err != nil {
-		klog.ErrorS(err, "load report not encoded", "upstreams", len(loads), "placements", len(placements))
+		klog.ErrorS(err, "load report not encoded", "upstreams", len(r.Loads), "placements", len(r.Placements))
 		return
 	}
 	for identity := range s.Members() {
@@ -58,8 +58,7 @@
 			return nil, err
 		}
 		f := s.options.Forwarder
-		loads, placements := l.unpack(f.State().Upstreams)
-		f.ReceiveLoad(c.Peer.Identity, loads, placements)
+		f.ReceiveLoad(c.Peer.Identity, l.unpack(f.State().Upstreams))
 	}
 	return nil, nil
 }
