Keep room for strikes in the queue to an entry that is out of reach

Cause: a link without a connection queued the first 32 messages and dropped the others without a count. Load reports, five a second, filled the queue in 6.4 s; then strikes were lost, and the reports delivered later were the oldest ones. Change: a load report replaces the queued one, and dropped messages are counted as linker_pending. Failed calls of the platform in exchanger and watcher are logged.

--- a/internal/process/exchanger/exchanger.go
+++ b/internal/process/exchanger/exchanger.go
@@ -31,6 +31,7 @@
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
+	"k8s.io/klog/v2"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/dialer"
 	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
@@ -418,11 +419,16 @@
 // since the list is read again after listInterval.
 func (x *Exchanger) readList() {
 	o, err := x.options.Store.Get(x.ctx, tracker.ListPrefix+x.options.Settings.Self.AvailabilityZone)
-	if err != nil || o.Version == 0 {
+	if err != nil {
+		x.logFailure(err, "list of VMs not read")
+		return
+	}
+	if o.Version == 0 {
 		return
 	}
 	var l tracker.List
-	if json.Unmarshal(o.Value, &l) != nil {
+	if err := json.Unmarshal(o.Value, &l); err != nil {
+		x.logFailure(err, "list of VMs ignored")
 		return
 	}
 	x.enqueue(input{event: Event{Kind: EventListRead, List: l}})
@@ -434,6 +440,7 @@
 	key := cataloger.StatusPrefix + s.AvailabilityZone
 	o, err := x.options.Store.Get(x.ctx, key)
 	if err != nil {
+		x.logFailure(err, "status of the zone not written")
 		return
 	}
 	var old cataloger.Status
@@ -447,10 +454,19 @@
 		s.Reached = merged.Reached
 	}
 	data, err := json.Marshal(s)
+	if err == nil {
+		_, err = x.options.Store.Put(x.ctx, key, data, o.Version)
+	}
 	if err != nil {
-		return
+		x.logFailure(err, "status of the zone not written")
+	}
+}
+
+// logFailure logs a failed call of the platform, unless the exchanger stops.
+func (x *Exchanger) logFailure(err error, message string) {
+	if x.ctx.Err() == nil {
+		klog.ErrorS(err, message, "availability_zone", x.options.Settings.Self.AvailabilityZone)
 	}
-	_, _ = x.options.Store.Put(x.ctx, key, data, o.Version)
 }
 
 // recordMember records the event of a member's change of state.
--- a/internal/process/linker/linker.go
+++ b/internal/process/linker/linker.go
@@ -14,6 +14,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/dialer"
@@ -29,7 +31,7 @@
 	// entry.
 	ringCapacity = 512
 	// maxPendingMessages bounds the messages that wait until one connection is open.
-	// Further messages are dropped.
+	// Further messages are dropped and counted.
 	maxPendingMessages = 32
 	// idleTimeout is the time after which an unused connection is closed.
 	idleTimeout = time.Minute
@@ -59,6 +61,8 @@
 	messages   *buffer.Ring[outMessage, buffer.Reject]
 	connEvents *buffer.Ring[connEvent, buffer.Block]
 	done       chan struct{}
+	// dropped counts the messages for which no room was left on a link.
+	dropped atomic.Uint64
 	// links holds the links by identity. It is owned by the linker's goroutine.
 	links map[string]*link
 }
@@ -124,9 +128,11 @@
 	}
 }
 
-// Stats returns the statistics of the rings.
+// Stats returns the statistics of the rings and of the messages that wait for a
+// connection.
 func (l *Linker) Stats() []buffer.Stats {
-	return []buffer.Stats{l.messages.Stats(), l.connEvents.Stats()}
+	pending := buffer.Stats{Name: "linker_pending", Capacity: maxPendingMessages, Dropped: l.dropped.Load()}
+	return []buffer.Stats{l.messages.Stats(), l.connEvents.Stats(), pending}
 }
 
 // step processes one message, connection event or timeout. It returns false after
@@ -167,12 +173,26 @@
 	switch {
 	case k.conn != nil:
 		l.notify(k, m)
-	case len(k.pendingMessages) < maxPendingMessages:
-		k.pendingMessages = append(k.pendingMessages, m)
+	default:
+		l.queue(k, m)
 	}
 	l.closeIdle()
 }
 
+// queue adds a message to those that wait for the connection. A load report replaces
+// the last one: reports are sent all the time, and would leave no room for strikes.
+func (l *Linker) queue(k *link, m outMessage) {
+	isLoad := func(other outMessage) bool { return other.method == messenger.MethodLoad }
+	if isLoad(m) {
+		k.pendingMessages = slices.DeleteFunc(k.pendingMessages, isLoad)
+	}
+	if len(k.pendingMessages) >= maxPendingMessages {
+		l.dropped.Add(1)
+		return
+	}
+	k.pendingMessages = append(k.pendingMessages, m)
+}
+
 func (l *Linker) notify(k *link, m outMessage) {
 	if l.options.Count != nil {
 		l.options.Count(m.method)
--- a/internal/process/watcher/watcher.go
+++ b/internal/process/watcher/watcher.go
@@ -28,6 +28,8 @@
 	"sync/atomic"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
 	"magnoliafront.dev/magnoliafront/internal/process/accessor"
 	"magnoliafront.dev/magnoliafront/internal/process/recorder"
@@ -183,13 +185,20 @@
 func (w *Watcher) watchHead(ctx context.Context) {
 	// No object has the version -1, so the first call returns at once.
 	version := int64(-1)
+	// Only the first of several failures is logged.
+	failing := false
 	for ctx.Err() == nil {
 		o, err := w.options.Store.Watch(ctx, cataloger.HeadKey, version)
 		if err != nil {
+			if !failing && ctx.Err() == nil {
+				klog.InfoS("watch of the records failed", "err", err)
+			}
+			failing = true
 			version = -1
 			w.waitRetry(ctx)
 			continue
 		}
+		failing = false
 		if o.Version <= version {
 			// The watch timed out without a change or returned an older object. The
 			// pause bounds the rate of calls if the platform does this at once.
