--- a/internal/process/driver/driver_test.go
+++ b/internal/process/driver/driver_test.go
@@ -31,6 +31,10 @@
 		{"unknown class", traceHeader + `{"type":"request","class":"x","model":"m"}`, "line 2: class"},
 		{"model and service", traceHeader + `{"type":"request","class":"chat","model":"m","service":"s"}`, "line 2: model, service"},
 		{"flow without rate", traceHeader + `{"type":"flow","class":"chat","model":"m","for":"1s"}`, "line 2: rate"},
+		{"negative tokens", traceHeader + `{"type":"request","class":"chat","model":"m","answer_tokens":-1}`, "line 2: prompt_tokens, answer_tokens"},
+		{"too many tokens", traceHeader + `{"type":"flow","class":"chat","model":"m","for":"1s","rate":1,"max_answer_tokens":9223372036854775807}`, "line 2: answer_tokens, max"},
+		{"too many requests", traceHeader + `{"type":"flow","class":"chat","model":"m","for":"1h","rate":1e9}`, "line 2: rate, for"},
+		{"too long a flow", traceHeader + `{"type":"flow","class":"chat","model":"m","for":"9000h","rate":1}`, "line 2: at, for"},
 		{"negative send time", traceHeader + `{"type":"request","class":"chat","model":"m","at":"-1s"}`, "line 2: duration"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/process/driver/trace.go
+++ b/internal/process/driver/trace.go
@@ -18,8 +18,15 @@
 // TraceVersion is the supported version of the trace format.
 const TraceVersion = 1
 
-// maxTraceRequests bounds the requests of a trace after its flows are expanded.
-const maxTraceRequests = 1 << 20
+// The bounds of a trace. A prompt is held in memory while it is sent.
+const (
+	// maxTraceRequests bounds the requests after the flows are expanded.
+	maxTraceRequests = 1 << 20
+	// maxTraceTokens bounds the length of a prompt and of an answer.
+	maxTraceTokens = 1 << 22
+	// maxTraceDuration bounds the time of a request, and the duration of a flow.
+	maxTraceDuration = 31 * 24 * time.Hour
+)
 
 // LineType is the type of a line of a trace.
 type LineType string
@@ -261,6 +268,10 @@
 		return errors.Errorf("class: %q is not among the classes of the header", q.Class)
 	case (q.Model == "") == (q.Service == ""):
 		return errors.Errorf("model, service: expects one of the two, got %q and %q", q.Model, q.Service)
+	case !isTokenCount(q.PromptTokens) || !isTokenCount(q.AnswerTokens):
+		return errors.Errorf("prompt_tokens, answer_tokens: expects 0 to %d, got %d and %d", maxTraceTokens, q.PromptTokens, q.AnswerTokens)
+	case time.Duration(q.At) > maxTraceDuration:
+		return errors.Errorf("at: expects at most %v, got %v", maxTraceDuration, time.Duration(q.At))
 	case len(t.Requests) >= maxTraceRequests:
 		return errors.Errorf("the trace has more than %d requests", maxTraceRequests)
 	}
@@ -268,11 +279,20 @@
 	return nil
 }
 
+func isTokenCount(n int) bool { return n >= 0 && n <= maxTraceTokens }
+
 // addFlow adds the requests of a flow. The times between arrivals are
 // exponentially distributed, like the arrivals of many independent callers.
 func (t *Trace) addFlow(f Flow) error {
-	if f.Rate <= 0 || f.Duration <= 0 {
+	switch {
+	case f.Rate <= 0 || f.Duration <= 0:
 		return errors.Errorf("rate, for: expects positive values, got %v and %v", f.Rate, time.Duration(f.Duration))
+	case time.Duration(max(f.At, f.Duration)) > maxTraceDuration:
+		return errors.Errorf("at, for: expects at most %v, got %v and %v", maxTraceDuration, time.Duration(f.At), time.Duration(f.Duration))
+	case f.Rate*time.Duration(f.Duration).Seconds() > maxTraceRequests:
+		return errors.Errorf("rate, for: expects at most %d requests, got %v a second for %v", maxTraceRequests, f.Rate, time.Duration(f.Duration))
+	case !isTokenCount(f.AnswerTokens) || !isTokenCount(f.MaxAnswerTokens):
+		return errors.Errorf("answer_tokens, max_answer_tokens: expects 0 to %d, got %d and %d", maxTraceTokens, f.AnswerTokens, f.MaxAnswerTokens)
 	}
 	random := rand.New(rand.NewPCG(t.Header.Seed, uint64(len(t.Requests))))
 	at := float64(f.At)
