Bound the memory of answers without end

Each read of an event without an end copied and scanned all bytes before it. Change: both buffers are bounded by 128 KB, and the splitter scans new bytes only. A larger body is relayed as it arrives; a larger event ends the stream as lost.

--- a/internal/connection/carrier/endless_test.go
+++ b/internal/connection/carrier/endless_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -64,6 +66,15 @@
 
 // call sends a request to the upstream and returns the last report and the replies.
 func (u *rawUpstream) call(t *testing.T, change func(*Call)) (Report, []relayer.Reply) {
+	t.Helper()
+	var all []relayer.Reply
+	r := u.callAndTake(t, change, func(r relayer.Reply) { all = append(all, r) })
+	return r, all
+}
+
+// callAndTake sends a request to the upstream and returns the last report. The replies
+// are passed to take.
+func (u *rawUpstream) callAndTake(t *testing.T, change func(*Call), take func(relayer.Reply)) Report {
 	t.Helper()
 	reports := make(chan Report, 1)
 	c := New(Options{Address: u.address, Clock: timer.System{}, Report: func(r Report) {
@@ -87,7 +98,6 @@
 	if change != nil {
 		change(&call)
 	}
-	replies := make(chan relayer.Reply, 1<<16)
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -97,21 +107,17 @@
 			if !ok {
 				return
 			}
-			replies <- r
+			take(r)
 		}
 	}()
 	c.Send(call)
 	r := <-reports
-	for r, ok := call.Replies.TryTake(); ok; r, ok = call.Replies.TryTake() {
-		replies <- r
-	}
 	stop()
 	<-done
-	var all []relayer.Reply
-	for len(replies) > 0 {
-		all = append(all, <-replies)
+	for reply, ok := call.Replies.TryTake(); ok; reply, ok = call.Replies.TryTake() {
+		take(reply)
 	}
-	return r, all
+	return r
 }
 
 // assertLost checks that a call ended as lost, with no part of an answer relayed, and
@@ -183,6 +189,73 @@
 	})
 }
 
+// maxEndlessHeap is the heap that may be used besides while many answers never end. The
+// smallest entries have 160 MB, of which an idle process uses 31 MB.
+const maxEndlessHeap = 96 << 20
+
+// Many answers without end at once must not use up the memory of the process. Bodies
+// and events of up to 1 MB were buffered, 400 MB for 200 of them, and each byte of an
+// event was copied with all those before it.
+func TestManyEndlessAnswersUseBoundedMemory(t *testing.T) {
+	const calls = 200
+	filler := strings.Repeat("x", 1000)
+	chunk := "3e8\r\n" + filler + "\r\n"
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, c := range []struct {
+		name, once, repeated string
+		stream               bool
+	}{
+		{"head", "HTTP/1.1 200 OK\r\nX: ", filler, false},
+		{"body", head, chunk, false},
+		{"event", head, chunk, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			u := newRawUpstream(t, c.once, c.repeated, time.Millisecond)
+			u.closed = make(chan int, calls)
+			peak := measurePeakHeap(t, func() {
+				var wg sync.WaitGroup
+				for range calls {
+					wg.Go(func() {
+						u.callAndTake(t, func(x *Call) { x.Stream, x.Deadline = c.stream, time.Now().Add(2*time.Second) }, func(relayer.Reply) {})
+					})
+				}
+				wg.Wait()
+			})
+			is.New(t).True(peak < maxEndlessHeap)
+		})
+	}
+}
+
+// measurePeakHeap runs f and returns the largest heap seen meanwhile, less the one
+// before.
+func measurePeakHeap(t *testing.T, f func()) uint64 {
+	t.Helper()
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapInuse
+	}
+	runtime.GC()
+	before, peak := heap(), uint64(0)
+	ended, sampled := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(sampled)
+		for {
+			peak = max(peak, heap())
+			select {
+			case <-ended:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	}()
+	f()
+	close(ended)
+	<-sampled
+	t.Logf("peak of the heap: %d MB", (peak-min(peak, before))>>20)
+	return peak - min(peak, before)
+}
+
 // A refusal of exactly the size up to which bodies are read left the rest of it on a
 // connection that was used again.
 func TestRefusalLargerThanLimitClosesConnection(t *testing.T) {
--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -20,8 +20,9 @@
 
 const (
 	// maxBufferedBytes is the maximum size of a response body that is buffered
-	// completely before it is relayed. A larger one is relayed as it arrives.
-	maxBufferedBytes = 1 << 20
+	// completely before it is relayed. A larger one is relayed as it arrives. The
+	// process must hold one for each of several hundred requests.
+	maxBufferedBytes = 128 << 10
 	// maxMismatchedResponses is the maximum number of responses to other requests
 	// that are skipped in one call.
 	maxMismatchedResponses = 2
--- a/internal/connection/carrier/splitter.go
+++ b/internal/connection/carrier/splitter.go
@@ -5,8 +5,13 @@
 	"strconv"
 )
 
-// maxEventBytes is the maximum size of an incomplete event that is buffered.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes is the maximum size of an incomplete event that is buffered. The
+	// process must hold one for each of several hundred streams.
+	maxEventBytes = 128 << 10
+	// maxEndBytes is the length of the longest sequence that ends an event.
+	maxEndBytes = len("\r\n\r\n")
+)
 
 // splitter splits a stream into whole server-sent events. The zero value is ready
 // for the start of a stream.
@@ -22,18 +27,20 @@
 // number of events with content among them. It drops repeated events, whose ID is not
 // newer than lastID. It reports false if the incomplete event exceeds maxEventBytes.
 func (s *splitter) split(b []byte) (whole []byte, events int, ok bool) {
-	data := b
+	data, start, scanned := b, 0, 0
 	if len(s.partial) > 0 {
+		// The earlier bytes hold no end of an event, but may hold the begin of one.
+		scanned = max(0, len(s.partial)-maxEndBytes+1)
 		s.partial = append(s.partial, b...)
-		data, s.partial = s.partial, nil
+		data = s.partial
 	}
 	for {
-		end := eventEnd(data)
+		end := eventEnd(data, scanned)
 		if end < 0 {
 			break
 		}
-		event := data[:end]
-		data = data[end:]
+		event := data[start:end]
+		start, scanned = end, end
 		id := eventID(event)
 		if id != "" && !isNewer(id, s.lastID) {
 			continue
@@ -46,24 +53,24 @@
 			events++
 		}
 	}
-	if len(data) > 0 {
-		s.partial = append([]byte(nil), data...)
+	if start > 0 || len(s.partial) == 0 {
+		s.partial = append(s.partial[:0], data[start:]...)
 	}
 	return whole, events, len(s.partial) <= maxEventBytes
 }
 
-// eventEnd returns the index after the blank line that ends the first event, -1
-// if the event is incomplete.
-func eventEnd(data []byte) int {
-	lf := bytes.Index(data, []byte("\n\n"))
-	crlf := bytes.Index(data, []byte("\r\n\r\n"))
+// eventEnd returns the index after the first blank line from the given index on, -1 if
+// there is none.
+func eventEnd(data []byte, from int) int {
+	lf := bytes.Index(data[from:], []byte("\n\n"))
+	crlf := bytes.Index(data[from:], []byte("\r\n\r\n"))
 	switch {
 	case lf < 0 && crlf < 0:
 		return -1
 	case crlf < 0 || lf >= 0 && lf < crlf:
-		return lf + 2
+		return from + lf + 2
 	}
-	return crlf + 4
+	return from + crlf + 4
 }
 
 // eventID returns the id field of an event, empty if there is none.
