--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -8,8 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
@@ -379,27 +377,6 @@
 	return OutcomeNotSent
 }
 
-// isCloseDelimited reports whether the end of a response is marked only by the
-// end of the connection, without a Content-Length or chunked encoding.
-func isCloseDelimited(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
-// parseKeepAliveTimeout returns the timeout parameter of a Keep-Alive header, zero
-// if it is missing or invalid.
-func parseKeepAliveTimeout(header string) time.Duration {
-	for part := range strings.SplitSeq(header, ",") {
-		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
-		if !ok || !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		if n, err := strconv.Atoi(strings.TrimSpace(value)); err == nil && n > 0 {
-			return time.Duration(n) * time.Second
-		}
-	}
-	return 0
-}
-
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -222,34 +222,6 @@
 	Summary Summary
 }
 
-// Summary describes a request at the time of a decision, for logs and metrics.
-type Summary struct {
-	Route        string
-	Service      string
-	Organisation string
-	Upstream     string
-	Attempts     int
-	// Version is the version of the configuration that admitted the request.
-	Version int64
-	Elapsed time.Duration
-	// Outstanding is the number of requests of this entry in flight on the upstream
-	// when the request was sent, and PendingTokens the number of their prompt
-	// tokens that waited for prefill.
-	Outstanding   int
-	PendingTokens int
-	// Prefix is the hash of the shared prompt prefix, and PromptTokens the length
-	// of the whole prompt.
-	Prefix       uint64
-	PromptTokens int
-	// CacheSource is the instance ID of the upstream from which the prefix was
-	// copied, or empty if there is none.
-	CacheSource string
-	// Digest is the [Request.Digest] of the request.
-	Digest string
-	// Reason is the code of the failure, or why the request ended.
-	Reason string
-}
-
 // Dispatcher holds the requests in flight and the state of all services of an
 // entry. Create it with [New].
 type Dispatcher struct {
