Keep the answer of a silent upstream until another one takes the request

Callers saw streams of which they had a part end without an answer or a refusal, and calls answered 502, although the upstream was sound and had only been silent for a second or so. Beside a change of the configuration that is a lost request.

Cause: an attempt that made no progress for its idle timeout was ended first, and only then was it decided whether another upstream could get the request. With the retry budget used up, no other upstream, or a refusal there, nothing was left of the answer, and the connection of the caller was cut.

Change: the carrier reports the silence and suspends the call. The dispatcher tries another upstream meanwhile. The silent attempt goes on if the budget, the upstreams or their refusals leave nothing else, and is abandoned at the first event from the other upstream, or after 0.1 s at the next tick, since two upstreams must not work on one request for long. Only one of the two attempts can relay to the caller at any time. Log lines "silent attempt goes on" and "silent attempt abandoned" show the decision with its reason.

--- a/internal/connection/carrier/carrier.go
+++ b/internal/connection/carrier/carrier.go
@@ -74,8 +74,9 @@
 	Body []byte
 	// DialTimeout is the maximum time for establishing a connection.
 	DialTimeout time.Duration
-	// Deadline is the time at which the call ends. IdleTimeout is the maximum
-	// time without a byte of the response; zero means no limit.
+	// Deadline is the time at which the call ends. IdleTimeout is the time without
+	// progress after which the call is suspended; see [Report]. Zero means that it
+	// never is.
 	Deadline    time.Time
 	IdleTimeout time.Duration
 	// Stream is true if the response is relayed event by event. Begun is true if
@@ -112,9 +113,6 @@
 	// OutcomeLost means that the request was sent and no complete response was
 	// received.
 	OutcomeLost
-	// OutcomeSilent means that the request was sent and IdleTimeout elapsed
-	// without a byte of the response.
-	OutcomeSilent
 	// OutcomeExpired means that the deadline of the call was exceeded.
 	OutcomeExpired
 	// OutcomeCancelled means that the call was aborted.
@@ -135,6 +133,10 @@
 	First   bool
 	Events  int
 	Elapsed time.Duration
+	// Silent is true if the upstream has made no progress for Call.IdleTimeout. The
+	// call is then suspended: it relays nothing until [Conn.Resume], or until its
+	// context is cancelled. Ended is false.
+	Silent bool
 
 	Outcome Outcome
 	// Status is the HTTP status of the response, if there was one. It is zero for
@@ -177,6 +179,7 @@
 type Conn struct {
 	options Options
 	calls   *buffer.Ring[Call, buffer.Reject]
+	resumes *buffer.Ring[struct{}, buffer.Reject]
 
 	// The fields below are used only by the goroutine of the connection.
 	conn     net.Conn
@@ -190,7 +193,11 @@
 
 // New returns a connection, which dials on its first call.
 func New(o Options) *Conn {
-	c := &Conn{options: o, calls: buffer.New[Call, buffer.Reject]("carrier_calls", 1)}
+	c := &Conn{
+		options: o,
+		calls:   buffer.New[Call, buffer.Reject]("carrier_calls", 1),
+		resumes: buffer.New[struct{}, buffer.Reject]("carrier_resumes", 1),
+	}
 	go func() {
 		for {
 			select {
@@ -214,6 +221,10 @@
 // called again before the report with Ended set for the previous call.
 func (c *Conn) Send(call Call) bool { return c.calls.Put(context.Background(), call) }
 
+// Resume continues a suspended call. It must be called at most once after each
+// report with Silent set.
+func (c *Conn) Resume() { c.resumes.Put(context.Background(), struct{}{}) }
+
 // Close closes the connection after the current call has ended.
 func (c *Conn) Close() { c.calls.Close() }
 
--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -51,7 +51,7 @@
 	longestPause time.Duration
 	// requestWritten is true if the whole request was sent and no mismatched
 	// response was skipped. If it is false, the connection is not reused, and a
-	// timeout ends the call as lost rather than as expired or silent.
+	// timeout ends the call as lost rather than as expired.
 	requestWritten bool
 	// keepAliveTimeout is the timeout in the Keep-Alive header of the response.
 	keepAliveTimeout time.Duration
@@ -109,6 +109,8 @@
 		// have sent a response.
 		a.call.Deadline = earlier(a.call.Deadline, c.options.Clock.Now().Add(earlyResponseTimeout))
 	}
+	c.received.onTimeout = func() bool { return c.suspend(a) }
+	defer func() { c.received.onTimeout = nil }()
 	// The body isn't closed: when the call ends, the body has been read to its end
 	// or the connection is closed.
 	resp, verdict, err := c.readHead(a) //nolint:bodyclose // see above
@@ -229,6 +231,23 @@
 	return nil
 }
 
+// suspend is called when a read has reached its deadline. If this is due to the idle
+// timeout, it reports the silence of the upstream and waits until the owner of the
+// connection resumes the call or cancels it. It reports whether the read continues.
+func (c *Conn) suspend(a *attempt) bool {
+	if a.call.Context.Err() != nil || !c.options.Clock.Now().Before(a.call.Deadline) {
+		return false
+	}
+	c.resumes.TryTake()
+	c.options.Report(Report{
+		Conn: c, Request: a.call.Request, Attempt: a.call.Attempt, Silent: true, Begun: a.begun, LastEvent: a.splitter.lastID,
+	})
+	ctx, cancel := context.WithDeadline(a.call.Context, a.call.Deadline)
+	defer cancel()
+	_, resumed := c.resumes.Take(ctx)
+	return resumed && c.setReadDeadline(a) == nil
+}
+
 // discardRefusal reads the rest of a response that says that the request was not
 // run, so that the connection can be reused.
 func (c *Conn) discardRefusal(a *attempt, resp *http.Response) Report {
@@ -311,10 +330,8 @@
 		r.Outcome = OutcomeCancelled
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		r.ClosedByPeer = isClosedByPeer(err)
-	case !c.options.Clock.Now().Before(a.call.Deadline) && a.requestWritten:
-		r.Outcome = OutcomeExpired
 	case a.requestWritten:
-		r.Outcome = OutcomeSilent
+		r.Outcome = OutcomeExpired
 	}
 	return r
 }
--- a/internal/connection/carrier/limit.go
+++ b/internal/connection/carrier/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 
 	"github.com/go-faster/errors"
 )
@@ -20,6 +21,10 @@
 	net.Conn
 	limited   bool
 	remaining int
+	// onTimeout is called when a read has reached its deadline. If it returns true,
+	// the read is repeated, so that the parsers above do not see the timeout, after
+	// which they could not continue.
+	onTimeout func() bool
 }
 
 // limit starts to limit the bytes that are read, and unlimit ends it.
@@ -29,12 +34,22 @@
 // Read implements io.Reader.
 func (c *limitedConn) Read(b []byte) (int, error) {
 	if !c.limited {
-		return c.Conn.Read(b)
+		return c.read(b)
 	}
 	if c.remaining <= 0 {
 		return 0, errHeadTooLarge
 	}
-	n, err := c.Conn.Read(b[:min(len(b), c.remaining)])
+	n, err := c.read(b[:min(len(b), c.remaining)])
 	c.remaining -= n
 	return n, err
 }
+
+// read reads from the connection until onTimeout ends it.
+func (c *limitedConn) read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.onTimeout == nil || !c.onTimeout() {
+			return n, err
+		}
+	}
+}
--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -83,6 +83,9 @@
 	EventArrived EventKind = iota
 	// EventProgress means that events of an answer arrived.
 	EventProgress
+	// EventSilent means that an attempt has made no progress for its idle timeout. It
+	// is suspended until ActionResume.
+	EventSilent
 	// EventEnded means that an attempt has ended.
 	EventEnded
 	// EventConfigured carries a configuration.
@@ -133,7 +136,8 @@
 type Event struct {
 	Kind    EventKind
 	Request Request
-	// ID and Attempt identify the attempt of EventProgress and EventEnded.
+	// ID and Attempt identify the attempt of EventProgress, EventSilent and
+	// EventEnded.
 	ID      string
 	Attempt int
 	// First is true for the first event of an answer, which arrived Elapsed after
@@ -173,6 +177,10 @@
 	// ActionFail answers the caller with Failure. If Begun is true, the connection
 	// to the caller must be closed instead, since a part of the answer was sent.
 	ActionFail
+	// ActionResume lets the suspended attempt go on.
+	ActionResume
+	// ActionAbandon ends the suspended attempt.
+	ActionAbandon
 	// ActionForwardError forwards the error response of the upstream to the caller.
 	ActionForwardError
 	// ActionFinish means that the request was answered or cancelled, so its
@@ -203,8 +211,8 @@
 	Priority     int
 	Organisation string
 	Deadline     time.Time
-	// IdleTimeout is the longest time without a byte of the answer. Zero means
-	// that only Deadline applies.
+	// IdleTimeout is the time without progress after which EventSilent is due. Zero
+	// means that it is never due.
 	IdleTimeout time.Duration
 	DialTimeout time.Duration
 	Stream      bool
@@ -235,7 +243,10 @@
 	detector detector.Detector
 	services map[string]*service
 	inFlight map[string]*inFlightRequest
-	exchange loadExchange
+	// suspended holds the time at which an attempt was suspended by the ID of the
+	// request.
+	suspended map[string]time.Time
+	exchange  loadExchange
 }
 
 // service holds the load balancer, the retry budget and the upstreams of one
@@ -256,7 +267,10 @@
 
 // New returns a dispatcher without a configuration and without upstreams.
 func New(s Settings) *Dispatcher {
-	return &Dispatcher{settings: s, entries: 1, services: map[string]*service{}, inFlight: map[string]*inFlightRequest{}}
+	return &Dispatcher{
+		settings: s, entries: 1, services: map[string]*service{},
+		inFlight: map[string]*inFlightRequest{}, suspended: map[string]time.Time{},
+	}
 }
 
 // Step processes one event and returns the resulting actions.
@@ -265,7 +279,9 @@
 	case EventArrived:
 		return d.admit(now, e.Request)
 	case EventProgress:
-		d.recordProgress(now, e)
+		return d.recordProgress(now, e)
+	case EventSilent:
+		return d.handleSilence(now, e)
 	case EventEnded:
 		return d.endAttempt(now, e)
 	case EventConfigured:
@@ -286,7 +302,7 @@
 	case EventLoadReceived:
 		d.receiveLoad(now, e.Entry, e.Report)
 	case EventTick:
-		return d.tick(now)
+		return append(d.abandonOverdue(now), d.tick(now)...)
 	case EventSynced:
 		d.synced = e.Synced
 	}
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -18,7 +18,7 @@
 	// of TCP after 1 s.
 	maxDialTimeout = 300 * time.Millisecond
 	// idleTimeoutFactor is the ratio of the idle timeout of a repeatable request to
-	// its latency target. After the idle timeout, the request is retried on another
+	// its latency target. After the idle timeout, the request is also sent to another
 	// upstream. minIdleTimeout keeps a short congestion from causing a second run of
 	// requests with a short target.
 	idleTimeoutFactor = 3
@@ -64,28 +64,38 @@
 	configurationVersion int64
 	state                retrier.RequestState
 	deadline             time.Time
-	// attempt is the number of the current attempt, and notSent the number of
-	// attempts that could not be sent.
-	attempt int
-	notSent int
-	// upstream is the instance ID of the upstream of the current attempt, and tried
-	// lists the upstreams of all attempts.
+	// run is the current attempt, and suspended an earlier one on a silent upstream
+	// while the current one is tried, nil if there is none.
+	run
+	suspended *run
+	// attempts is the number of attempts, and notSent the number of those that could
+	// not be sent.
+	attempts int
+	notSent  int
+	// tried lists the upstreams of all attempts.
+	tried     []string
+	begun     bool
+	lastEvent string
+	summary   Summary
+}
+
+// run is an attempt of a request at one upstream.
+type run struct {
+	// attempt is the number of the attempt, and upstream the instance ID of its
+	// upstream.
+	attempt  int
 	upstream string
-	tried    []string
-	// suspect is true if the content was suspect when the current attempt was sent.
+	// suspect is true if the content was suspect when the attempt was sent.
 	suspect bool
 	// pendingTokens is the number of prompt tokens that wait for prefill: all until
 	// the first event, then zero.
 	pendingTokens int
 	sentAt        time.Time
 	// prefillTokens is the number of prompt tokens, its own included, whose prefill the
-	// time to the first event of the current attempt shows. It is zero if the time
-	// depends on other things: many requests were on the upstream when it was sent, or
-	// an upstream had cached its prefix.
+	// time to the first event of the attempt shows. It is zero if the time depends on
+	// other things: many requests were on the upstream when it was sent, or an upstream
+	// had cached its prefix.
 	prefillTokens int
-	begun         bool
-	lastEvent     string
-	summary       Summary
 }
 
 func (d *Dispatcher) admit(now time.Time, r Request) []Action {
@@ -134,33 +144,25 @@
 		return d.retryOrFail(now, f, retrier.CauseExpired, nil)
 	}
 	s := d.service(f.admission.Service.Name)
-	f.suspect = d.detector.Verdict(now, f.fingerprint()) == detector.Suspect
-	q := picker.Query{
-		Candidates: s.instanceIDs, AvailabilityZone: d.settings.AvailabilityZone, Exclude: d.exclude(s, f),
-		Tier: f.admission.Priority + 1, TokenGapTarget: f.admission.Route.GapTarget, LatencyTarget: f.admission.Route.LatencyTarget,
-		Prefix: f.request.Prefix, PrefixTokens: f.request.PrefixTokens, PromptTokens: f.request.PromptTokens,
-		Suspect: f.suspect, LongPrompt: f.hasLongPrompt(s), LongPromptShare: s.longPromptShare(),
-		MaxSpilloverTokens: s.separator.MaxSpilloverTokens(), Deferrable: f.isDeferrable(s),
-	}
+	q := d.query(now, s, f)
 	id, ok := s.picker.Pick(now, q)
 	if !ok {
 		return d.retryOrFail(now, f, retrier.CauseNoUpstream, nil)
 	}
-	if f.attempt == 0 && d.mustShed(s, f, id) {
+	if f.attempts == 0 && d.mustShed(s, f, id) {
 		f.summary.Upstream = id
 		delete(d.inFlight, f.request.ID)
 		return []Action{d.failAction(now, f, unavailable("overloaded", "no upstream could begin the request in time"))}
 	}
-	f.attempt++
-	f.upstream, f.tried = id, append(f.tried, id)
+	f.attempts++
+	f.run = run{attempt: f.attempts, upstream: id, suspect: q.Suspect, pendingTokens: f.request.PromptTokens, sentAt: now}
+	f.tried = append(f.tried, id)
 	d.recordPlacement(f)
-	f.pendingTokens, f.sentAt = f.request.PromptTokens, now
 	u := s.picker.Upstream(id)
-	f.prefillTokens = 0
 	if f.request.PrefixTokens < minPlacementTokens || !s.picker.IsCached(f.request.Prefix) {
 		f.prefillTokens = prefillTokens(u, f.pendingTokens)
 	}
-	f.summary.Upstream, f.summary.Attempts = id, f.attempt
+	f.summary.Upstream, f.summary.Attempts = id, f.attempts
 	f.summary.Outstanding, f.summary.PendingTokens = u.Outstanding, u.PendingTokens
 	s.picker.Step(now, picker.Event{Kind: picker.EventSent, Upstream: id, Prefix: f.request.Prefix, Suspect: f.suspect, PromptTokens: f.pendingTokens})
 	remaining := f.deadline.Sub(now)
@@ -175,6 +177,18 @@
 	}}
 }
 
+// query returns the query for the upstream of the next attempt of f.
+func (d *Dispatcher) query(now time.Time, s *service, f *inFlightRequest) picker.Query {
+	return picker.Query{
+		Candidates: s.instanceIDs, AvailabilityZone: d.settings.AvailabilityZone, Exclude: d.exclude(s, f),
+		Tier: f.admission.Priority + 1, TokenGapTarget: f.admission.Route.GapTarget, LatencyTarget: f.admission.Route.LatencyTarget,
+		Prefix: f.request.Prefix, PrefixTokens: f.request.PrefixTokens, PromptTokens: f.request.PromptTokens,
+		Suspect:    d.detector.Verdict(now, f.fingerprint()) == detector.Suspect,
+		LongPrompt: f.hasLongPrompt(s), LongPromptShare: s.longPromptShare(),
+		MaxSpilloverTokens: s.separator.MaxSpilloverTokens(), Deferrable: f.isDeferrable(s),
+	}
+}
+
 // exclude returns the instance IDs of the upstreams that must not get f: those of
 // its previous attempts, and those on which this entry has used up its share of the
 // connection limit.
@@ -193,8 +207,8 @@
 	return out
 }
 
-// idleTimeout returns the time without a byte of the answer after which f is
-// retried on another upstream, or zero if f must not run again.
+// idleTimeout returns the time without progress after which another upstream is
+// tried for f, or zero if f must not run again.
 func idleTimeout(f *inFlightRequest, remaining time.Duration) time.Duration {
 	if !f.state.Repeatable || f.state.Lost+f.state.Failed+1 >= f.state.MaxRuns {
 		return 0
@@ -206,23 +220,27 @@
 	return min(max(minIdleTimeout, idleTimeoutFactor*f.admission.Route.LatencyTarget), remaining/2)
 }
 
-func (d *Dispatcher) recordProgress(now time.Time, e Event) {
+// recordProgress handles events of an answer. An attempt that is suspended is then
+// no longer needed.
+func (d *Dispatcher) recordProgress(now time.Time, e Event) []Action {
 	f := d.inFlight[e.ID]
 	if f == nil || f.attempt != e.Attempt {
-		return
+		return nil
 	}
 	s := d.service(f.admission.Service.Name)
 	f.begun, f.lastEvent = e.Begun, e.LastEvent
+	out := d.abandonSuspended(now, f)
 	if e.First {
 		s.picker.Step(now, picker.Event{Kind: picker.EventFirstToken, Upstream: f.upstream, Elapsed: e.Elapsed, PromptTokens: f.pendingTokens})
 		f.pendingTokens = 0
 		if f.prefillTokens > 0 {
 			s.separator.Step(now, separator.Event{Kind: separator.EventPrefilled, Request: f.admission.Route.Name, PromptTokens: f.prefillTokens, Elapsed: e.Elapsed})
 		}
-		return
+		return out
 	}
 	s.separator.Step(now, separator.Event{Kind: separator.EventProgress, Request: f.admission.Route.Name, Elapsed: e.Elapsed, Events: e.Events})
 	s.picker.Step(now, picker.Event{Kind: picker.EventTokens, Upstream: f.upstream, Elapsed: e.Elapsed, Tokens: e.Events})
+	return out
 }
 
 func (d *Dispatcher) endAttempt(now time.Time, e Event) []Action {
@@ -277,10 +295,7 @@
 			s.picker.Step(now, picker.Event{Kind: picker.EventFirstToken, Upstream: f.upstream, Elapsed: e.Elapsed})
 		}
 	}
-	s.picker.Step(now, p)
-	if _, ok := s.upstreams[f.upstream]; !ok && s.picker.Upstream(f.upstream).Outstanding == 0 {
-		s.picker.Remove(f.upstream)
-	}
+	s.recordEnd(now, p)
 	switch e.Outcome {
 	case OutcomeCrashed:
 		return sendStrikes(d.detector.Step(now, detector.Event{
@@ -292,8 +307,18 @@
 	return nil
 }
 
+// recordEnd reports the end of an attempt to the picker, which forgets an upstream
+// that has left once its last attempt has ended.
+func (s *service) recordEnd(now time.Time, e picker.Event) {
+	s.picker.Step(now, e)
+	if _, ok := s.upstreams[e.Upstream]; !ok && s.picker.Upstream(e.Upstream).Outstanding == 0 {
+		s.picker.Remove(e.Upstream)
+	}
+}
+
 // retryOrFail starts the next attempt of a request whose attempt ended with cause
-// c, or fails the request. The actions are appended to before.
+// c, or fails the request. A request with a suspended attempt does not fail: that
+// attempt goes on. The actions are appended to before.
 func (d *Dispatcher) retryOrFail(now time.Time, f *inFlightRequest, c retrier.Cause, before []Action) []Action {
 	f.state.Quarantined = d.detector.Verdict(now, f.fingerprint()) == detector.Quarantined
 	if f.begun {
@@ -303,6 +328,8 @@
 	}
 	decision := d.service(f.admission.Service.Name).budget.Decide(f.state, c)
 	switch {
+	case decision.Failure != nil && f.suspended != nil:
+		return append(before, d.resume(now, f, decision.Failure.Code))
 	case decision.ForwardUpstreamError && !f.begun:
 		delete(d.inFlight, f.request.ID)
 		return append(before, Action{Kind: ActionForwardError, ID: f.request.ID, Attempt: f.attempt, Summary: f.finalSummary(now, decision.Failure.Message)})
@@ -314,6 +341,7 @@
 }
 
 func (d *Dispatcher) finish(now time.Time, f *inFlightRequest, reason string) Action {
+	d.endSuspended(now, f, picker.EventEnded)
 	delete(d.inFlight, f.request.ID)
 	return Action{Kind: ActionFinish, ID: f.request.ID, Attempt: f.attempt, Begun: f.begun, Summary: f.finalSummary(now, reason)}
 }
--- /dev/null
+++ b/internal/process/dispatcher/silence.go
@@ -0,0 +1,88 @@
+package dispatcher
+
+import (
+	"time"
+
+	"magnoliafront.dev/magnoliafront/internal/process/picker"
+	"magnoliafront.dev/magnoliafront/internal/request/retrier"
+)
+
+// A sound upstream may be silent for a while. An attempt that makes no progress is
+// therefore suspended rather than ended while another upstream is tried, and goes on
+// if that one does not take the request.
+
+// maxOverlap is the time after which a suspended attempt is abandoned, at the next
+// EventTick. An upstream refuses a request within a few round trips. Afterwards, two
+// upstreams would work on the same request for longer than users accept (0.4 s).
+const maxOverlap = 100 * time.Millisecond
+
+// handleSilence tries another upstream for a request whose attempt is suspended. If
+// none can get the request, the attempt goes on.
+func (d *Dispatcher) handleSilence(now time.Time, e Event) []Action {
+	f := d.inFlight[e.ID]
+	if f == nil || f.attempt != e.Attempt {
+		return nil
+	}
+	f.begun, f.lastEvent = e.Begun, e.LastEvent
+	s := d.service(f.admission.Service.Name)
+	silent := f.run
+	f.suspended, d.suspended[f.request.ID] = &silent, now
+	// The suspended attempt may have been run.
+	f.state.Lost++
+	if f.begun && f.lastEvent == "" {
+		return []Action{d.resume(now, f, "not_resumable")}
+	}
+	if _, ok := s.picker.Pick(now, d.query(now, s, f)); !ok {
+		return []Action{d.resume(now, f, "no_upstream")}
+	}
+	return d.retryOrFail(now, f, retrier.CauseLost, nil)
+}
+
+// resume makes the suspended attempt of f the current one again. The reason is that
+// for which there is no other attempt.
+func (d *Dispatcher) resume(now time.Time, f *inFlightRequest, reason string) Action {
+	f.run = *f.suspended
+	f.state.Lost--
+	d.forgetSuspended(f)
+	f.summary.Upstream = f.upstream
+	return Action{Kind: ActionResume, ID: f.request.ID, Attempt: f.attempt, Summary: f.finalSummary(now, reason)}
+}
+
+// abandonSuspended ends the suspended attempt of f, if there is one. Its upstream is
+// lost for the picker.
+func (d *Dispatcher) abandonSuspended(now time.Time, f *inFlightRequest) []Action {
+	if f.suspended == nil {
+		return nil
+	}
+	attempt := f.suspended.attempt
+	d.endSuspended(now, f, picker.EventLost)
+	return []Action{{Kind: ActionAbandon, ID: f.request.ID, Attempt: attempt, Summary: f.finalSummary(now, "moved")}}
+}
+
+// abandonOverdue abandons the attempts that have been suspended for maxOverlap.
+func (d *Dispatcher) abandonOverdue(now time.Time) []Action {
+	var out []Action
+	for id, since := range d.suspended {
+		if now.Sub(since) >= maxOverlap {
+			out = append(out, d.abandonSuspended(now, d.inFlight[id])...)
+		}
+	}
+	return out
+}
+
+// endSuspended reports the end of the suspended attempt of f, if there is one, to the
+// picker.
+func (d *Dispatcher) endSuspended(now time.Time, f *inFlightRequest, kind picker.EventKind) {
+	if f.suspended == nil {
+		return
+	}
+	d.service(f.admission.Service.Name).recordEnd(now, picker.Event{
+		Kind: kind, Upstream: f.suspended.upstream, Suspect: f.suspended.suspect, PromptTokens: f.suspended.pendingTokens,
+	})
+	d.forgetSuspended(f)
+}
+
+func (d *Dispatcher) forgetSuspended(f *inFlightRequest) {
+	f.suspended = nil
+	delete(d.suspended, f.request.ID)
+}
--- a/internal/process/emulator/runner.go
+++ b/internal/process/emulator/runner.go
@@ -67,6 +67,9 @@
 	// RunnerEndlessUnframed is like RunnerEndlessEvent, but the end of the connection
 	// marks that of the stream.
 	RunnerEndlessUnframed
+	// RunnerPauses is silent after half of the events of a stream, and before the
+	// answer to another request, until Runner.Continue is closed.
+	RunnerPauses
 )
 
 // OneTimeBehaviour is a behaviour for a single request. If several runners share
@@ -101,6 +104,8 @@
 	EventInterval time.Duration
 	// Release blocks each answer until it is closed. Nil means no delay.
 	Release chan struct{}
+	// Continue ends the silence of RunnerPauses when it is closed.
+	Continue chan struct{}
 
 	behaviour atomic.Int32
 	once      atomic.Pointer[OneTimeBehaviour]
@@ -118,7 +123,8 @@
 	}
 	r := &Runner{
 		ID: id, Events: 8, EventInterval: time.Millisecond, listener: l,
-		calls: buffer.New[func(*[]*RunnerRequest), buffer.Block]("runner_runs", 64), done: make(chan struct{}),
+		calls:    buffer.New[func(*[]*RunnerRequest), buffer.Block]("runner_runs", 64),
+		Continue: make(chan struct{}), done: make(chan struct{}),
 	}
 	r.server = &http.Server{Handler: r, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = r.server.Serve(l) }()
@@ -252,6 +258,9 @@
 // Last-Event-Id names.
 func (r *Runner) writeAnswer(w http.ResponseWriter, req *http.Request, run *RunnerRequest, b RunnerBehaviour) {
 	if !isStream(req) {
+		if b == RunnerPauses && !r.pause(req, run) {
+			return
+		}
 		_, _ = io.WriteString(w, r.body(run))
 		return
 	}
@@ -267,6 +276,9 @@
 			_ = flusher.Flush()
 			panic(http.ErrAbortHandler)
 		}
+		if b == RunnerPauses && i == r.Events/2+1 && !r.pause(req, run) {
+			return
+		}
 		_, _ = io.WriteString(w, Event(run.ID, i))
 		_ = flusher.Flush()
 		select {
@@ -278,6 +290,17 @@
 	}
 }
 
+// pause waits for Continue. It reports false if the connection has ended.
+func (r *Runner) pause(req *http.Request, run *RunnerRequest) bool {
+	select {
+	case <-r.Continue:
+		return true
+	case <-req.Context().Done():
+		close(run.Cancelled)
+		return false
+	}
+}
+
 // Event returns event i, from one, of the stream that answers the request id.
 func Event(id string, i int) string { return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", i, id, i) }
 
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -24,6 +24,14 @@
 		f.send(now, a)
 	case dispatcher.ActionFail:
 		f.failRequest(a)
+	case dispatcher.ActionResume:
+		f.resume(a)
+	case dispatcher.ActionAbandon:
+		if t := f.attempts[a.ID]; t != nil && t.suspended != nil {
+			logDecision("silent attempt abandoned", a)
+			t.suspended.cancel()
+			t.suspended = nil
+		}
 	case dispatcher.ActionForwardError:
 		if t := f.endRequest(a); t != nil {
 			t.job.Replies.Put(t.job.Context, t.errorResponse)
@@ -63,8 +71,12 @@
 		p = &pool{upstream: a.Upstream}
 		f.pools[id] = p
 	}
+	if t.conn != nil {
+		silent := t.liveCall
+		t.suspended = &silent
+	}
 	ctx, cancel := context.WithCancel(t.job.Context)
-	t.cancel, t.pool, t.number = cancel, p, a.Attempt
+	t.liveCall = liveCall{number: a.Attempt, cancel: cancel, pool: p}
 	t.call = carrier.Call{
 		Request: a.ID, Attempt: a.Attempt, Context: ctx,
 		Head: f.options.Codec.Encode(t.job, a, a.Deadline.Sub(now)), Body: t.job.Body,
@@ -102,6 +114,15 @@
 func (f *Forwarder) handleReport(now time.Time, p *pool, r carrier.Report) {
 	t := f.attempts[r.Request]
 	current := t != nil && t.number == r.Attempt
+	if r.Silent {
+		if current {
+			t.conn = r.Conn
+			f.dispatch(now, dispatcher.Event{
+				Kind: dispatcher.EventSilent, ID: r.Request, Attempt: r.Attempt, Begun: r.Begun, LastEvent: r.LastEvent,
+			})
+		}
+		return
+	}
 	if !r.Ended {
 		if current {
 			f.dispatch(now, dispatcher.Event{
@@ -134,6 +155,22 @@
 	f.cleanUpPool(p)
 }
 
+// resume lets a suspended call go on.
+func (f *Forwarder) resume(a dispatcher.Action) {
+	t := f.attempts[a.ID]
+	if t == nil {
+		return
+	}
+	if t.suspended != nil {
+		t.cancel()
+		t.liveCall, t.suspended = *t.suspended, nil
+	}
+	logDecision("silent attempt goes on", a)
+	c := t.conn
+	t.conn = nil
+	c.Resume()
+}
+
 // attemptOutcome translates the outcome of a call for the dispatcher.
 func attemptOutcome(r carrier.Report) dispatcher.AttemptOutcome {
 	switch r.Outcome {
@@ -159,7 +196,7 @@
 // outcomeName returns the name of o in log lines. The names are in the order of the
 // constants in package carrier.
 func outcomeName(o carrier.Outcome) string {
-	names := [...]string{"answered", "failed", "refused", "not_sent", "stale", "lost", "silent", "expired", "cancelled"}
+	names := [...]string{"answered", "failed", "refused", "not_sent", "stale", "lost", "expired", "cancelled"}
 	if int(o) < len(names) {
 		return names[o]
 	}
@@ -188,9 +225,7 @@
 		return nil
 	}
 	delete(f.attempts, a.ID)
-	if t.cancel != nil {
-		t.cancel()
-	}
+	t.cancelCalls()
 	logDecision("request ended", a, "first_event", t.firstEvent, "longest_pause", t.longestPause)
 	if f.options.Observe != nil {
 		f.options.Observe(Observation{Route: a.Summary.Route, Result: a.Summary.Reason, Elapsed: a.Summary.Elapsed})
@@ -198,6 +233,16 @@
 	return t
 }
 
+// cancelCalls cancels the calls of a request.
+func (t *attempt) cancelCalls() {
+	if t.cancel != nil {
+		t.cancel()
+	}
+	if t.suspended != nil {
+		t.suspended.cancel()
+	}
+}
+
 // logDecision logs message with the summary of a and further key-value pairs.
 func logDecision(message string, a dispatcher.Action, keysAndValues ...any) {
 	s := a.Summary
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -131,11 +131,11 @@
 
 // attempt is a request in flight and its current attempt.
 type attempt struct {
-	job    Job
-	number int
-	call   carrier.Call
-	cancel context.CancelFunc
-	pool   *pool
+	job Job
+	liveCall
+	// suspended is the call of an earlier attempt whose upstream is silent, nil if
+	// there is none.
+	suspended *liveCall
 	// firstEvent is the time to the first event of the last call, and longestPause
 	// the longest time between its events. They are logged.
 	firstEvent   time.Duration
@@ -145,6 +145,16 @@
 	errorResponse relayer.Reply
 }
 
+// liveCall is the call of one attempt.
+type liveCall struct {
+	number int
+	call   carrier.Call
+	cancel context.CancelFunc
+	pool   *pool
+	// conn is the connection of a call that is suspended.
+	conn *carrier.Conn
+}
+
 type eventKind int
 
 const (
@@ -373,9 +383,7 @@
 // closes all idle connections to upstreams.
 func (f *Forwarder) stop() {
 	for _, a := range f.attempts {
-		if a.cancel != nil {
-			a.cancel()
-		}
+		a.cancelCalls()
 		a.job.Replies.Close()
 	}
 	for _, p := range f.pools {
--- a/internal/process/starter/gateway_silent_test.go
+++ b/internal/process/starter/gateway_silent_test.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"magnoliafront.dev/magnoliafront/internal/process/emulator"
 )
 
 // silencingProxy forwards TCP connections to a server. From a call of silence on,
@@ -93,3 +96,32 @@
 	is.True(a.status == http.StatusOK || a.status == http.StatusGatewayTimeout || a.status == http.StatusBadGateway)
 	is.True(len(r.executedRequests("h")) <= 1)
 }
+
+// A sound upstream that is silent for a second or so must not cost the caller its
+// answer: the entry ended the silent attempt before it had another one, and cut the
+// stream off when the other upstream refused.
+func TestGatewayKeepsAnswerOfSilentUpstream(t *testing.T) {
+	for _, c := range []struct{ name, path string }{
+		{"stream that has begun", "/stream/chat/1"},
+		{"call", "/check/1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newGatewayFixture(t, 2)
+			g := r.startReadyEntry()
+			r.setBehaviour(emulator.RunnerRefuses)
+			r.setBehaviourOnce(emulator.RunnerPauses)
+			answers := make(chan answer, 1)
+			go func() { answers <- g.call(http.MethodPost, c.path, "x1", "", nil) }()
+			assertEventually(t, "the other upstream has refused", func() bool { return len(r.allRequests()) > 1 })
+			for _, run := range r.runners {
+				close(run.Continue)
+			}
+			a := <-answers
+			assertStatus(t, a, http.StatusOK)
+			assertExecuted(t, r, "x1", 1)
+			if strings.HasPrefix(c.path, "/stream/") {
+				assertStream(t, a, "x1", r.runners[0].Events)
+			}
+		})
+	}
+}
