Abandon a suspended attempt when the next one falls silent too

Cause: the dispatcher suspended the second attempt in place of the first one, which stayed counted on its upstream, while the forwarder still held the first. A resume then cancelled the second call and let the first go on, whose reports the dispatcher ignored, so that the request had no end.

TestSecondSilenceAbandonsFirstAttempt failed, since the first attempt was not abandoned.

Change: a silent attempt abandons the one that was suspended before it. Its run still counts, and the newer one can go on.

--- a/internal/process/dispatcher/silence.go
+++ b/internal/process/dispatcher/silence.go
@@ -24,18 +24,20 @@
 		return nil
 	}
 	f.begun, f.lastEvent = e.Begun, e.LastEvent
+	// At most two upstreams work on a request, and one silent attempt can go on.
+	out := d.abandonSuspended(now, f)
 	s := d.service(f.admission.Service.Name)
 	silent := f.run
 	f.suspended, d.suspended[f.request.ID] = &silent, now
 	// The suspended attempt may have been run.
 	f.state.Lost++
 	if f.begun && f.lastEvent == "" {
-		return []Action{d.resume(now, f, "not_resumable")}
+		return append(out, d.resume(now, f, "not_resumable"))
 	}
 	if _, ok := s.picker.Pick(now, d.query(now, s, f)); !ok {
-		return []Action{d.resume(now, f, "no_upstream")}
+		return append(out, d.resume(now, f, "no_upstream"))
 	}
-	return d.retryOrFail(now, f, retrier.CauseLost, nil)
+	return d.retryOrFail(now, f, retrier.CauseLost, out)
 }
 
 // resume makes the suspended attempt of f the current one again. The reason is that
--- a/internal/process/dispatcher/silence_order_test.go
+++ b/internal/process/dispatcher/silence_order_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"magnoliafront.dev/magnoliafront/internal/version/matcher"
 )
 
 // A suspended attempt that had ended by itself, at the deadline for example, was resumed
@@ -27,3 +29,37 @@
 		})
 	}
 }
+
+// When the other attempt fell silent too, the first one was forgotten but not ended, and
+// the entry went on with the wrong one: the request never ended. The first is abandoned.
+func TestSecondSilenceAbandonsFirstAttempt(t *testing.T) {
+	begin := func(t *testing.T) (*Dispatcher, []Action) {
+		t.Helper()
+		d := newDispatcher()
+		all := routes()
+		all[0].MaxAttempts = 3
+		d.Step(testTime(), Event{Kind: EventConfigured, Table: matcher.New(matcher.Configuration{
+			Version: 2, Routes: all, Organisations: []matcher.Organisation{{Name: "guides", Keys: []string{"key"}}},
+		})})
+		d.Step(testTime(), Event{Kind: EventArrived, Request: request("/chat/1")})
+		assertSent(t, d.Step(testTime(), Event{Kind: EventSilent, ID: "r1", Attempt: 1, Begun: true, LastEvent: "7"}), 2)
+		next := d.Step(testTime(), Event{Kind: EventSilent, ID: "r1", Attempt: 2, Begun: true, LastEvent: "7"})
+		is := is.New(t)
+		is.Equal(next[0].Kind, ActionAbandon)
+		is.Equal(next[0].Attempt, 1)
+		return d, next
+	}
+	t.Run("and a third one is tried", func(t *testing.T) {
+		d, next := begin(t)
+		assertSent(t, next, 3)
+		assertKind(t, endAttempt(d, 3, Event{Outcome: OutcomeAnswered, Begun: true, LastEvent: "9"}), ActionFinish)
+		assertIdle(t, d)
+	})
+	t.Run("and the second one goes on if the third is refused", func(t *testing.T) {
+		d, _ := begin(t)
+		resumed := assertKind(t, endAttempt(d, 3, Event{Outcome: OutcomeRefused, Begun: true, LastEvent: "7"}), ActionResume)
+		is.New(t).Equal(resumed.Attempt, 2)
+		assertKind(t, endAttempt(d, 2, Event{Outcome: OutcomeAnswered, Begun: true, LastEvent: "9"}), ActionFinish)
+		assertIdle(t, d)
+	})
+}
