Do not resume a silent attempt after a part of another answer

Callers got a part of one upstream's answer and then the whole answer of another one.

Cause: an upstream that took the request of a silent one relayed the head and a part of its answer, without an event that is reported, and broke off: an answer too large to buffer, or a stream that had only comments. The silent attempt was still suspended, was resumed, and relayed its answer as if the caller had nothing.

Change: if the end of an attempt shows that the caller has got more than before, the suspended attempt is abandoned first. The request is then retried or cut off as after any answer that breaks off.

--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -252,33 +252,38 @@
 	if f == nil || f.attempt != e.Attempt {
 		return nil
 	}
+	var out []Action
+	if e.Begun != f.begun || e.LastEvent != f.lastEvent {
+		// The caller has a part of this answer, which another one must not follow.
+		out = d.abandonSuspended(now, f)
+	}
 	f.begun, f.lastEvent = e.Begun, e.LastEvent
-	strikes := d.recordOutcome(now, f, e)
+	out = append(out, d.recordOutcome(now, f, e)...)
 	switch e.Outcome {
 	case OutcomeAnswered:
-		return append(strikes, d.finish(now, f, "answered"))
+		return append(out, d.finish(now, f, "answered"))
 	case OutcomeCancelled:
-		return append(strikes, d.finish(now, f, "cancelled"))
+		return append(out, d.finish(now, f, "cancelled"))
 	case OutcomeFailed:
 		f.state.Failed++
-		return d.retryOrFail(now, f, retrier.CauseFailed, strikes)
+		return d.retryOrFail(now, f, retrier.CauseFailed, out)
 	case OutcomeRefused:
 		f.state.Refused++
-		return d.retryOrFail(now, f, retrier.CauseRefused, strikes)
+		return d.retryOrFail(now, f, retrier.CauseRefused, out)
 	case OutcomeNotSent:
 		f.notSent++
 		if f.notSent >= maxNotSent {
-			return d.retryOrFail(now, f, retrier.CauseNoUpstream, strikes)
+			return d.retryOrFail(now, f, retrier.CauseNoUpstream, out)
 		}
-		return append(strikes, d.send(now, f)...)
+		return append(out, d.send(now, f)...)
 	case OutcomeExpired:
 		f.state.Lost++
-		return d.retryOrFail(now, f, retrier.CauseExpired, strikes)
+		return d.retryOrFail(now, f, retrier.CauseExpired, out)
 	case OutcomeLost, OutcomeCrashed:
 		f.state.Lost++
-		return d.retryOrFail(now, f, retrier.CauseLost, strikes)
+		return d.retryOrFail(now, f, retrier.CauseLost, out)
 	}
-	return strikes
+	return out
 }
 
 // recordOutcome reports the end of an attempt to the picker and to the detector. It
--- a/internal/process/dispatcher/silence_order_test.go
+++ b/internal/process/dispatcher/silence_order_test.go
@@ -63,3 +63,26 @@
 		assertIdle(t, d)
 	})
 }
+
+// The other attempt relayed the head of its answer, or a part of a large one, and broke
+// off. The suspended attempt was then resumed and relayed its own answer after that part.
+func TestSuspendedAttemptIsNotResumedAfterPartOfAnotherAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name, path, silentAt, brokenAt string
+	}{
+		{"large answer of a call", "/check/1", "", ""},
+		{"stream without an event", "/chat/1", "", ""},
+		{"stream with an event that was not reported", "/chat/1", "7", "8"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d, next := silentChat(c.path, c.silentAt)
+			assertSent(t, next, 2)
+			failed := endAttempt(d, 2, Event{Outcome: OutcomeLost, Begun: true, LastEvent: c.brokenAt})
+			is := is.New(t)
+			is.Equal(failed[0].Kind, ActionAbandon)
+			is.Equal(failed[0].Attempt, 1)
+			is.True(assertKind(t, failed, ActionFail).Begun)
+			assertIdle(t, d)
+		})
+	}
+}
--- a/internal/process/forwarder/silence_test.go
+++ b/internal/process/forwarder/silence_test.go
@@ -1,10 +1,14 @@
 package forwarder_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,9 +22,9 @@
 	"magnoliafront.dev/magnoliafront/pkg/timer"
 )
 
-// silentUpstream listens and reads all that it is sent, and never answers. It returns
-// its address.
-func silentUpstream(t *testing.T) string {
+// listenUpstream listens and passes each connection to serve once the head of a request
+// has been read. It returns its address.
+func listenUpstream(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
@@ -32,25 +36,30 @@
 				return
 			}
 			go func() {
-				_, _ = io.Copy(io.Discard, conn)
-				_ = conn.Close()
+				defer func() { _ = conn.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					serve(conn)
+				}
 			}()
 		}
 	}()
 	return l.Addr().String()
 }
 
-// newSilentForwarder returns a forwarder with two upstreams that never answer and a
-// route of the given kind.
-func newSilentForwarder(t *testing.T, kind matcher.RouteKind, maxAttempts int) *forwarder.Forwarder {
+// staySilent never answers.
+func staySilent(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) }
+
+// newSilentForwarder returns a forwarder with two upstreams that serve connections with
+// serve and a route of the given kind.
+func newSilentForwarder(t *testing.T, kind matcher.RouteKind, maxAttempts int, serve func(net.Conn)) *forwarder.Forwarder {
 	t.Helper()
 	f := forwarder.New(forwarder.Options{
 		Clock: timer.System{}, Codec: faultyCodec{}, Dispatcher: dispatcher.Settings{RetryRatio: 1, RetryCapacity: 1000},
 	})
 	t.Cleanup(f.Stop)
 	f.HandleRegistrarEvent(registrar.Event{Kind: registrar.EventListed, Upstreams: []registrar.Upstream{
-		{Name: "desk-1", Service: "desk", Address: silentUpstream(t)},
-		{Name: "desk-2", Service: "desk", Address: silentUpstream(t)},
+		{Name: "desk-1", Service: "desk", Address: listenUpstream(t, serve)},
+		{Name: "desk-2", Service: "desk", Address: listenUpstream(t, serve)},
 	}})
 	f.Configure(matcher.New(matcher.Configuration{Version: 1, Routes: []matcher.Route{{
 		Name: "all", Host: "h", PathPrefix: "/", Public: true, Kind: kind, Resumable: true, MaxAttempts: maxAttempts, Timeout: time.Minute,
@@ -76,7 +85,7 @@
 		{"after the second idle timeout", matcher.Idempotent, 3, 400 * time.Millisecond},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			f := newSilentForwarder(t, c.kind, c.maxAttempts)
+			f := newSilentForwarder(t, c.kind, c.maxAttempts, staySilent)
 			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 			defer cancel()
 			var all []*relayer.Ring
@@ -102,3 +111,32 @@
 	}, Context: ctx, Replies: replies}))
 	return replies
 }
+
+// The second upstream relayed a part of a large answer and broke off. The suspended first
+// attempt was then resumed, and the caller got its answer after that part.
+func TestAnswerOfSilentUpstreamDoesNotFollowPartOfAnother(t *testing.T) {
+	var served atomic.Int64
+	broken := make(chan struct{})
+	f := newSilentForwarder(t, matcher.Idempotent, 2, func(conn net.Conn) {
+		if served.Add(1) == 1 {
+			<-broken
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n"+strings.Repeat("x", 300_000))
+		close(broken)
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	replies := submit(ctx, t, f, "r1", 20*time.Second)
+	for i := 0; ; i++ {
+		reply, ok := replies.Take(ctx)
+		if !ok {
+			break
+		}
+		is := is.New(t)
+		is.Equal(reply.Kind == relayer.KindHead, i == 0)
+		is.True(reply.Kind == relayer.KindHead || reply.Kind == relayer.KindBody)
+	}
+	is.New(t).NoErr(ctx.Err())
+}
