Count a silent upstream as lost when another one answers

Callers of short requests waited for a silent upstream again and again: it kept its place among the upstreams of the next requests.

Cause: the whole answer of a request that is not streamed comes with the end of the attempt, without a progress report before it. The attempt suspended on the silent upstream then ended like one that was answered, without a backoff and as a success in the failure rate.

Change: a suspended attempt that does not go on counts as lost, however the request ends.

--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -365,7 +365,7 @@
 }
 
 func (d *Dispatcher) finish(now time.Time, f *inFlightRequest, reason string) Action {
-	d.endSuspended(now, f, picker.EventEnded)
+	d.endSuspended(now, f)
 	delete(d.inFlight, f.request.ID)
 	return Action{Kind: ActionFinish, ID: f.request.ID, Attempt: f.attempt, Begun: f.begun, Summary: f.finalSummary(now, reason)}
 }
--- a/internal/process/dispatcher/silence.go
+++ b/internal/process/dispatcher/silence.go
@@ -50,14 +50,13 @@
 	return Action{Kind: ActionResume, ID: f.request.ID, Attempt: f.attempt, Summary: f.finalSummary(now, reason)}
 }
 
-// abandonSuspended ends the suspended attempt of f, if there is one. Its upstream is
-// lost for the picker.
+// abandonSuspended ends the suspended attempt of f, if there is one.
 func (d *Dispatcher) abandonSuspended(now time.Time, f *inFlightRequest) []Action {
 	if f.suspended == nil {
 		return nil
 	}
 	attempt := f.suspended.attempt
-	d.endSuspended(now, f, picker.EventLost)
+	d.endSuspended(now, f)
 	return []Action{{Kind: ActionAbandon, ID: f.request.ID, Attempt: attempt, Summary: f.finalSummary(now, "moved")}}
 }
 
@@ -72,14 +71,14 @@
 	return out
 }
 
-// endSuspended reports the end of the suspended attempt of f, if there is one, to the
+// endSuspended reports the suspended attempt of f, if there is one, as lost to the
 // picker.
-func (d *Dispatcher) endSuspended(now time.Time, f *inFlightRequest, kind picker.EventKind) {
+func (d *Dispatcher) endSuspended(now time.Time, f *inFlightRequest) {
 	if f.suspended == nil {
 		return
 	}
 	d.service(f.admission.Service.Name).recordEnd(now, picker.Event{
-		Kind: kind, Upstream: f.suspended.upstream, Suspect: f.suspended.suspect, PromptTokens: f.suspended.pendingTokens,
+		Kind: picker.EventLost, Upstream: f.suspended.upstream, Suspect: f.suspended.suspect, PromptTokens: f.suspended.pendingTokens,
 	})
 	d.forgetSuspended(f)
 }
--- a/internal/process/dispatcher/silence_order_test.go
+++ b/internal/process/dispatcher/silence_order_test.go
@@ -99,3 +99,22 @@
 		is.New(t).Equal(len(newDispatcher().Step(testTime(), Event{Kind: EventAborted, ID: "r1"})), 0)
 	})
 }
+
+// A silent upstream counted as one that had answered if the whole answer came from
+// another, so that it got the next requests as well.
+func TestSilentUpstreamCountsAsLostWhenAnotherAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		outcome AttemptOutcome
+	}{{"the other upstream answers", OutcomeAnswered}, {"the caller disconnects", OutcomeCancelled}} {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDispatcher()
+			first := assertSent(t, d.Step(testTime(), Event{Kind: EventArrived, Request: request("/check/1")}), 1)
+			assertSent(t, d.Step(testTime(), Event{Kind: EventSilent, ID: "r1", Attempt: 1}), 2)
+			assertKind(t, endAttempt(d, 2, Event{Outcome: c.outcome}), ActionFinish)
+			u := d.service("desk").picker.Upstream(first.Upstream.InstanceID())
+			is.New(t).True(u.BackoffUntil.After(testTime()))
+			assertIdle(t, d)
+		})
+	}
+}
