Keep a suspended attempt until another one is sent

Callers saw their connection cut when their upstream was silent for a second or so and the upstreams tried instead could not be reached.

Cause: the time after which a suspended attempt is abandoned, 0.1 s, ran from the silence. A connection to an upstream that is unreachable is given up after 0.3 s, and four such upstreams are tried: the silent attempt, which still worked, was abandoned before any upstream had the request.

Evidence: TestSuspendedAttemptIsKeptUntilAnotherIsSent, without the event that the former code lacks, failed on it: the tick after 0.3 s abandoned the attempt.

Change: the carrier reports that the request of an attempt was written if another one is suspended, and the time runs from there. An attempt whose connection is still being established does not count as work on the request. TestSuspendedAttemptIsAbandoned sends that event first; its bound is unchanged. TestSilentUpstreamIsDisconnectedOnceAnotherHasTheRequest covers the path through the carrier.

--- a/internal/connection/carrier/carrier.go
+++ b/internal/connection/carrier/carrier.go
@@ -79,6 +79,8 @@
 	// never is.
 	Deadline    time.Time
 	IdleTimeout time.Duration
+	// ReportSent asks for a report once the request was written; see [Report].
+	ReportSent bool
 	// Stream is true if the response is relayed event by event. Begun is true if
 	// the caller has received the head and the events up to LastEvent in an
 	// earlier attempt.
@@ -137,6 +139,9 @@
 	// call is then suspended: it relays nothing until [Conn.Resume], or until its
 	// context is cancelled. Ended is false.
 	Silent bool
+	// Sent is true once the request was written, if Call.ReportSent is set. Ended is
+	// false.
+	Sent bool
 
 	Outcome Outcome
 	// Status is the HTTP status of the response, if there was one. It is zero for
--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -109,6 +109,9 @@
 		// have sent a response.
 		a.call.Deadline = earlier(a.call.Deadline, c.options.Clock.Now().Add(earlyResponseTimeout))
 	}
+	if a.call.ReportSent {
+		c.options.Report(Report{Conn: c, Request: a.call.Request, Attempt: a.call.Attempt, Sent: true, Begun: a.begun, LastEvent: a.splitter.lastID})
+	}
 	c.received.onTimeout = func() bool { return c.suspend(a) }
 	defer func() { c.received.onTimeout = nil }()
 	// The body isn't closed: when the call ends, the body has been read to its end
--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -83,6 +83,9 @@
 	EventArrived EventKind = iota
 	// EventProgress means that events of an answer arrived.
 	EventProgress
+	// EventSent means that the request of an attempt was written. It is due only
+	// while an earlier attempt is suspended.
+	EventSent
 	// EventSilent means that an attempt has made no progress for its idle timeout. It
 	// is suspended until ActionResume.
 	EventSilent
@@ -139,8 +142,8 @@
 type Event struct {
 	Kind    EventKind
 	Request Request
-	// ID and Attempt identify the attempt of EventProgress, EventSilent and
-	// EventEnded. ID identifies the request of EventAborted.
+	// ID and Attempt identify the attempt of EventProgress, EventSent, EventSilent
+	// and EventEnded. ID identifies the request of EventAborted.
 	ID      string
 	Attempt int
 	// First is true for the first event of an answer, which arrived Elapsed after
@@ -246,8 +249,8 @@
 	detector detector.Detector
 	services map[string]*service
 	inFlight map[string]*inFlightRequest
-	// suspended holds the time at which an attempt was suspended by the ID of the
-	// request.
+	// suspended holds the requests with a suspended attempt by their ID: the time at
+	// which the current attempt was sent, zero if it is not known to be sent.
 	suspended map[string]time.Time
 	exchange  loadExchange
 }
@@ -283,6 +286,8 @@
 		return d.admit(now, e.Request)
 	case EventProgress:
 		return d.recordProgress(now, e)
+	case EventSent:
+		d.beginOverlap(now, e)
 	case EventSilent:
 		return d.handleSilence(now, e)
 	case EventEnded:
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -157,6 +157,9 @@
 	f.attempts++
 	f.run = run{attempt: f.attempts, upstream: id, suspect: q.Suspect, pendingTokens: f.request.PromptTokens, sentAt: now}
 	f.tried = append(f.tried, id)
+	if f.suspended != nil {
+		d.suspended[f.request.ID] = time.Time{}
+	}
 	d.recordPlacement(f)
 	u := s.picker.Upstream(id)
 	if f.request.PrefixTokens < minPlacementTokens || !s.picker.IsCached(f.request.Prefix) {
--- a/internal/process/dispatcher/silence.go
+++ b/internal/process/dispatcher/silence.go
@@ -11,9 +11,10 @@
 // therefore suspended rather than ended while another upstream is tried, and goes on
 // if that one does not take the request.
 
-// maxOverlap is the time after which a suspended attempt is abandoned, at the next
-// EventTick. An upstream refuses a request within a few round trips. Afterwards, two
-// upstreams would work on the same request for longer than users accept (0.4 s).
+// maxOverlap is the time after the current attempt was sent at which a suspended one is
+// abandoned, at the next EventTick. An upstream refuses a request within a few round
+// trips. Afterwards, two upstreams would work on the same request for longer than users
+// accept (0.4 s).
 const maxOverlap = 100 * time.Millisecond
 
 // handleSilence tries another upstream for a request whose attempt is suspended. If
@@ -28,7 +29,7 @@
 	out := d.abandonSuspended(now, f)
 	s := d.service(f.admission.Service.Name)
 	silent := f.run
-	f.suspended, d.suspended[f.request.ID] = &silent, now
+	f.suspended, d.suspended[f.request.ID] = &silent, time.Time{}
 	// The suspended attempt may have been run.
 	f.state.Lost++
 	if f.begun && f.lastEvent == "" {
@@ -60,11 +61,19 @@
 	return []Action{{Kind: ActionAbandon, ID: f.request.ID, Attempt: attempt, Summary: f.finalSummary(now, "moved")}}
 }
 
-// abandonOverdue abandons the attempts that have been suspended for maxOverlap.
+// beginOverlap records that the current attempt was sent while another is suspended.
+func (d *Dispatcher) beginOverlap(now time.Time, e Event) {
+	if f := d.inFlight[e.ID]; f != nil && f.attempt == e.Attempt && f.suspended != nil {
+		d.suspended[e.ID] = now
+	}
+}
+
+// abandonOverdue abandons the suspended attempts of requests whose current attempt was
+// sent maxOverlap ago.
 func (d *Dispatcher) abandonOverdue(now time.Time) []Action {
 	var out []Action
-	for id, since := range d.suspended {
-		if now.Sub(since) >= maxOverlap {
+	for id, sent := range d.suspended {
+		if !sent.IsZero() && now.Sub(sent) >= maxOverlap {
 			out = append(out, d.abandonSuspended(now, d.inFlight[id])...)
 		}
 	}
--- a/internal/process/dispatcher/silence_order_test.go
+++ b/internal/process/dispatcher/silence_order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -118,3 +119,25 @@
 		})
 	}
 }
+
+// A suspended attempt was abandoned while the connection to another upstream was still
+// being established. Without one, the caller's connection was cut.
+func TestSuspendedAttemptIsKeptUntilAnotherIsSent(t *testing.T) {
+	d, next := silentChat("/chat/1", "7")
+	assertSent(t, next, 2)
+	tick := func(after time.Duration) []Action { return d.Step(testTime().Add(after), Event{Kind: EventTick}) }
+	notSent := Event{Outcome: OutcomeNotSent, Begun: true, LastEvent: "7"}
+	assertNoAbandon := func(all []Action) {
+		t.Helper()
+		for _, a := range all {
+			is.New(t).True(a.Kind != ActionAbandon)
+		}
+	}
+	assertNoAbandon(tick(300 * ms))
+	assertSent(t, endAttempt(d, 2, notSent), 3)
+	d.Step(testTime().Add(300*ms), Event{Kind: EventSent, ID: "r1", Attempt: 2})
+	assertNoAbandon(tick(600 * ms))
+	is.New(t).Equal(assertKind(t, endAttempt(d, 3, notSent), ActionResume).Attempt, 1)
+	assertKind(t, endAttempt(d, 1, Event{Outcome: OutcomeAnswered, Begun: true, LastEvent: "9"}), ActionFinish)
+	assertIdle(t, d)
+}
--- a/internal/process/dispatcher/silence_test.go
+++ b/internal/process/dispatcher/silence_test.go
@@ -94,6 +94,7 @@
 	})
 	t.Run("when the other attempt has waited for long", func(t *testing.T) {
 		d, _ := silentChat("/chat/1", "7")
+		d.Step(testTime(), Event{Kind: EventSent, ID: "r1", Attempt: 2})
 		tick := d.Step(testTime().Add(maxOverlap-ms), Event{Kind: EventTick})
 		is := is.New(t)
 		for _, a := range tick {
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -81,7 +81,8 @@
 		Request: a.ID, Attempt: a.Attempt, Context: ctx,
 		Head: f.options.Codec.Encode(t.job, a, a.Deadline.Sub(now)), Body: t.job.Body,
 		DialTimeout: a.DialTimeout, Deadline: a.Deadline.Add(deadlineGrace), IdleTimeout: a.IdleTimeout,
-		Stream: a.Stream, Begun: a.Begun, LastEvent: a.LastEvent,
+		ReportSent: t.suspended != nil,
+		Stream:     a.Stream, Begun: a.Begun, LastEvent: a.LastEvent,
 		Classify: f.options.Codec.ClassifyResponse(a.ID), //nolint:bodyclose // the function reads only the head
 		Replies:  t.job.Replies,
 	}
@@ -115,6 +116,12 @@
 func (f *Forwarder) handleReport(now time.Time, p *pool, r carrier.Report) {
 	t := f.attempts[r.Request]
 	current := t != nil && t.number == r.Attempt
+	if r.Sent {
+		if current {
+			f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventSent, ID: r.Request, Attempt: r.Attempt})
+		}
+		return
+	}
 	if r.Silent {
 		if current {
 			t.conn = r.Conn
--- a/internal/process/forwarder/silence_test.go
+++ b/internal/process/forwarder/silence_test.go
@@ -140,3 +140,28 @@
 	}
 	is.New(t).NoErr(ctx.Err())
 }
+
+// Two upstreams must not work on a request for long: the silent one is disconnected soon
+// after the request was sent to another, although that one has not answered either.
+func TestSilentUpstreamIsDisconnectedOnceAnotherHasTheRequest(t *testing.T) {
+	var served atomic.Int64
+	disconnected, release := make(chan struct{}), make(chan struct{})
+	f := newSilentForwarder(t, matcher.Idempotent, 2, func(conn net.Conn) {
+		if served.Add(1) == 1 {
+			staySilent(conn)
+			close(disconnected)
+			return
+		}
+		<-release
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	replies := submit(ctx, t, f, "r1", time.Minute)
+	<-disconnected
+	close(release)
+	reply, ok := replies.Take(ctx)
+	is := is.New(t)
+	is.True(ok)
+	is.Equal(reply.Kind, relayer.KindComplete)
+}
