Keep the start of an overlap with the request

The set of requests with a suspended attempt held a time whose meaning did not follow from its name, and had to be looked up in the requests in flight again. It now holds the requests, and the time is a field of them. No change of behaviour; the tests of dispatcher, forwarder and carrier pass with the race detector.

--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -249,9 +249,8 @@
 	detector detector.Detector
 	services map[string]*service
 	inFlight map[string]*inFlightRequest
-	// suspended holds the requests with a suspended attempt by their ID: the time at
-	// which the current attempt was sent, zero if it is not known to be sent.
-	suspended map[string]time.Time
+	// suspended holds the requests in flight that have a suspended attempt.
+	suspended map[string]*inFlightRequest
 	exchange  loadExchange
 }
 
@@ -275,7 +274,7 @@
 func New(s Settings) *Dispatcher {
 	return &Dispatcher{
 		settings: s, entries: 1, services: map[string]*service{},
-		inFlight: map[string]*inFlightRequest{}, suspended: map[string]time.Time{},
+		inFlight: map[string]*inFlightRequest{}, suspended: map[string]*inFlightRequest{},
 	}
 }
 
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -68,6 +68,9 @@
 	// while the current one is tried, nil if there is none.
 	run
 	suspended *run
+	// overlapSince is the time at which the current attempt was sent while another is
+	// suspended, zero if it is not known to be sent.
+	overlapSince time.Time
 	// attempts is the number of attempts, and notSent the number of those that could
 	// not be sent.
 	attempts int
@@ -157,9 +160,7 @@
 	f.attempts++
 	f.run = run{attempt: f.attempts, upstream: id, suspect: q.Suspect, pendingTokens: f.request.PromptTokens, sentAt: now}
 	f.tried = append(f.tried, id)
-	if f.suspended != nil {
-		d.suspended[f.request.ID] = time.Time{}
-	}
+	f.overlapSince = time.Time{}
 	d.recordPlacement(f)
 	u := s.picker.Upstream(id)
 	if f.request.PrefixTokens < minPlacementTokens || !s.picker.IsCached(f.request.Prefix) {
--- a/internal/process/dispatcher/silence.go
+++ b/internal/process/dispatcher/silence.go
@@ -29,7 +29,7 @@
 	out := d.abandonSuspended(now, f)
 	s := d.service(f.admission.Service.Name)
 	silent := f.run
-	f.suspended, d.suspended[f.request.ID] = &silent, time.Time{}
+	f.suspended, d.suspended[f.request.ID] = &silent, f
 	// The suspended attempt may have been run.
 	f.state.Lost++
 	if f.begun && f.lastEvent == "" {
@@ -64,7 +64,7 @@
 // beginOverlap records that the current attempt was sent while another is suspended.
 func (d *Dispatcher) beginOverlap(now time.Time, e Event) {
 	if f := d.inFlight[e.ID]; f != nil && f.attempt == e.Attempt && f.suspended != nil {
-		d.suspended[e.ID] = now
+		f.overlapSince = now
 	}
 }
 
@@ -72,9 +72,9 @@
 // sent maxOverlap ago.
 func (d *Dispatcher) abandonOverdue(now time.Time) []Action {
 	var out []Action
-	for id, sent := range d.suspended {
-		if !sent.IsZero() && now.Sub(sent) >= maxOverlap {
-			out = append(out, d.abandonSuspended(now, d.inFlight[id])...)
+	for _, f := range d.suspended {
+		if !f.overlapSince.IsZero() && now.Sub(f.overlapSince) >= maxOverlap {
+			out = append(out, d.abandonSuspended(now, f)...)
 		}
 	}
 	return out
