--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -226,7 +226,7 @@
 	}
 	delete(f.attempts, a.ID)
 	t.cancelCalls()
-	logDecision("request ended", a, "first_event", t.firstEvent, "longest_pause", t.longestPause)
+	logDecision("request ended", a, "begun", a.Begun, "first_event", t.firstEvent, "longest_pause", t.longestPause)
 	if f.options.Observe != nil {
 		f.options.Observe(Observation{Route: a.Summary.Route, Result: a.Summary.Reason, Elapsed: a.Summary.Elapsed})
 	}
--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -181,7 +181,7 @@
 		return
 	}
 	if err := relayer.Relay(req.Context(), w, j.Replies, r.options.Codec.WriteFailure); err != nil {
-		klog.InfoS("answer cut off", "request", request.ID, "err", err)
+		klog.InfoS("answer cut off", "request", request.ID, "stopping", r.refusing.Load(), "err", err)
 		cutOff(w)
 	}
 }
