--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -157,6 +157,9 @@
 	f.attempts++
 	f.run = run{attempt: f.attempts, upstream: id, suspect: q.Suspect, pendingTokens: f.request.PromptTokens, sentAt: now}
 	f.tried = append(f.tried, id)
+	if f.suspended != nil {
+		d.suspended[f.request.ID] = time.Time{}
+	}
 	d.recordPlacement(f)
 	u := s.picker.Upstream(id)
 	if f.request.PrefixTokens < minPlacementTokens || !s.picker.IsCached(f.request.Prefix) {
@@ -245,36 +248,60 @@
 
 func (d *Dispatcher) endAttempt(now time.Time, e Event) []Action {
 	f := d.inFlight[e.ID]
+	if f != nil && f.suspended != nil && f.suspended.attempt == e.Attempt {
+		// A call also ends while it is suspended, at its deadline for example.
+		return d.abandonSuspended(now, f)
+	}
 	if f == nil || f.attempt != e.Attempt {
 		return nil
 	}
+	var out []Action
+	if e.Begun != f.begun || e.LastEvent != f.lastEvent {
+		// The caller has a part of this answer, which another one must not follow.
+		out = d.abandonSuspended(now, f)
+	}
 	f.begun, f.lastEvent = e.Begun, e.LastEvent
-	strikes := d.recordOutcome(now, f, e)
+	out = append(out, d.recordOutcome(now, f, e)...)
 	switch e.Outcome {
 	case OutcomeAnswered:
-		return append(strikes, d.finish(now, f, "answered"))
+		return append(out, d.finish(now, f, "answered"))
 	case OutcomeCancelled:
-		return append(strikes, d.finish(now, f, "cancelled"))
+		return append(out, d.finish(now, f, "cancelled"))
 	case OutcomeFailed:
 		f.state.Failed++
-		return d.retryOrFail(now, f, retrier.CauseFailed, strikes)
+		return d.retryOrFail(now, f, retrier.CauseFailed, out)
 	case OutcomeRefused:
 		f.state.Refused++
-		return d.retryOrFail(now, f, retrier.CauseRefused, strikes)
+		return d.retryOrFail(now, f, retrier.CauseRefused, out)
 	case OutcomeNotSent:
 		f.notSent++
 		if f.notSent >= maxNotSent {
-			return d.retryOrFail(now, f, retrier.CauseNoUpstream, strikes)
+			return d.retryOrFail(now, f, retrier.CauseNoUpstream, out)
 		}
-		return append(strikes, d.send(now, f)...)
+		return append(out, d.send(now, f)...)
 	case OutcomeExpired:
 		f.state.Lost++
-		return d.retryOrFail(now, f, retrier.CauseExpired, strikes)
+		return d.retryOrFail(now, f, retrier.CauseExpired, out)
 	case OutcomeLost, OutcomeCrashed:
 		f.state.Lost++
-		return d.retryOrFail(now, f, retrier.CauseLost, strikes)
+		return d.retryOrFail(now, f, retrier.CauseLost, out)
+	}
+	return out
+}
+
+// abort ends a request and its attempts.
+func (d *Dispatcher) abort(now time.Time, id string) []Action {
+	f := d.inFlight[id]
+	if f == nil {
+		return nil
+	}
+	// The request is no longer in flight even if its state causes another panic.
+	defer delete(d.suspended, id)
+	delete(d.inFlight, id)
+	if f.attempts > 0 {
+		d.recordOutcome(now, f, Event{Outcome: OutcomeCancelled})
 	}
-	return strikes
+	return []Action{d.finish(now, f, "aborted")}
 }
 
 // recordOutcome reports the end of an attempt to the picker and to the detector. It
@@ -341,7 +368,7 @@
 }
 
 func (d *Dispatcher) finish(now time.Time, f *inFlightRequest, reason string) Action {
-	d.endSuspended(now, f, picker.EventEnded)
+	d.endSuspended(now, f)
 	delete(d.inFlight, f.request.ID)
 	return Action{Kind: ActionFinish, ID: f.request.ID, Attempt: f.attempt, Begun: f.begun, Summary: f.finalSummary(now, reason)}
 }
--- /dev/null
+++ b/internal/process/dispatcher/silence_order_test.go
@@ -0,0 +1,143 @@
+package dispatcher
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"magnoliafront.dev/magnoliafront/internal/version/matcher"
+)
+
+// A suspended attempt that had ended by itself, at the deadline for example, was resumed
+// after the other one had failed. Nothing followed, so that the caller got neither an
+// answer nor a refusal.
+func TestEndedSuspendedAttemptIsNotResumed(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		other AttemptOutcome
+	}{
+		{"the other attempt expires as well", OutcomeExpired},
+		{"the other attempt is lost", OutcomeLost},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d, next := silentChat("/chat/1", "7")
+			assertSent(t, next, 2)
+			ended := endAttempt(d, 1, Event{Outcome: OutcomeExpired, Begun: true, LastEvent: "7"})
+			is.New(t).Equal(assertKind(t, ended, ActionAbandon).Attempt, 1)
+			assertKind(t, endAttempt(d, 2, Event{Outcome: c.other, Begun: true, LastEvent: "7"}), ActionFail)
+			assertIdle(t, d)
+		})
+	}
+}
+
+// When the other attempt fell silent too, the first one was forgotten but not ended, and
+// the entry went on with the wrong one: the request never ended. The first is abandoned.
+func TestSecondSilenceAbandonsFirstAttempt(t *testing.T) {
+	begin := func(t *testing.T) (*Dispatcher, []Action) {
+		t.Helper()
+		d := newDispatcher()
+		all := routes()
+		all[0].MaxAttempts = 3
+		d.Step(testTime(), Event{Kind: EventConfigured, Table: matcher.New(matcher.Configuration{
+			Version: 2, Routes: all, Organisations: []matcher.Organisation{{Name: "guides", Keys: []string{"key"}}},
+		})})
+		d.Step(testTime(), Event{Kind: EventArrived, Request: request("/chat/1")})
+		assertSent(t, d.Step(testTime(), Event{Kind: EventSilent, ID: "r1", Attempt: 1, Begun: true, LastEvent: "7"}), 2)
+		next := d.Step(testTime(), Event{Kind: EventSilent, ID: "r1", Attempt: 2, Begun: true, LastEvent: "7"})
+		is := is.New(t)
+		is.Equal(next[0].Kind, ActionAbandon)
+		is.Equal(next[0].Attempt, 1)
+		return d, next
+	}
+	t.Run("and a third one is tried", func(t *testing.T) {
+		d, next := begin(t)
+		assertSent(t, next, 3)
+		assertKind(t, endAttempt(d, 3, Event{Outcome: OutcomeAnswered, Begun: true, LastEvent: "9"}), ActionFinish)
+		assertIdle(t, d)
+	})
+	t.Run("and the second one goes on if the third is refused", func(t *testing.T) {
+		d, _ := begin(t)
+		resumed := assertKind(t, endAttempt(d, 3, Event{Outcome: OutcomeRefused, Begun: true, LastEvent: "7"}), ActionResume)
+		is.New(t).Equal(resumed.Attempt, 2)
+		assertKind(t, endAttempt(d, 2, Event{Outcome: OutcomeAnswered, Begun: true, LastEvent: "9"}), ActionFinish)
+		assertIdle(t, d)
+	})
+}
+
+// The other attempt relayed the head of its answer, or a part of a large one, and broke
+// off. The suspended attempt was then resumed and relayed its own answer after that part.
+func TestSuspendedAttemptIsNotResumedAfterPartOfAnotherAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name, path, silentAt, brokenAt string
+	}{
+		{"large answer of a call", "/check/1", "", ""},
+		{"stream without an event", "/chat/1", "", ""},
+		{"stream with an event that was not reported", "/chat/1", "7", "8"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d, next := silentChat(c.path, c.silentAt)
+			assertSent(t, next, 2)
+			failed := endAttempt(d, 2, Event{Outcome: OutcomeLost, Begun: true, LastEvent: c.brokenAt})
+			is := is.New(t)
+			is.Equal(failed[0].Kind, ActionAbandon)
+			is.Equal(failed[0].Attempt, 1)
+			is.True(assertKind(t, failed, ActionFail).Begun)
+			assertIdle(t, d)
+		})
+	}
+}
+
+// A request that is given up after a fault of the program stayed in flight for ever.
+func TestAbortedRequestReleasesItsUpstreams(t *testing.T) {
+	t.Run("with a suspended attempt", func(t *testing.T) {
+		d, _ := silentChat("/chat/1", "7")
+		assertKind(t, d.Step(testTime(), Event{Kind: EventAborted, ID: "r1"}), ActionFinish)
+		assertIdle(t, d)
+		is.New(t).Equal(len(endAttempt(d, 2, Event{Outcome: OutcomeCancelled})), 0)
+	})
+	t.Run("that is unknown", func(t *testing.T) {
+		is.New(t).Equal(len(newDispatcher().Step(testTime(), Event{Kind: EventAborted, ID: "r1"})), 0)
+	})
+}
+
+// A silent upstream counted as one that had answered if the whole answer came from
+// another, so that it got the next requests as well.
+func TestSilentUpstreamCountsAsLostWhenAnotherAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		outcome AttemptOutcome
+	}{{"the other upstream answers", OutcomeAnswered}, {"the caller disconnects", OutcomeCancelled}} {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDispatcher()
+			first := assertSent(t, d.Step(testTime(), Event{Kind: EventArrived, Request: request("/check/1")}), 1)
+			assertSent(t, d.Step(testTime(), Event{Kind: EventSilent, ID: "r1", Attempt: 1}), 2)
+			assertKind(t, endAttempt(d, 2, Event{Outcome: c.outcome}), ActionFinish)
+			u := d.service("desk").picker.Upstream(first.Upstream.InstanceID())
+			is.New(t).True(u.BackoffUntil.After(testTime()))
+			assertIdle(t, d)
+		})
+	}
+}
+
+// A suspended attempt was abandoned while the connection to another upstream was still
+// being established. Without one, the caller's connection was cut.
+func TestSuspendedAttemptIsKeptUntilAnotherIsSent(t *testing.T) {
+	d, next := silentChat("/chat/1", "7")
+	assertSent(t, next, 2)
+	tick := func(after time.Duration) []Action { return d.Step(testTime().Add(after), Event{Kind: EventTick}) }
+	notSent := Event{Outcome: OutcomeNotSent, Begun: true, LastEvent: "7"}
+	assertNoAbandon := func(all []Action) {
+		t.Helper()
+		for _, a := range all {
+			is.New(t).True(a.Kind != ActionAbandon)
+		}
+	}
+	assertNoAbandon(tick(300 * ms))
+	assertSent(t, endAttempt(d, 2, notSent), 3)
+	d.Step(testTime().Add(300*ms), Event{Kind: EventSent, ID: "r1", Attempt: 2})
+	assertNoAbandon(tick(600 * ms))
+	is.New(t).Equal(assertKind(t, endAttempt(d, 3, notSent), ActionResume).Attempt, 1)
+	assertKind(t, endAttempt(d, 1, Event{Outcome: OutcomeAnswered, Begun: true, LastEvent: "9"}), ActionFinish)
+	assertIdle(t, d)
+}
--- a/internal/process/dispatcher/silence_test.go
+++ b/internal/process/dispatcher/silence_test.go
@@ -94,6 +94,7 @@
 	})
 	t.Run("when the other attempt has waited for long", func(t *testing.T) {
 		d, _ := silentChat("/chat/1", "7")
+		d.Step(testTime(), Event{Kind: EventSent, ID: "r1", Attempt: 2})
 		tick := d.Step(testTime().Add(maxOverlap-ms), Event{Kind: EventTick})
 		is := is.New(t)
 		for _, a := range tick {
@@ -115,6 +116,9 @@
 		d, _ := silentChat("/chat/1", "7")
 		is := is.New(t)
 		is.Equal(len(d.Step(testTime(), Event{Kind: EventSilent, ID: "r1", Attempt: 1})), 0)
+		next := d.Step(testTime(), Event{Kind: EventProgress, ID: "r1", Attempt: 2, First: true, Begun: true, LastEvent: "8"})
+		is.Equal(assertKind(t, next, ActionAbandon).Attempt, 1)
+		is.Equal(len(d.Step(testTime(), Event{Kind: EventSilent, ID: "r1", Attempt: 1})), 0)
 		is.Equal(len(d.Step(testTime().Add(time.Second), Event{Kind: EventEnded, ID: "r1", Attempt: 1, Outcome: OutcomeCancelled})), 0)
 	})
 }
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -81,7 +81,8 @@
 		Request: a.ID, Attempt: a.Attempt, Context: ctx,
 		Head: f.options.Codec.Encode(t.job, a, a.Deadline.Sub(now)), Body: t.job.Body,
 		DialTimeout: a.DialTimeout, Deadline: a.Deadline.Add(deadlineGrace), IdleTimeout: a.IdleTimeout,
-		Stream: a.Stream, Begun: a.Begun, LastEvent: a.LastEvent,
+		ReportSent: t.suspended != nil,
+		Stream:     a.Stream, Begun: a.Begun, LastEvent: a.LastEvent,
 		Classify: f.options.Codec.ClassifyResponse(a.ID), //nolint:bodyclose // the function reads only the head
 		Replies:  t.job.Replies,
 	}
@@ -110,10 +111,17 @@
 }
 
 // handleReport handles a report of a connection about a call. Reports of an earlier
-// attempt only return the connection to its pool.
+// attempt only return the connection to its pool, unless that attempt is suspended: the
+// dispatcher must not resume it once it has ended.
 func (f *Forwarder) handleReport(now time.Time, p *pool, r carrier.Report) {
 	t := f.attempts[r.Request]
 	current := t != nil && t.number == r.Attempt
+	if r.Sent {
+		if current {
+			f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventSent, ID: r.Request, Attempt: r.Attempt})
+		}
+		return
+	}
 	if r.Silent {
 		if current {
 			t.conn = r.Conn
@@ -133,6 +141,9 @@
 		return
 	}
 	p.put(now, r)
+	if t != nil && t.suspended != nil && t.suspended.number == r.Attempt {
+		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventEnded, ID: r.Request, Attempt: r.Attempt, Outcome: attemptOutcome(r)})
+	}
 	if !current {
 		f.cleanUpPool(p)
 		return
