Relay nothing for a call that was abandoned while suspended

Cause: a read of a chunked body that waits for the rest of a chunk keeps the bytes that it has. When the call is abandoned, the read returns them with its error, and Put accepts a reply on a ring with room even if the context has ended. The events came after those of the next attempt.

Change: a reply is relayed only while the context of the call is alive.

--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -283,7 +283,7 @@
 	if resp.StatusCode >= http.StatusInternalServerError || a.begun {
 		// A caller that has received a part of a stream cannot get another response.
 		r.Outcome, r.ErrorResponse = OutcomeFailed, reply
-	} else if !a.call.Replies.Put(a.call.Context, reply) {
+	} else if !a.relay(reply) {
 		r.Outcome = OutcomeCancelled
 	}
 	c.setReusable(a, &r, resp, nil)
@@ -317,7 +317,7 @@
 func (c *Conn) relayEnd(a *attempt, resp *http.Response) Report {
 	r := a.newReport(OutcomeAnswered, nil)
 	r.Status = resp.StatusCode
-	if !a.call.Replies.Put(a.call.Context, relayer.Reply{Kind: relayer.KindEnd}) {
+	if !a.relay(relayer.Reply{Kind: relayer.KindEnd}) {
 		r.Outcome = OutcomeCancelled
 	}
 	c.setReusable(a, &r, resp, nil)
@@ -357,13 +357,20 @@
 	return Report{Outcome: o, Err: err, Begun: a.begun, LastEvent: a.splitter.lastID, Events: a.unreportedEvents, FirstEvent: a.firstEvent, LongestPause: a.longestPause}
 }
 
+// relay puts a reply on the ring. It reports false if the call was cancelled: another
+// attempt may then be relaying, and a read that was suspended may still return bytes
+// from before.
+func (a *attempt) relay(r relayer.Reply) bool {
+	return a.call.Context.Err() == nil && a.call.Replies.Put(a.call.Context, r)
+}
+
 // relayHead relays the head of a response unless the caller has received one, in
 // this attempt or an earlier one. It reports false if the call was cancelled.
 func (a *attempt) relayHead(resp *http.Response) bool {
 	if a.begun {
 		return true
 	}
-	a.begun = a.call.Replies.Put(a.call.Context, relayer.Reply{
+	a.begun = a.relay(relayer.Reply{
 		Kind: relayer.KindHead, Status: resp.StatusCode, Header: resp.Header, CloseDelimited: isCloseDelimited(resp),
 	})
 	return a.begun
@@ -372,7 +379,7 @@
 // relayBody relays a part of the body. It reports false if the call was
 // cancelled.
 func (a *attempt) relayBody(b []byte) bool {
-	return a.call.Replies.Put(a.call.Context, relayer.Reply{Kind: relayer.KindBody, Bytes: b})
+	return a.relay(relayer.Reply{Kind: relayer.KindBody, Bytes: b})
 }
 
 // dial connects to the upstream within the dial timeout and the deadline of the
