Relay nothing for a call that expires while it is suspended

A caller could get events twice, or in the wrong order, close to the deadline of its request.

Cause: a call that was abandoned while suspended relays nothing more since, as its context is cancelled. A call that reaches its own deadline while suspended is not cancelled: its last read returned the bytes that had come before the silence, and they were relayed although another attempt was the current one.

The case of an abandoned call is the former TestAbandonedCallRelaysNothing, with the same checks.

Change: once a call has ended while it was suspended, the bytes of its last read are dropped, and it ends as expired or cancelled as its context says.

--- a/internal/connection/carrier/endless_test.go
+++ b/internal/connection/carrier/endless_test.go
@@ -300,25 +300,35 @@
 	}
 }
 
-// A call that was abandoned while it was suspended must relay nothing more: the bytes
-// that its last read had received before the silence came after those of the next
-// attempt, and the caller got events twice.
-func TestAbandonedCallRelaysNothing(t *testing.T) {
+// A call that ends while it is suspended must relay nothing more: the bytes that its last
+// read had received before the silence came after those of the next attempt, and the
+// caller got events twice.
+func TestSuspendedCallRelaysNothing(t *testing.T) {
 	const part = "20\r\nid: 1\ndata:\n\nid"
-	u := newRawUpstream(t, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"+part, "", 0)
-	ctx, cancel := context.WithCancel(t.Context())
-	var ring *relayer.Ring
-	r, replies := u.call(t, func(call *Call) {
-		call.Context, call.Stream, call.IdleTimeout = ctx, true, 300*time.Millisecond
-		ring = call.Replies
-	})
-	is := is.New(t)
-	is.True(r.Silent)
-	is.Equal(len(replies), 0)
-	cancel()
-	<-u.closed
-	_, relayed := ring.TryTake()
-	is.True(!relayed)
+	for _, c := range []struct {
+		name     string
+		deadline time.Duration
+	}{{"when it is abandoned", time.Hour}, {"when it expires", 600 * time.Millisecond}} {
+		t.Run(c.name, func(t *testing.T) {
+			u := newRawUpstream(t, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"+part, "", 0)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			var ring *relayer.Ring
+			r, replies := u.call(t, func(call *Call) {
+				call.Context, call.Stream, call.IdleTimeout = ctx, true, 300*time.Millisecond
+				call.Deadline, ring = time.Now().Add(c.deadline), call.Replies
+			})
+			is := is.New(t)
+			is.True(r.Silent)
+			is.Equal(len(replies), 0)
+			if c.deadline == time.Hour {
+				cancel()
+			}
+			<-u.closed
+			_, relayed := ring.TryTake()
+			is.True(!relayed)
+		})
+	}
 }
 
 // A panic while an answer is handled ended the process. It must end the call only, as
--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -40,6 +40,8 @@
 	start    time.Time
 	splitter splitter
 	begun    bool
+	// suspended is true from the report of a silence until the call is resumed.
+	suspended bool
 	// unreportedEvents is the number of events since the last progress report,
 	// which was sent at lastReport.
 	unreportedEvents int
@@ -241,6 +243,7 @@
 	if a.call.Context.Err() != nil || !c.options.Clock.Now().Before(a.call.Deadline) {
 		return false
 	}
+	a.suspended = true
 	c.resumes.TryTake()
 	c.options.Report(Report{
 		Conn: c, Request: a.call.Request, Attempt: a.call.Attempt, Silent: true, Begun: a.begun, LastEvent: a.splitter.lastID,
@@ -248,9 +251,21 @@
 	ctx, cancel := context.WithDeadline(a.call.Context, a.call.Deadline)
 	defer cancel()
 	_, resumed := c.resumes.Take(ctx)
+	a.suspended = !resumed
 	return resumed && c.setReadDeadline(a) == nil
 }
 
+// readBody reads from the body of a response. If the call has ended while it was
+// suspended, it drops the bytes that were read before, since another attempt may have
+// relayed them.
+func (a *attempt) readBody(resp *http.Response, b []byte) (int, error) {
+	n, err := resp.Body.Read(b)
+	if a.suspended {
+		return 0, errors.Wrap(os.ErrDeadlineExceeded, "wait for the upstream")
+	}
+	return n, err
+}
+
 // discardRefusal reads the rest of a response that says that the request was not
 // run, so that the connection can be reused.
 func (c *Conn) discardRefusal(a *attempt, resp *http.Response) Report {
@@ -301,7 +316,7 @@
 			return c.classifyError(a, err)
 		}
 		b := make([]byte, streamReadBytes)
-		n, err := resp.Body.Read(b)
+		n, err := a.readBody(resp, b)
 		ok = n == 0 || a.relayBody(b[:n])
 		if errors.Is(err, io.EOF) {
 			return c.relayEnd(a, resp)
@@ -358,8 +373,7 @@
 }
 
 // relay puts a reply on the ring. It reports false if the call was cancelled: another
-// attempt may then be relaying, and a read that was suspended may still return bytes
-// from before.
+// attempt may then be relaying.
 func (a *attempt) relay(r relayer.Reply) bool {
 	return a.call.Context.Err() == nil && a.call.Replies.Put(a.call.Context, r)
 }
--- a/internal/connection/carrier/stream.go
+++ b/internal/connection/carrier/stream.go
@@ -18,7 +18,7 @@
 		return c.classifyError(a, err)
 	}
 	for {
-		n, err := resp.Body.Read(c.streamBuffer)
+		n, err := a.readBody(resp, c.streamBuffer)
 		whole, events, ok := a.splitter.split(c.streamBuffer[:n])
 		if !ok {
 			return a.newReport(OutcomeLost, errors.Errorf("an event exceeds %d bytes", maxEventBytes))
