Log the prompt parts of requests that end with a failure

The log named only the hash of the whole shared prefix, which differs between requests that have the part in common, so it could not show which part was in flight at each crash.

Requests that end with a failure log them as parts=.

--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -70,6 +70,8 @@
 	Prefix       uint64
 	PrefixTokens int
 	PromptTokens int
+	// Parts are the hashes of the parts of the prompt that other requests may share.
+	Parts []uint64
 	// Digest is a hash of the content. A retry by the caller has the same digest.
 	Digest string
 }
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -91,7 +91,7 @@
 func (d *Dispatcher) admit(now time.Time, r Request) []Action {
 	a, failure := d.table.Admit(r.Query)
 	f := &inFlightRequest{request: r, admission: a, deadline: r.Deadline}
-	f.summary = Summary{Route: a.Route.Name, Service: a.Service.Name, Organisation: a.Organisation, Prefix: r.Prefix, PromptTokens: r.PromptTokens, Digest: r.Digest}
+	f.summary = Summary{Route: a.Route.Name, Service: a.Service.Name, Organisation: a.Organisation, Prefix: r.Prefix, PromptTokens: r.PromptTokens, Parts: r.Parts, Digest: r.Digest}
 	if d.table != nil {
 		f.configurationVersion = d.table.Configuration.Version
 	}
--- a/internal/process/dispatcher/summary.go
+++ b/internal/process/dispatcher/summary.go
@@ -24,6 +24,8 @@
 	// CacheSource is the instance ID of the upstream from which the prefix was
 	// copied, or empty if there is none.
 	CacheSource string
+	// Parts are the [Request.Parts] of the request.
+	Parts []uint64
 	// Digest is the [Request.Digest] of the request.
 	Digest string
 	// Reason is the code of the failure, or why the request ended.
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -204,8 +206,18 @@
 	status := 0
 	if a.Failure != nil {
 		status = a.Failure.Status
+		keysAndValues = append(keysAndValues, "parts", partNames(s.Parts))
 	}
 	klog.InfoS(message, append([]any{"request", a.ID, "route", s.Route, "service", s.Service, "organisation", s.Organisation,
 		"version", s.Version, "upstream", s.Upstream, "attempts", s.Attempts, "outstanding", s.Outstanding,
 		"pending_tokens", s.PendingTokens, "prefix", s.Prefix, "cache_source", s.CacheSource, "prompt_tokens", s.PromptTokens, "content", s.Digest, "elapsed", s.Elapsed, "outcome", s.Reason, "status", status}, keysAndValues...)...)
 }
+
+// partNames returns the hashes of prompt parts as they appear in log lines.
+func partNames(parts []uint64) string {
+	names := make([]string, len(parts))
+	for i, p := range parts {
+		names[i] = strconv.FormatUint(p, 16)
+	}
+	return strings.Join(names, ",")
+}
