Quarantine the prompt part that crashes upstreams

Cause: the detector knew only the whole content of a request. Its fingerprint is organisation and digest, no two of the requests were alike, and so none ever had the second strike.

Change: the detector also gives strikes to the parts of requests that were lost before their first event. A first event on any entry proves the parts of its request and withdraws their strikes everywhere. A part with three strikes is accused. Requests with it are refused at once with 503 not_run and the time that is left as Retry-After. Parts that were in flight in the same crashes are told apart by a request with only some of them, one at a time (on_trial). Losses that are no crash by a part do not add up: the strikes must be from two separate moments, or three for a part that was proven before, and an upstream that goes on withdraws its strikes. Entries repeat the strikes of a quarantine each second, so that one that has just started learns it. One retrial after 30 s frees a part that was accused by chance. Memory and messages are bounded. Each strike has its own log line ("prompt part struck").

An attempt that could not be sent is no longer sent again once its content is quarantined.

Tests: TestDeadlyPartIsQuarantinedAtAllEntries, TestSoundPartBesideDeadlyPartIsServed and TestStartedEntryLearnsQuarantine (five entries and nine upstreams in virtual time) and TestGatewayRefusesDeadlyPart (emulated runners with a deadly part) failed on the code before: 14 to 185 requests with the part reached upstreams after the limit of three, and the entries never refused one. TestOtherLossesAccuseNoPart guards the other side: crashes, resets and lost answers of 1, 3 and 9 upstreams accuse no part; it passes before as well.

--- a/internal/process/detector/detector.go
+++ b/internal/process/detector/detector.go
@@ -1,5 +1,5 @@
 // Package detector finds poison requests (queries of death): requests that crash
-// the upstreams that run them.
+// the upstreams that run them, by their whole content or by one part of their prompt.
 //
 // It is a decision package: it does no I/O and gets the time as an argument. When
 // an upstream is lost, the content of each request in flight there gets a strike
@@ -14,6 +14,14 @@
 // idempotency key is not part of it, since callers repeat a failed request under
 // a new key.
 //
+// A part of a prompt may crash each upstream that begins an answer on it, in requests
+// that are otherwise different. When an upstream is lost, the parts of the requests
+// there that had no first event yet get a strike. A first event proves all parts of
+// its request sound, which withdraws their strikes on all entries. A part with strikes
+// for three upstreams and no proof since the first is accused, and requests with it
+// are quarantined. If an upstream goes on after the loss of a connection, its strikes
+// against parts are withdrawn.
+//
 // # Usage
 //
 //	var d detector.Detector
@@ -52,6 +60,18 @@
 	// strike from another entry is not added again, whichever of the two messages
 	// arrives first.
 	Cleared bool `json:"cleared,omitempty"`
+	// Part is the hash of a prompt part. It is set instead of Fingerprint if the
+	// strike is against a part. Cleared then withdraws the strike for Upstream, or
+	// all strikes if Upstream is empty, because the part is proven sound.
+	Part uint64 `json:"part,omitempty"`
+	// Age is the time since the upstream was lost, and SentAge the time from which
+	// the request had been in flight by then. Both are set for a Part only.
+	Age     time.Duration `json:"age,omitempty"`
+	SentAge time.Duration `json:"sent_age,omitempty"`
+	// Count is the number of strikes against Part that this entry knows, and Repeated
+	// is true for a strike that has been sent before. Both are for logs.
+	Count    int  `json:"-"`
+	Repeated bool `json:"-"`
 }
 
 // EventKind is the kind of an [Event].
@@ -60,13 +80,22 @@
 // The kinds of events.
 const (
 	// EventCrashed means that an upstream was lost while the content of
-	// Fingerprints was in flight there.
+	// Fingerprints was in flight there. Parts is set if the request was sent at
+	// SentAt and had no first event yet.
 	EventCrashed EventKind = iota
-	// EventAnswered means that the content of Fingerprints was answered in full.
+	// EventAnswered means that the content of Fingerprints, with the prompt parts
+	// Parts, was answered in full.
 	EventAnswered
 	// EventStrikeReceived carries a strike, or its withdrawal, that another entry
 	// sent.
 	EventStrikeReceived
+	// EventBegun means that the first event of an answer to a request with Parts
+	// arrived.
+	EventBegun
+	// EventProgress means that events of an answer from Upstream arrived.
+	EventProgress
+	// EventTrial means that a request with Parts was sent on trial.
+	EventTrial
 )
 
 // Event is an input of the detector. Only the fields of its kind are set.
@@ -74,6 +103,8 @@
 	Kind         EventKind
 	Upstream     string
 	Fingerprints []string
+	Parts        []uint64
+	SentAt       time.Time
 	Strike       Strike
 }
 
@@ -86,6 +117,8 @@
 	Unsuspected Verdict = iota
 	// Suspect content may run on an upstream without other suspect content.
 	Suspect
+	// OnTrial content may run alone: no other content on trial may be in flight.
+	OnTrial
 	// Quarantined content must not run.
 	Quarantined
 )
@@ -93,6 +126,15 @@
 // Detector holds the strikes by fingerprint. The zero value has no strikes.
 type Detector struct {
 	histories map[string]*history
+	// parts holds the prompt parts with strikes, and proofs the times at which parts
+	// were proven sound.
+	parts  map[uint64]*partHistory
+	proofs generations[uint64, time.Time]
+	// checks holds for upstreams of recent strikes the time from which progress there
+	// withdraws strikes.
+	checks map[string]time.Time
+	// repeatedAt is the time of the last repeat of strikes.
+	repeatedAt time.Time
 }
 
 // history holds the strikes against the content with one fingerprint.
@@ -112,6 +154,8 @@
 func (d *Detector) Step(now time.Time, e Event) []Strike {
 	if d.histories == nil {
 		d.histories = map[string]*history{}
+		d.parts, d.checks = map[uint64]*partHistory{}, map[string]time.Time{}
+		d.proofs.limit = maxProofs
 	}
 	var out []Strike
 	switch e.Kind {
@@ -122,11 +166,22 @@
 				out = append(out, s)
 			}
 		}
+		out = append(out, d.strikeParts(now, e)...)
 	case EventAnswered:
 		for _, f := range e.Fingerprints {
 			out = append(out, d.withdrawStrikes(f)...)
 		}
+		out = append(out, d.proveParts(now, e.Parts)...)
+	case EventBegun:
+		return d.proveParts(now, e.Parts)
+	case EventProgress:
+		return d.recordProgress(now, e.Upstream)
+	case EventTrial:
+		d.recordTrial(e.Parts)
 	case EventStrikeReceived:
+		if e.Strike.Part != 0 {
+			return d.receivePartStrike(now, e.Strike)
+		}
 		if d.receiveStrike(now, e.Strike) {
 			out = append(out, e.Strike)
 		}
--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -12,9 +12,9 @@
 // be sent to another upstream; a request that may have been run is retried only
 // if its route permits another run.
 //
-// The dispatcher quarantines content that crashes upstreams: it gives the content a
-// strike for each crash and exchanges strikes with the other entries; see package
-// detector.
+// The dispatcher quarantines content and prompt parts that crash upstreams: it gives
+// them a strike for each crash and exchanges strikes with the other entries; see
+// package detector.
 //
 // Entries report to each other the load that they put on upstreams and the
 // upstreams that cache long prompt prefixes; see [Load] and [Placement]. The
@@ -237,6 +237,8 @@
 	detector detector.Detector
 	services map[string]*service
 	inFlight map[string]*inFlightRequest
+	// trial is the ID of the last request that was sent on trial.
+	trial    string
 	exchange loadExchange
 }
 
@@ -267,7 +269,7 @@
 	case EventArrived:
 		return d.admit(now, e.Request)
 	case EventProgress:
-		d.recordProgress(now, e)
+		return d.recordProgress(now, e)
 	case EventEnded:
 		return d.endAttempt(now, e)
 	case EventConfigured:
@@ -288,7 +290,7 @@
 	case EventLoadReceived:
 		d.receiveLoad(now, e.Entry, e.Report)
 	case EventTick:
-		return d.tick(now)
+		return append(d.tick(now), sendStrikes(d.detector.RepeatedStrikes(now))...)
 	case EventSynced:
 		d.synced = e.Synced
 	}
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -74,6 +74,8 @@
 	tried    []string
 	// suspect is true if the content was suspect when the current attempt was sent.
 	suspect bool
+	// answering is true once the current attempt has had a first event.
+	answering bool
 	// pendingTokens is the number of prompt tokens that wait for prefill: all until
 	// the first event, then zero.
 	pendingTokens int
@@ -106,8 +108,8 @@
 	if failure == nil && d.inFlight[r.ID] != nil {
 		failure = unavailable("duplicate_identity", "a request with this identity is in flight")
 	}
-	if failure == nil && d.detector.Verdict(now, f.fingerprint()) == detector.Quarantined {
-		failure = unavailable("quarantined", "upstreams crashed while they ran this content; it is refused for some minutes")
+	if failure == nil {
+		failure = d.quarantine(now, f)
 	}
 	if failure != nil {
 		return []Action{d.failAction(now, f, failure)}
@@ -122,19 +124,21 @@
 	return append(d.recordKind(now, s, f), d.send(now, f)...)
 }
 
-// fingerprint returns the fingerprint of organisation and content for the
-// detector.
-func (f *inFlightRequest) fingerprint() string {
-	return f.admission.Organisation + "/" + f.request.Digest
-}
-
 // send starts the next attempt of f on the upstream that the picker selects.
 func (d *Dispatcher) send(now time.Time, f *inFlightRequest) []Action {
 	if !now.Before(f.deadline) {
 		return d.retryOrFail(now, f, retrier.CauseExpired, nil)
 	}
 	s := d.service(f.admission.Service.Name)
-	f.suspect = d.detector.Verdict(now, f.fingerprint()) == detector.Suspect
+	verdict := d.verdict(now, f)
+	if verdict == detector.Quarantined {
+		return d.retryOrFail(now, f, retrier.CauseNoUpstream, nil)
+	}
+	f.suspect = verdict != detector.Unsuspected
+	if verdict == detector.OnTrial {
+		d.trial = f.request.ID
+		d.detector.Step(now, detector.Event{Kind: detector.EventTrial, Parts: f.request.Parts})
+	}
 	q := picker.Query{
 		Candidates: s.instanceIDs, AvailabilityZone: d.settings.AvailabilityZone, Exclude: d.exclude(s, f),
 		Tier: f.admission.Priority + 1, TokenGapTarget: f.admission.Route.GapTarget, LatencyTarget: f.admission.Route.LatencyTarget,
@@ -154,7 +158,7 @@
 	f.attempt++
 	f.upstream, f.tried = id, append(f.tried, id)
 	d.recordPlacement(f)
-	f.pendingTokens, f.sentAt = f.request.PromptTokens, now
+	f.pendingTokens, f.sentAt, f.answering = f.request.PromptTokens, now, false
 	u := s.picker.Upstream(id)
 	f.prefillTokens = 0
 	if f.request.PrefixTokens < minPlacementTokens || !s.picker.IsCached(f.request.Prefix) {
@@ -206,10 +210,10 @@
 	return min(max(minIdleTimeout, idleTimeoutFactor*f.admission.Route.LatencyTarget), remaining/2)
 }
 
-func (d *Dispatcher) recordProgress(now time.Time, e Event) {
+func (d *Dispatcher) recordProgress(now time.Time, e Event) []Action {
 	f := d.inFlight[e.ID]
 	if f == nil || f.attempt != e.Attempt {
-		return
+		return nil
 	}
 	s := d.service(f.admission.Service.Name)
 	f.begun, f.lastEvent = e.Begun, e.LastEvent
@@ -219,10 +223,11 @@
 		if f.prefillTokens > 0 {
 			s.separator.Step(now, separator.Event{Kind: separator.EventPrefilled, Request: f.admission.Route.Name, PromptTokens: f.prefillTokens, Elapsed: e.Elapsed})
 		}
-		return
+		return d.detectProgress(now, f)
 	}
 	s.separator.Step(now, separator.Event{Kind: separator.EventProgress, Request: f.admission.Route.Name, Elapsed: e.Elapsed, Events: e.Events})
 	s.picker.Step(now, picker.Event{Kind: picker.EventTokens, Upstream: f.upstream, Elapsed: e.Elapsed, Tokens: e.Events})
+	return d.detectProgress(now, f)
 }
 
 func (d *Dispatcher) endAttempt(now time.Time, e Event) []Action {
@@ -281,21 +286,13 @@
 	if _, ok := s.upstreams[f.upstream]; !ok && s.picker.Upstream(f.upstream).Outstanding == 0 {
 		s.picker.Remove(f.upstream)
 	}
-	switch e.Outcome {
-	case OutcomeCrashed:
-		return sendStrikes(d.detector.Step(now, detector.Event{
-			Kind: detector.EventCrashed, Upstream: f.upstream, Fingerprints: []string{f.fingerprint()},
-		}))
-	case OutcomeAnswered:
-		return sendStrikes(d.detector.Step(now, detector.Event{Kind: detector.EventAnswered, Fingerprints: []string{f.fingerprint()}}))
-	}
-	return nil
+	return d.detectEnd(now, f, e)
 }
 
 // retryOrFail starts the next attempt of a request whose attempt ended with cause
 // c, or fails the request. The actions are appended to before.
 func (d *Dispatcher) retryOrFail(now time.Time, f *inFlightRequest, c retrier.Cause, before []Action) []Action {
-	f.state.Quarantined = d.detector.Verdict(now, f.fingerprint()) == detector.Quarantined
+	f.state.Quarantined = d.verdict(now, f) == detector.Quarantined
 	if f.begun {
 		// The number of delivered tokens is not known here. Any number above zero
 		// means that the answer has begun.
@@ -330,6 +327,9 @@
 	}
 	if answer.Status == http.StatusServiceUnavailable {
 		answer.RetryAfter = d.retryAfter(now, f)
+		if answer.Code == codeQuarantined {
+			answer.RetryAfter = max(answer.RetryAfter, d.detector.QuarantineLeft(now, f.request.Parts))
+		}
 	}
 	return Action{
 		Kind: ActionFail, ID: f.request.ID, Attempt: f.attempt, Begun: f.begun, Failure: &answer,
--- a/internal/process/emulator/runner.go
+++ b/internal/process/emulator/runner.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -101,6 +103,10 @@
 	EventInterval time.Duration
 	// Release blocks each answer until it is closed. Nil means no delay.
 	Release chan struct{}
+	// DeadlyPart is the ID of a prompt part. A request that holds it, not as its last
+	// part, crashes the runner in place of its first event, with RunnerAnswers. Empty
+	// means none.
+	DeadlyPart string
 
 	behaviour atomic.Int32
 	once      atomic.Pointer[OneTimeBehaviour]
@@ -218,6 +224,12 @@
 			return
 		}
 	}
+	if b == RunnerAnswers && r.DeadlyPart != "" && holdsSharedPart(req.Header.Get("Magnoliafront-Prompt-Prefix"), r.DeadlyPart) {
+		// The requests in flight lose their connections and later ones are refused,
+		// as after the end of a process.
+		_ = r.server.Close()
+		return
+	}
 	switch b {
 	case RunnerRefuses, RunnerRefusesBeforeBody:
 		w.Header().Set("Magnoliafront-Not-Executed", "1")
@@ -242,6 +254,13 @@
 	}
 }
 
+// holdsSharedPart reports whether a list of prompt parts has an entry with the ID, not
+// as its last one.
+func holdsSharedPart(list, id string) bool {
+	entries := strings.Split(list, ",")
+	return slices.ContainsFunc(entries[:len(entries)-1], func(e string) bool { return strings.HasPrefix(e, id+":") })
+}
+
 // signature identifies an answer as the one of this runner to this request.
 func (r *Runner) signature(run *RunnerRequest) string { return r.ID + "." + run.ID }
 
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/carrier"
+	"magnoliafront.dev/magnoliafront/internal/process/detector"
 	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
 	"magnoliafront.dev/magnoliafront/internal/request/relayer"
 )
@@ -39,7 +40,7 @@
 			f.cleanUpPool(p)
 		}
 	case dispatcher.ActionSendStrikes:
-		klog.InfoS("content struck", "strikes", len(a.Strikes), "fingerprint", a.Strikes[0].Fingerprint, "upstream", a.Strikes[0].Upstream, "cleared", a.Strikes[0].Cleared, "learned", a.Received)
+		logStrikes(a)
 		if f.options.SendStrikes != nil {
 			f.options.SendStrikes(a.Strikes)
 		}
@@ -213,6 +214,24 @@
 		"pending_tokens", s.PendingTokens, "prefix", s.Prefix, "cache_source", s.CacheSource, "prompt_tokens", s.PromptTokens, "content", s.Digest, "elapsed", s.Elapsed, "outcome", s.Reason, "status", status}, keysAndValues...)...)
 }
 
+// logStrikes logs the strikes of an action: one line for all strikes against content,
+// and one for each against a prompt part that has not been logged before.
+func logStrikes(a dispatcher.Action) {
+	var content []detector.Strike
+	for _, s := range a.Strikes {
+		switch {
+		case s.Part == 0:
+			content = append(content, s)
+		case !s.Repeated:
+			klog.InfoS("prompt part struck", "part", partNames([]uint64{s.Part}), "upstream", s.Upstream, "strikes", s.Count, "in_flight", s.SentAge, "cleared", s.Cleared, "learned", a.Received)
+		}
+	}
+	if len(content) > 0 {
+		s := content[0]
+		klog.InfoS("content struck", "strikes", len(content), "fingerprint", s.Fingerprint, "upstream", s.Upstream, "cleared", s.Cleared, "learned", a.Received)
+	}
+}
+
 // partNames returns the hashes of prompt parts as they appear in log lines.
 func partNames(parts []uint64) string {
 	names := make([]string, len(parts))
