--- a/internal/process/soaker/soak_test.go
+++ b/internal/process/soaker/soak_test.go
@@ -188,7 +188,7 @@
 	}
 	for _, run := range f.foreignRunner.Requests() {
 		if run.Executed {
-			t.Errorf("request %s ran at another service", run.ID)
+			t.Errorf("request %q to %s ran at another service, with header %v", run.ID, run.Target, run.Header)
 		}
 	}
 	sent := map[string]bool{}
