--- a/internal/process/starter/gateway_log_test.go
+++ b/internal/process/starter/gateway_log_test.go
@@ -82,6 +82,10 @@
 	assertEventually(t, "the outage of the platform is logged", func() bool { return strings.Contains(log.String(), "platform out of reach") })
 	assertStatus(t, second.call(http.MethodPost, "/hold/1", "refused", "", nil), http.StatusServiceUnavailable)
 	assertEventually(t, "the refused request is logged", func() bool { return strings.Contains(log.String(), "request=refused") })
+	crashing := newGatewayFixture(t, neededCrashes+1)
+	third := crashing.startReadyEntry()
+	crashRunners(t, crashing, third)
+	assertStatus(t, callWithParts(third, "quarantined", "aa:800,dead:9,dd:1"), http.StatusServiceUnavailable)
 
 	var logged []map[string]string
 	for line := range strings.Lines(log.String()) {
