Do not quarantine sound streams that lost two upstreams in their midst

Cause: content got a strike at each crash, also if its answer had begun. Poison content crashes an upstream that begins to run it, so a begun answer speaks for another cause.

Change: strikes tell whether the answer had begun, and content whose strikes are all of that kind needs a third one. Content that never began is quarantined at the second crash as before.

Tests: TestBegunStreamIsNotQuarantined failed before (503 in place of the first attempt); a subtest of TestSecondCrashQuarantines checks the third strike, on the entry that saw the crashes and on another one.

--- a/internal/process/detector/detector.go
+++ b/internal/process/detector/detector.go
@@ -7,8 +7,9 @@
 // entry sends it to an upstream until the quarantine ends. Content with one strike
 // is suspect. Suspect content may run, but not on the same upstream as other
 // suspect content, so that harmless content is not in flight when poison content
-// crashes the next upstream. Once suspect content has been answered in full, its
-// strike is withdrawn.
+// crashes the next upstream. Content whose answers had all begun needs a third strike.
+// Once suspect content has been answered in full, its
+// strikes are withdrawn.
 //
 // Content is identified by a fingerprint of organisation and body. The
 // idempotency key is not part of it, since callers repeat a failed request under
@@ -41,6 +42,10 @@
 	// MaxStrikes is the number of strikes, each for a different upstream, at which
 	// content is quarantined.
 	MaxStrikes = 2
+	// MaxBegunStrikes replaces MaxStrikes for content whose answers had all begun when
+	// the upstreams were lost. Poison content crashes an upstream that begins to run
+	// it, so that it was most likely another request.
+	MaxBegunStrikes = 3
 	// QuarantineDuration is the time for which content is refused after its last
 	// strike.
 	QuarantineDuration = 10 * time.Minute
@@ -60,6 +65,8 @@
 	// strike from another entry is not added again, whichever of the two messages
 	// arrives first.
 	Cleared bool `json:"cleared,omitempty"`
+	// Begun is true if the answer had begun when the upstream was lost.
+	Begun bool `json:"begun,omitempty"`
 	// Part is the hash of a prompt part. It is set instead of Fingerprint if the
 	// strike is against a part. Cleared then withdraws the strike for Upstream, or
 	// all strikes if Upstream is empty, because the part is proven sound.
@@ -80,8 +87,8 @@
 // The kinds of events.
 const (
 	// EventCrashed means that an upstream was lost while the content of
-	// Fingerprints was in flight there. Parts is set if the request was sent at
-	// SentAt and had no first event yet.
+	// Fingerprints was in flight there. Begun is true if its answer had begun.
+	// Otherwise Parts are the prompt parts of the request, which was sent at SentAt.
 	EventCrashed EventKind = iota
 	// EventAnswered means that the content of Fingerprints, with the prompt parts
 	// Parts, was answered in full.
@@ -103,6 +110,7 @@
 	Kind         EventKind
 	Upstream     string
 	Fingerprints []string
+	Begun        bool
 	Parts        []uint64
 	SentAt       time.Time
 	Strike       Strike
@@ -146,6 +154,16 @@
 	// lastStrike is the time of the last strike. Without one it is the time of the
 	// first withdrawal, which created the history.
 	lastStrike time.Time
+	// unbegun is true if an active strike is for an answer that had not begun.
+	unbegun bool
+}
+
+// isFull reports whether the strikes are enough for a quarantine.
+func (h *history) isFull() bool {
+	if h.unbegun {
+		return len(h.upstreams) >= MaxStrikes
+	}
+	return len(h.upstreams) >= MaxBegunStrikes
 }
 
 // Step processes one event and returns the strikes that the caller must send to
@@ -161,7 +179,7 @@
 	switch e.Kind {
 	case EventCrashed:
 		for _, f := range e.Fingerprints {
-			s := Strike{Fingerprint: f, Upstream: e.Upstream}
+			s := Strike{Fingerprint: f, Upstream: e.Upstream, Begun: e.Begun}
 			if d.addStrike(now, s, true) {
 				out = append(out, s)
 			}
@@ -195,7 +213,7 @@
 	switch {
 	case h == nil || len(h.upstreams) == 0:
 		return Unsuspected
-	case len(h.upstreams) >= MaxStrikes && now.Sub(h.lastStrike) < QuarantineDuration:
+	case h.isFull() && now.Sub(h.lastStrike) < QuarantineDuration:
 		return Quarantined
 	case now.Sub(h.lastStrike) < StrikeLifetime:
 		return Suspect
@@ -212,7 +230,7 @@
 			continue
 		}
 		for _, u := range h.upstreams {
-			out = append(out, Strike{Fingerprint: f, Upstream: u})
+			out = append(out, Strike{Fingerprint: f, Upstream: u, Begun: !h.unbegun})
 		}
 	}
 	return out
@@ -222,7 +240,7 @@
 // it is quarantined.
 func (d *Detector) withdrawStrikes(fingerprint string) []Strike {
 	h := d.histories[fingerprint]
-	if h == nil || len(h.upstreams) >= MaxStrikes {
+	if h == nil || h.isFull() {
 		return nil
 	}
 	var out []Strike
@@ -230,7 +248,7 @@
 		h.withdrawn = append(h.withdrawn, u)
 		out = append(out, Strike{Fingerprint: fingerprint, Upstream: u, Cleared: true})
 	}
-	h.upstreams = nil
+	h.upstreams, h.unbegun = nil, false
 	return out
 }
 
@@ -242,11 +260,12 @@
 		return d.addStrike(now, s, false)
 	}
 	h := d.history(now, s.Fingerprint)
-	if slices.Contains(h.withdrawn, s.Upstream) || len(h.upstreams) >= MaxStrikes || len(h.withdrawn) >= maxWithdrawn {
+	if slices.Contains(h.withdrawn, s.Upstream) || h.isFull() || len(h.withdrawn) >= maxWithdrawn {
 		return false
 	}
 	h.withdrawn = append(h.withdrawn, s.Upstream)
 	h.upstreams = slices.DeleteFunc(h.upstreams, func(u string) bool { return u == s.Upstream })
+	h.unbegun = h.unbegun && len(h.upstreams) > 0
 	return true
 }
 
@@ -257,13 +276,14 @@
 // added again only if this entry observed the crash itself.
 func (d *Detector) addStrike(now time.Time, s Strike, observed bool) bool {
 	h := d.history(now, s.Fingerprint)
-	if slices.Contains(h.upstreams, s.Upstream) || len(h.upstreams) >= MaxStrikes {
+	if slices.Contains(h.upstreams, s.Upstream) || h.isFull() {
 		return false
 	}
 	if !observed && (slices.Contains(h.withdrawn, s.Upstream) || len(h.withdrawn) >= maxWithdrawn) {
 		return false
 	}
 	h.upstreams = append(h.upstreams, s.Upstream)
+	h.unbegun = h.unbegun || !s.Begun
 	h.lastStrike = now
 	return true
 }
--- a/internal/process/detector/detector_test.go
+++ b/internal/process/detector/detector_test.go
@@ -10,7 +10,8 @@
 )
 
 // Content that crashes each upstream must be quarantined after the second crash,
-// whichever entry observed which crash.
+// whichever entry observed which crash. Sound streams that lost two upstreams in their
+// midst were refused as well (issue 24).
 func TestSecondCrashQuarantines(t *testing.T) {
 	start := time.Unix(1000, 0)
 	t.Run("two crashes observed by one entry quarantine", func(t *testing.T) {
@@ -35,6 +36,17 @@
 		crash(&d, start, "desk-1", "a")
 		assertVerdict(t, &d, start, "a", Suspect)
 	})
+	t.Run("two crashes after the answer had begun do not quarantine, a third does", func(t *testing.T) {
+		var d, other Detector
+		for i, want := range []Verdict{Suspect, Suspect, Quarantined} {
+			begun := Event{Kind: EventCrashed, Upstream: fmt.Sprint("desk-", i), Fingerprints: []string{"a"}, Begun: true}
+			for _, s := range d.Step(start, begun) {
+				other.Step(start, Event{Kind: EventStrikeReceived, Strike: s})
+			}
+			assertVerdict(t, &d, start, "a", want)
+			assertVerdict(t, &other, start, "a", want)
+		}
+	})
 	t.Run("quarantine ends after QuarantineDuration", func(t *testing.T) {
 		var d Detector
 		crash(&d, start, "desk-1", "poison")
--- a/internal/process/dispatcher/dispatcher_test.go
+++ b/internal/process/dispatcher/dispatcher_test.go
@@ -187,6 +187,18 @@
 	assertFailed(t, d.Step(testTime(), Event{Kind: EventArrived, Request: request("/chat/1")}), http.StatusServiceUnavailable, false)
 }
 
+// A caller whose stream lost two upstreams in its midst must not be refused when it
+// comes again: a poison request crashes upstreams before it begins.
+func TestBegunStreamIsNotQuarantined(t *testing.T) {
+	d := newDispatcher()
+	d.Step(testTime(), Event{Kind: EventArrived, Request: request("/chat/1")})
+	for attempt := 1; attempt <= 2; attempt++ {
+		d.Step(testTime(), Event{Kind: EventProgress, ID: "r1", Attempt: attempt, First: true, Events: 1, Elapsed: 50 * ms, Begun: true, LastEvent: "7"})
+		endAttempt(d, attempt, Event{Outcome: OutcomeCrashed, Begun: true, LastEvent: "7"})
+	}
+	assertSent(t, d.Step(testTime(), Event{Kind: EventArrived, Request: request("/chat/1")}), 1)
+}
+
 func assertKind(t *testing.T, all []Action, want ActionKind) Action {
 	t.Helper()
 	var last Action
--- a/internal/process/dispatcher/quarantine.go
+++ b/internal/process/dispatcher/quarantine.go
@@ -56,7 +56,7 @@
 	case e.Outcome != OutcomeCrashed:
 		return nil
 	default:
-		out.Kind = detector.EventCrashed
+		out.Kind, out.Begun = detector.EventCrashed, f.answering
 		if f.answering {
 			out.Parts = nil
 		}
