Let later crashes count after many losses at one moment

The oldest strike but the first one is now dropped as long as the strikes are not enough. The subtest 'many upstreams lost at one moment do not hide later crashes' of TestLossesWithOtherCausesDoNotCount fails without it.

--- a/internal/process/detector/parts.go
+++ b/internal/process/detector/parts.go
@@ -93,7 +93,7 @@
 		delete(d.parts, part)
 		h = nil
 	}
-	if h != nil && (h.index(s.upstream) >= 0 || len(h.strikes) >= maxStrikesPerPart) {
+	if h != nil && !h.makeRoom(s.upstream) {
 		return false
 	}
 	if h == nil {
@@ -107,14 +107,34 @@
 	return true
 }
 
+// makeRoom reports whether a strike for an upstream is new and can be added. One cause
+// may lead to any number of strikes. The oldest but the first one is then dropped, so
+// that those of later moments count.
+func (h *partHistory) makeRoom(upstream string) bool {
+	if h.index(upstream) >= 0 {
+		return false
+	}
+	if len(h.strikes) < maxStrikesPerPart {
+		return true
+	}
+	if h.isEnough() {
+		return false
+	}
+	h.strikes = slices.Delete(h.strikes, 1, 2)
+	return true
+}
+
 // isEnough reports whether the strikes are enough for a quarantine. One cause may end
 // many upstreams at once, all with requests in flight that hold the same sound part,
 // so that the strikes must be from separate moments as well.
 func (h *partHistory) isEnough() bool {
+	if len(h.strikes) < MaxPartStrikes {
+		return false
+	}
 	if h.proven {
 		return h.moments() >= MaxPartStrikes
 	}
-	return len(h.strikes) >= MaxPartStrikes && h.moments() >= minMoments
+	return h.moments() >= minMoments
 }
 
 // moments returns the number of separate moments of the strikes. After a proof, a
--- a/internal/process/detector/parts_test.go
+++ b/internal/process/detector/parts_test.go
@@ -107,6 +107,15 @@
 		}
 		assertPartsVerdict(t, &d, time.Second, Suspect, sound)
 	})
+	t.Run("many upstreams lost at one moment do not hide later crashes", func(t *testing.T) {
+		var d Detector
+		begin(&d, crashTime(0).Add(-time.Minute), sound)
+		for i := range 2 * maxStrikesPerPart {
+			lose(&d, crashTime(0), crashTime(0).Add(-time.Second), 100+i)
+		}
+		loseUpstreams(&d, 1, MaxPartStrikes, sound)
+		assertPartsVerdict(t, &d, time.Second, Quarantined, sound)
+	})
 	t.Run("upstreams that go on withdraw their strikes on all entries", func(t *testing.T) {
 		var d, other Detector
 		exchange(crashTime(0), loseUpstreams(&d, 0, MaxPartStrikes, sound), &other)
@@ -161,13 +170,15 @@
 	loseUpstreams(&d, 0, MaxPartStrikes, 500_000)
 	for i := range uint64(2 * maxProofs) {
 		begin(&d, crashTime(0), 1_000_000+i)
-		loseUpstreams(&d, int(i), int(i)+1, i+1)
+	}
+	for i := range 2 * MaxStruckParts {
+		loseUpstreams(&d, i, i+1, uint64(i+1))
 	}
 	is := is.New(t)
 	is.True(len(d.parts) <= MaxStruckParts)
 	is.Equal(len(d.parts[500_000].strikes), MaxPartStrikes)
 	is.True(len(d.proofs.young)+len(d.proofs.previous) <= maxProofs)
-	d.RepeatedStrikes(crashTime(2*maxProofs + 60))
+	d.RepeatedStrikes(crashTime(2*MaxStruckParts + 60))
 	is.Equal(len(d.checks), 0)
 }
 
