--- a/internal/process/detector/detector.go
+++ b/internal/process/detector/detector.go
@@ -1,5 +1,5 @@
 // Package detector finds poison requests (queries of death): requests that crash
-// the upstreams that run them.
+// the upstreams that run them, by their whole content or by one part of their prompt.
 //
 // It is a decision package: it does no I/O and gets the time as an argument. When
 // an upstream is lost, the content of each request in flight there gets a strike
@@ -7,13 +7,22 @@
 // entry sends it to an upstream until the quarantine ends. Content with one strike
 // is suspect. Suspect content may run, but not on the same upstream as other
 // suspect content, so that harmless content is not in flight when poison content
-// crashes the next upstream. Once suspect content has been answered in full, its
-// strike is withdrawn.
+// crashes the next upstream. Content whose answers had all begun needs a third strike.
+// Once suspect content has been answered in full, its
+// strikes are withdrawn.
 //
 // Content is identified by a fingerprint of organisation and body. The
 // idempotency key is not part of it, since callers repeat a failed request under
 // a new key.
 //
+// A part of a prompt may crash each upstream that begins an answer on it, in requests
+// that are otherwise different. When an upstream is lost, the parts of the requests
+// there that had no first event yet get a strike. A first event proves all parts of
+// its request sound, which withdraws their strikes on all entries. A part with strikes
+// for three upstreams and no proof since the first is accused, and requests with it
+// are quarantined. If an upstream goes on after the loss of a connection, its strikes
+// against parts are withdrawn.
+//
 // # Usage
 //
 //	var d detector.Detector
@@ -33,6 +42,10 @@
 	// MaxStrikes is the number of strikes, each for a different upstream, at which
 	// content is quarantined.
 	MaxStrikes = 2
+	// MaxBegunStrikes replaces MaxStrikes for content whose answers had all begun when
+	// the upstreams were lost. Poison content crashes an upstream that begins to run
+	// it, so that it was most likely another request.
+	MaxBegunStrikes = 3
 	// QuarantineDuration is the time for which content is refused after its last
 	// strike.
 	QuarantineDuration = 10 * time.Minute
@@ -52,6 +65,20 @@
 	// strike from another entry is not added again, whichever of the two messages
 	// arrives first.
 	Cleared bool `json:"cleared,omitempty"`
+	// Begun is true if the answer had begun when the upstream was lost.
+	Begun bool `json:"begun,omitempty"`
+	// Part is the hash of a prompt part. It is set instead of Fingerprint if the
+	// strike is against a part. Cleared then withdraws the strike for Upstream, or
+	// all strikes if Upstream is empty, because the part is proven sound.
+	Part uint64 `json:"part,omitempty"`
+	// Age is the time since the upstream was lost, and SentAge the time from which
+	// the request had been in flight by then. Both are set for a Part only.
+	Age     time.Duration `json:"age,omitempty"`
+	SentAge time.Duration `json:"sent_age,omitempty"`
+	// Count is the number of strikes against Part that this entry knows, and Repeated
+	// is true for a strike that has been sent before. Both are for logs.
+	Count    int  `json:"-"`
+	Repeated bool `json:"-"`
 }
 
 // EventKind is the kind of an [Event].
@@ -60,13 +87,22 @@
 // The kinds of events.
 const (
 	// EventCrashed means that an upstream was lost while the content of
-	// Fingerprints was in flight there.
+	// Fingerprints was in flight there. Begun is true if its answer had begun.
+	// Otherwise Parts are the prompt parts of the request, which was sent at SentAt.
 	EventCrashed EventKind = iota
-	// EventAnswered means that the content of Fingerprints was answered in full.
+	// EventAnswered means that the content of Fingerprints, with the prompt parts
+	// Parts, was answered in full.
 	EventAnswered
 	// EventStrikeReceived carries a strike, or its withdrawal, that another entry
 	// sent.
 	EventStrikeReceived
+	// EventBegun means that the first event of an answer to a request with Parts
+	// arrived.
+	EventBegun
+	// EventProgress means that events of an answer from Upstream arrived.
+	EventProgress
+	// EventTrial means that a request with Parts was sent on trial.
+	EventTrial
 )
 
 // Event is an input of the detector. Only the fields of its kind are set.
@@ -74,6 +110,9 @@
 	Kind         EventKind
 	Upstream     string
 	Fingerprints []string
+	Begun        bool
+	Parts        []uint64
+	SentAt       time.Time
 	Strike       Strike
 }
 
@@ -86,6 +125,8 @@
 	Unsuspected Verdict = iota
 	// Suspect content may run on an upstream without other suspect content.
 	Suspect
+	// OnTrial content may run alone: no other content on trial may be in flight.
+	OnTrial
 	// Quarantined content must not run.
 	Quarantined
 )
@@ -93,6 +134,15 @@
 // Detector holds the strikes by fingerprint. The zero value has no strikes.
 type Detector struct {
 	histories map[string]*history
+	// parts holds the prompt parts with strikes, and proofs the times at which parts
+	// were proven sound.
+	parts  map[uint64]*partHistory
+	proofs generations[uint64, time.Time]
+	// checks holds for upstreams of recent strikes the time from which progress there
+	// withdraws strikes.
+	checks map[string]time.Time
+	// repeatedAt is the time of the last repeat of strikes.
+	repeatedAt time.Time
 }
 
 // history holds the strikes against the content with one fingerprint.
@@ -104,6 +154,16 @@
 	// lastStrike is the time of the last strike. Without one it is the time of the
 	// first withdrawal, which created the history.
 	lastStrike time.Time
+	// unbegun is true if an active strike is for an answer that had not begun.
+	unbegun bool
+}
+
+// isFull reports whether the strikes are enough for a quarantine.
+func (h *history) isFull() bool {
+	if h.unbegun {
+		return len(h.upstreams) >= MaxStrikes
+	}
+	return len(h.upstreams) >= MaxBegunStrikes
 }
 
 // Step processes one event and returns the strikes that the caller must send to
@@ -112,21 +172,34 @@
 func (d *Detector) Step(now time.Time, e Event) []Strike {
 	if d.histories == nil {
 		d.histories = map[string]*history{}
+		d.parts, d.checks = map[uint64]*partHistory{}, map[string]time.Time{}
+		d.proofs.limit = maxProofs
 	}
 	var out []Strike
 	switch e.Kind {
 	case EventCrashed:
 		for _, f := range e.Fingerprints {
-			s := Strike{Fingerprint: f, Upstream: e.Upstream}
+			s := Strike{Fingerprint: f, Upstream: e.Upstream, Begun: e.Begun}
 			if d.addStrike(now, s, true) {
 				out = append(out, s)
 			}
 		}
+		out = append(out, d.strikeParts(now, e)...)
 	case EventAnswered:
 		for _, f := range e.Fingerprints {
 			out = append(out, d.withdrawStrikes(f)...)
 		}
+		out = append(out, d.proveParts(now, e.Parts)...)
+	case EventBegun:
+		return d.proveParts(now, e.Parts)
+	case EventProgress:
+		return d.recordProgress(now, e.Upstream)
+	case EventTrial:
+		d.recordTrial(e.Parts)
 	case EventStrikeReceived:
+		if e.Strike.Part != 0 {
+			return d.receivePartStrike(now, e.Strike)
+		}
 		if d.receiveStrike(now, e.Strike) {
 			out = append(out, e.Strike)
 		}
@@ -140,7 +213,7 @@
 	switch {
 	case h == nil || len(h.upstreams) == 0:
 		return Unsuspected
-	case len(h.upstreams) >= MaxStrikes && now.Sub(h.lastStrike) < QuarantineDuration:
+	case h.isFull() && now.Sub(h.lastStrike) < QuarantineDuration:
 		return Quarantined
 	case now.Sub(h.lastStrike) < StrikeLifetime:
 		return Suspect
@@ -157,7 +230,7 @@
 			continue
 		}
 		for _, u := range h.upstreams {
-			out = append(out, Strike{Fingerprint: f, Upstream: u})
+			out = append(out, Strike{Fingerprint: f, Upstream: u, Begun: !h.unbegun})
 		}
 	}
 	return out
@@ -167,7 +240,7 @@
 // it is quarantined.
 func (d *Detector) withdrawStrikes(fingerprint string) []Strike {
 	h := d.histories[fingerprint]
-	if h == nil || len(h.upstreams) >= MaxStrikes {
+	if h == nil || h.isFull() {
 		return nil
 	}
 	var out []Strike
@@ -175,7 +248,7 @@
 		h.withdrawn = append(h.withdrawn, u)
 		out = append(out, Strike{Fingerprint: fingerprint, Upstream: u, Cleared: true})
 	}
-	h.upstreams = nil
+	h.upstreams, h.unbegun = nil, false
 	return out
 }
 
@@ -187,11 +260,12 @@
 		return d.addStrike(now, s, false)
 	}
 	h := d.history(now, s.Fingerprint)
-	if slices.Contains(h.withdrawn, s.Upstream) || len(h.upstreams) >= MaxStrikes || len(h.withdrawn) >= maxWithdrawn {
+	if slices.Contains(h.withdrawn, s.Upstream) || h.isFull() || len(h.withdrawn) >= maxWithdrawn {
 		return false
 	}
 	h.withdrawn = append(h.withdrawn, s.Upstream)
 	h.upstreams = slices.DeleteFunc(h.upstreams, func(u string) bool { return u == s.Upstream })
+	h.unbegun = h.unbegun && len(h.upstreams) > 0
 	return true
 }
 
@@ -202,13 +276,14 @@
 // added again only if this entry observed the crash itself.
 func (d *Detector) addStrike(now time.Time, s Strike, observed bool) bool {
 	h := d.history(now, s.Fingerprint)
-	if slices.Contains(h.upstreams, s.Upstream) || len(h.upstreams) >= MaxStrikes {
+	if slices.Contains(h.upstreams, s.Upstream) || h.isFull() {
 		return false
 	}
 	if !observed && (slices.Contains(h.withdrawn, s.Upstream) || len(h.withdrawn) >= maxWithdrawn) {
 		return false
 	}
 	h.upstreams = append(h.upstreams, s.Upstream)
+	h.unbegun = h.unbegun || !s.Begun
 	h.lastStrike = now
 	return true
 }
--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -12,9 +12,9 @@
 // be sent to another upstream; a request that may have been run is retried only
 // if its route permits another run.
 //
-// The dispatcher quarantines content that crashes upstreams: it gives the content a
-// strike for each crash and exchanges strikes with the other entries; see package
-// detector.
+// The dispatcher quarantines content and prompt parts that crash upstreams: it gives
+// them a strike for each crash and exchanges strikes with the other entries; see
+// package detector.
 //
 // Entries report to each other the load that they put on upstreams and the
 // upstreams that cache long prompt prefixes; see [Load] and [Placement]. The
@@ -70,6 +70,8 @@
 	Prefix       uint64
 	PrefixTokens int
 	PromptTokens int
+	// Parts are the hashes of the parts of the prompt that other requests may share.
+	Parts []uint64
 	// Digest is a hash of the content. A retry by the caller has the same digest.
 	Digest string
 }
@@ -251,7 +253,9 @@
 	inFlight map[string]*inFlightRequest
 	// suspended holds the requests in flight that have a suspended attempt.
 	suspended map[string]*inFlightRequest
-	exchange  loadExchange
+	// trial is the ID of the last request that was sent on trial.
+	trial    string
+	exchange loadExchange
 }
 
 // service holds the load balancer, the retry budget and the upstreams of one
@@ -311,7 +315,8 @@
 	case EventLoadReceived:
 		d.receiveLoad(now, e.Entry, e.Report)
 	case EventTick:
-		return append(d.abandonOverdue(now), d.tick(now)...)
+		out := append(d.abandonOverdue(now), d.tick(now)...)
+		return append(out, sendStrikes(d.detector.RepeatedStrikes(now))...)
 	case EventSynced:
 		d.synced = e.Synced
 	}
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -90,6 +90,8 @@
 	upstream string
 	// suspect is true if the content was suspect when the attempt was sent.
 	suspect bool
+	// answering is true once the attempt has had a first event.
+	answering bool
 	// pendingTokens is the number of prompt tokens that wait for prefill: all until
 	// the first event, then zero.
 	pendingTokens int
@@ -104,7 +106,7 @@
 func (d *Dispatcher) admit(now time.Time, r Request) []Action {
 	a, failure := d.table.Admit(r.Query)
 	f := &inFlightRequest{request: r, admission: a, deadline: r.Deadline}
-	f.summary = Summary{Route: a.Route.Name, Service: a.Service.Name, Organisation: a.Organisation, Prefix: r.Prefix, PromptTokens: r.PromptTokens, Digest: r.Digest}
+	f.summary = Summary{Route: a.Route.Name, Service: a.Service.Name, Organisation: a.Organisation, Prefix: r.Prefix, PromptTokens: r.PromptTokens, Parts: r.Parts, Digest: r.Digest}
 	if d.table != nil {
 		f.configurationVersion = d.table.Configuration.Version
 	}
@@ -119,8 +121,8 @@
 	if failure == nil && d.inFlight[r.ID] != nil {
 		failure = unavailable("duplicate_identity", "a request with this identity is in flight")
 	}
-	if failure == nil && d.detector.Verdict(now, f.fingerprint()) == detector.Quarantined {
-		failure = unavailable("quarantined", "upstreams crashed while they ran this content; it is refused for some minutes")
+	if failure == nil {
+		failure = d.quarantine(now, f)
 	}
 	if failure != nil {
 		return []Action{d.failAction(now, f, failure)}
@@ -135,18 +137,20 @@
 	return append(d.recordKind(now, s, f), d.send(now, f)...)
 }
 
-// fingerprint returns the fingerprint of organisation and content for the
-// detector.
-func (f *inFlightRequest) fingerprint() string {
-	return f.admission.Organisation + "/" + f.request.Digest
-}
-
 // send starts the next attempt of f on the upstream that the picker selects.
 func (d *Dispatcher) send(now time.Time, f *inFlightRequest) []Action {
 	if !now.Before(f.deadline) {
 		return d.retryOrFail(now, f, retrier.CauseExpired, nil)
 	}
 	s := d.service(f.admission.Service.Name)
+	verdict := d.verdict(now, f)
+	if verdict == detector.Quarantined {
+		return d.retryOrFail(now, f, retrier.CauseNoUpstream, nil)
+	}
+	if verdict == detector.OnTrial {
+		d.trial = f.request.ID
+		d.detector.Step(now, detector.Event{Kind: detector.EventTrial, Parts: f.request.Parts})
+	}
 	q := d.query(now, s, f)
 	id, ok := s.picker.Pick(now, q)
 	if !ok {
@@ -187,7 +191,7 @@
 		Candidates: s.instanceIDs, AvailabilityZone: d.settings.AvailabilityZone, Exclude: d.exclude(s, f),
 		Tier: f.admission.Priority + 1, TokenGapTarget: f.admission.Route.GapTarget, LatencyTarget: f.admission.Route.LatencyTarget,
 		Prefix: f.request.Prefix, PrefixTokens: f.request.PrefixTokens, PromptTokens: f.request.PromptTokens,
-		Suspect:    d.detector.Verdict(now, f.fingerprint()) == detector.Suspect,
+		Suspect:    d.verdict(now, f) != detector.Unsuspected,
 		LongPrompt: f.hasLongPrompt(s), LongPromptShare: s.longPromptShare(),
 		MaxSpilloverTokens: s.separator.MaxSpilloverTokens(), Deferrable: f.isDeferrable(s),
 	}
@@ -240,11 +244,11 @@
 		if f.prefillTokens > 0 {
 			s.separator.Step(now, separator.Event{Kind: separator.EventPrefilled, Request: f.admission.Route.Name, PromptTokens: f.prefillTokens, Elapsed: e.Elapsed})
 		}
-		return out
+		return append(out, d.detectProgress(now, f)...)
 	}
 	s.separator.Step(now, separator.Event{Kind: separator.EventProgress, Request: f.admission.Route.Name, Elapsed: e.Elapsed, Events: e.Events})
 	s.picker.Step(now, picker.Event{Kind: picker.EventTokens, Upstream: f.upstream, Elapsed: e.Elapsed, Tokens: e.Events})
-	return out
+	return append(out, d.detectProgress(now, f)...)
 }
 
 func (d *Dispatcher) endAttempt(now time.Time, e Event) []Action {
@@ -324,15 +328,7 @@
 		}
 	}
 	s.recordEnd(now, p)
-	switch e.Outcome {
-	case OutcomeCrashed:
-		return sendStrikes(d.detector.Step(now, detector.Event{
-			Kind: detector.EventCrashed, Upstream: f.upstream, Fingerprints: []string{f.fingerprint()},
-		}))
-	case OutcomeAnswered:
-		return sendStrikes(d.detector.Step(now, detector.Event{Kind: detector.EventAnswered, Fingerprints: []string{f.fingerprint()}}))
-	}
-	return nil
+	return d.detectEnd(now, f, e)
 }
 
 // recordEnd reports the end of an attempt to the picker, which forgets an upstream
@@ -348,7 +344,7 @@
 // c, or fails the request. A request with a suspended attempt does not fail: that
 // attempt goes on. The actions are appended to before.
 func (d *Dispatcher) retryOrFail(now time.Time, f *inFlightRequest, c retrier.Cause, before []Action) []Action {
-	f.state.Quarantined = d.detector.Verdict(now, f.fingerprint()) == detector.Quarantined
+	f.state.Quarantined = d.verdict(now, f) == detector.Quarantined
 	if f.begun {
 		// The number of delivered tokens is not known here. Any number above zero
 		// means that the answer has begun.
@@ -386,6 +382,9 @@
 	}
 	if answer.Status == http.StatusServiceUnavailable {
 		answer.RetryAfter = d.retryAfter(now, f)
+		if answer.Code == codeQuarantined {
+			answer.RetryAfter = max(answer.RetryAfter, d.detector.QuarantineLeft(now, f.request.Parts))
+		}
 	}
 	return Action{
 		Kind: ActionFail, ID: f.request.ID, Attempt: f.attempt, Begun: f.begun, Failure: &answer,
