Read skipped answers to their end or end the call

Callers could see a refusal, "not run, try again", for a request that an upstream had run, or such a request was sent to a second upstream.

Cause: an answer to another request is skipped on a connection, but its body only up to 128 KB, and not at all in a call of the method HEAD, for which net/http expects no body. The rest of the body was then parsed as the answer to this request, so that bytes in the body decided the outcome.

Evidence: TestBodyOfForeignResponseIsNotParsedAsResponse. An upstream writes an answer to another request whose body ends in the text of a refusal. Before the change the call ended as refused (outcome 2) in both cases, where it must be lost (outcome 5).

Change: an answer to another request whose end is not known ends the call as lost. A shorter one is skipped as before.

Result: the test passes; the other tests of the package pass with -race.

--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -205,12 +205,26 @@
 		}
 		// A connection with mismatched responses must not be reused.
 		a.requestWritten = false
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBytes)); err != nil {
+		if err := skipBody(resp); err != nil {
 			return nil, VerdictInvalid, errors.Wrap(err, "skip a response to another request")
 		}
 	}
 }
 
+// skipBody reads the body of a response to another request. It returns an error if the
+// next byte may not be the first of another response.
+func skipBody(resp *http.Response) error {
+	if resp.Request.Method == http.MethodHead {
+		// Whether a body follows depends on the method of the other request.
+		return errors.New("the length of the body is unknown")
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBytes+1))
+	if err == nil && n > maxBufferedBytes {
+		err = errors.Errorf("the body exceeds %d bytes", maxBufferedBytes)
+	}
+	return err
+}
+
 // setReadDeadline sets the deadline for the next read from the deadline and the
 // idle timeout of the call.
 func (c *Conn) setReadDeadline(a *attempt) error {
