Resume a stream only with an event stream

Callers found the text of an error in the middle of their stream, which then ended as if it were complete: a stream broke off and was resumed at another upstream, which answered 2xx with a page of text.

Cause: a resumed stream relayed any 2xx answer as events. Only an answer whose last bytes were not followed by a blank line was recognised as no stream.

Evidence: TestAnswerThatIsNoStreamDoesNotContinueStream. Before the change, five answers of other types (text, JSON, none, one that is invalid, text without framing) ended the call as answered (outcome 0), with their body relayed.

Change: an answer goes on with a stream only if its type is text/event-stream; any other is a failure of the upstream, which is not relayed.

Result: the test passes, and the package with -race.

--- a/internal/connection/carrier/endless_test.go
+++ b/internal/connection/carrier/endless_test.go
@@ -25,14 +25,31 @@
 	address string
 	// closed receives the number of bytes written to a connection once it is closed.
 	closed chan int
+	// closes is true if the upstream closes a connection after its response.
+	closes bool
 }
 
 func newRawUpstream(t *testing.T, once, repeated string, pause time.Duration) *rawUpstream {
+	t.Helper()
+	u := &rawUpstream{closed: make(chan int, 8)}
+	u.start(t, once, repeated, pause)
+	return u
+}
+
+// newClosingUpstream returns an upstream that closes each connection after response.
+func newClosingUpstream(t *testing.T, response string) *rawUpstream {
+	t.Helper()
+	u := &rawUpstream{closed: make(chan int, 8), closes: true}
+	u.start(t, response, "", 0)
+	return u
+}
+
+func (u *rawUpstream) start(t *testing.T, once, repeated string, pause time.Duration) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = l.Close() })
-	u := &rawUpstream{address: l.Addr().String(), closed: make(chan int, 8)}
+	u.address = l.Addr().String()
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -42,7 +59,6 @@
 			go u.serve(conn, once, repeated, pause)
 		}
 	}()
-	return u
 }
 
 func (u *rawUpstream) serve(conn net.Conn, once, repeated string, pause time.Duration) {
@@ -57,7 +73,7 @@
 		total += n
 		time.Sleep(pause)
 	}
-	if err == nil {
+	if err == nil && !u.closes {
 		// The upstream keeps the connection open until the other side closes it.
 		_, _ = io.Copy(io.Discard, conn)
 	}
--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -124,7 +124,7 @@
 		r.Status = resp.StatusCode
 		return r
 	}
-	if a.call.Stream && resp.StatusCode/100 == 2 {
+	if a.call.Stream && resp.StatusCode/100 == 2 && (!a.begun || isEventStream(resp)) {
 		return c.relayStream(a, resp)
 	}
 	return c.relayComplete(a, resp)
--- a/internal/connection/carrier/framing.go
+++ b/internal/connection/carrier/framing.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"mime"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,6 +14,12 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
+// isEventStream reports whether a response is a stream of server-sent events.
+func isEventStream(resp *http.Response) bool {
+	kind, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	return err == nil && kind == "text/event-stream"
+}
+
 // parseKeepAliveTimeout returns the timeout parameter of a Keep-Alive header, zero
 // if it is missing or invalid.
 func parseKeepAliveTimeout(header string) time.Duration {
--- /dev/null
+++ b/internal/connection/carrier/resume_test.go
@@ -0,0 +1,49 @@
+package carrier
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"magnoliafront.dev/magnoliafront/internal/request/relayer"
+)
+
+// resume is a change of a call that goes on with a stream after its event 2.
+func resume(c *Call) { c.Stream, c.Begun, c.LastEvent = true, true, "2" }
+
+// assertNotContinued checks that an answer did not go on with a stream: none of its bytes
+// reached the caller, nor an end.
+func assertNotContinued(t *testing.T, r Report, replies []relayer.Reply) {
+	t.Helper()
+	is := is.New(t)
+	is.Equal(r.Outcome, OutcomeFailed)
+	is.True(r.Begun)
+	is.Equal(r.LastEvent, "2")
+	is.Equal(len(replies), 0)
+}
+
+// A stream was resumed with a page of text, whose paragraphs were relayed as events, and
+// its end as that of the stream.
+func TestAnswerThatIsNoStreamDoesNotContinueStream(t *testing.T) {
+	for _, c := range []struct{ name, head string }{
+		{"text", "Content-Type: text/plain\r\nContent-Length: 15\r\n"},
+		{"text without framing", "Content-Type: text/plain\r\n"},
+		{"JSON", "Content-Type: application/json\r\nContent-Length: 15\r\n"},
+		{"unknown type", "Content-Length: 15\r\n"},
+		{"invalid type", "Content-Type: text/event-stream; =\r\nContent-Length: 15\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			u := newClosingUpstream(t, "HTTP/1.1 200 OK\r\n"+c.head+"\r\nfailed\n\nsorry\n\n")
+			r, replies := u.call(t, resume)
+			assertNotContinued(t, r, replies)
+		})
+	}
+	t.Run("a stream with parameters in its type goes on", func(t *testing.T) {
+		u := newRawUpstream(t, "HTTP/1.1 200 OK\r\nContent-Type: Text/Event-Stream; charset=utf-8\r\nContent-Length: 13\r\n\r\nid: 3\ndata:\n\n", "", 0)
+		r, replies := u.call(t, resume)
+		is := is.New(t)
+		is.Equal(r.Outcome, OutcomeAnswered)
+		is.Equal(r.LastEvent, "3")
+		is.Equal(len(replies), 2)
+	})
+}
