Do not end a stream with an answer without events

Callers could take a stream that had broken off for complete: the next upstream answered 2xx with an empty body, or closed an unframed answer at once.

Cause: the end of any event stream ended the stream of the caller, also that of an answer that added nothing to it.

Evidence: TestAnswerWithoutEventDoesNotEndStream. Before the change, the call of a resumed stream ended as answered (outcome 0) and relayed the end for an empty body, no chunk, a closed connection, 204, and repeated events or comments only.

Change: in a resumed stream, an answer without a new event is a failure of the upstream. The stream is resumed elsewhere or cut. A stream that broke off right after its last event is cut too, since nothing tells it from the others.

Result: the test passes, and the package with -race.

--- a/internal/connection/carrier/resume_test.go
+++ b/internal/connection/carrier/resume_test.go
@@ -47,3 +47,27 @@
 		is.Equal(len(replies), 2)
 	})
 }
+
+// An answer whose end holds no event ended a stream that had broken off as if it were
+// complete.
+func TestAnswerWithoutEventDoesNotEndStream(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	for _, c := range []struct{ name, response string }{
+		{"empty body", head + "Content-Length: 0\r\n\r\n"},
+		{"no chunk", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+		{"closed connection", head + "\r\n"},
+		{"no content", "HTTP/1.1 204 No Content\r\nContent-Type: text/event-stream\r\n\r\n"},
+		{"events that the caller has", head + "Content-Length: 26\r\n\r\nid: 1\ndata:\n\nid: 2\ndata:\n\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r, replies := newClosingUpstream(t, c.response).call(t, resume)
+			assertNotContinued(t, r, replies)
+		})
+	}
+	t.Run("comments only", func(t *testing.T) {
+		r, replies := newClosingUpstream(t, head+"Content-Length: 3\r\n\r\n:\n\n").call(t, resume)
+		is := is.New(t)
+		is.Equal(r.Outcome, OutcomeFailed)
+		is.Equal(replies[len(replies)-1].Kind, relayer.KindBody)
+	})
+}
--- a/internal/connection/carrier/stream.go
+++ b/internal/connection/carrier/stream.go
@@ -51,6 +51,11 @@
 		return c.classifyError(a, errors.New("the stream ends within an event"))
 	case !errors.Is(err, io.EOF):
 		return c.classifyError(a, errors.Wrap(err, "read the stream"))
+	case a.call.Begun && a.lastRead.IsZero():
+		// Whether the stream that broke off was complete is as unknown as before.
+		r := a.newReport(OutcomeFailed, errors.New("the answer holds no event after the last one of the stream"))
+		r.Status = resp.StatusCode
+		return r
 	case !a.relayHead(resp):
 		return a.newReport(OutcomeCancelled, nil)
 	}
