Do not resume an answer that no other can continue

Callers could find parts of two runs joined in one answer, or events twice: an upstream relayed events without an ID, or an answer that is no event stream, and broke off; the next upstream began at the first event, behind that part.

Cause: a request that may be repeated was sent again whatever part of the answer the caller had. Without the ID of a last event the next upstream starts anew, and a large answer that is not a stream cannot be continued at all.

Evidence: TestReportSaysWhetherAnswerCanBeResumed and two cases of TestAttemptOutcomeDecidesRetry. Before the change the dispatcher sent both requests to a second upstream (ActionSend in place of ActionFail), and the report of the connection could not tell the cases apart.

Change: the report says that a part cannot be resumed if an event with content had no ID or the answer is no event stream. The dispatcher then treats the request as one that must not be repeated, and the caller's answer is cut.

--- a/internal/connection/carrier/carrier.go
+++ b/internal/connection/carrier/carrier.go
@@ -141,9 +141,11 @@
 	// some outcomes without a complete response.
 	Status int
 	// Begun is true if the head of the response was relayed. LastEvent is the ID
-	// of the last event that was relayed.
-	Begun     bool
-	LastEvent string
+	// of the last event that was relayed. Unresumable is true if no other response can
+	// continue the part that was relayed: an event had no ID, or it is no event stream.
+	Begun       bool
+	LastEvent   string
+	Unresumable bool
 	// FirstEvent is the time from the start of the call to the first event of a
 	// stream. LongestPause is the longest time between two later reads that
 	// completed events. Both are zero if there were none.
--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -40,6 +40,8 @@
 	start    time.Time
 	splitter splitter
 	begun    bool
+	// opaque is true if the caller has a part of a response that is no event stream.
+	opaque bool
 	// unreportedEvents is the number of events since the last progress report,
 	// which was sent at lastReport.
 	unreportedEvents int
@@ -287,6 +289,7 @@
 	if a.begun {
 		return a.newReport(OutcomeFailed, errors.Errorf("the response with status %d does not continue the stream", resp.StatusCode))
 	}
+	a.opaque = true
 	ok := a.relayHead(resp) && a.relayBody(body)
 	for ok {
 		if err := c.setReadDeadline(a); err != nil {
@@ -348,7 +351,10 @@
 
 // newReport returns the report of a call that ended with the outcome o.
 func (a *attempt) newReport(o Outcome, err error) Report {
-	return Report{Outcome: o, Err: err, Begun: a.begun, LastEvent: a.splitter.lastID, Events: a.unreportedEvents, FirstEvent: a.firstEvent, LongestPause: a.longestPause}
+	return Report{
+		Outcome: o, Err: err, Begun: a.begun, LastEvent: a.splitter.lastID, Unresumable: a.begun && (a.opaque || a.splitter.unnumbered),
+		Events: a.unreportedEvents, FirstEvent: a.firstEvent, LongestPause: a.longestPause,
+	}
 }
 
 // relayHead relays the head of a response unless the caller has received one, in
--- a/internal/connection/carrier/resume_test.go
+++ b/internal/connection/carrier/resume_test.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -71,3 +72,34 @@
 		is.Equal(replies[len(replies)-1].Kind, relayer.KindBody)
 	})
 }
+
+// A part of an answer that no upstream can go on with was followed by the events of
+// another answer. The report must say so, and only then.
+func TestReportSaysWhetherAnswerCanBeResumed(t *testing.T) {
+	const stream = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 999999\r\n\r\n"
+	const text = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 999999\r\n\r\n"
+	started := func(c *Call) { c.Stream = true }
+	for _, c := range []struct {
+		name, response string
+		change         func(*Call)
+		begun, want    bool
+	}{
+		{"event with an ID", stream + "id: 1\ndata:\n\n", started, true, false},
+		{"comment", stream + ":\n\nid: 1\ndata:\n\n:\n\n", started, true, false},
+		{"nothing", stream, started, false, false},
+		{"part of an event without an ID", stream + "data: x", started, false, false},
+		{"event without an ID", stream + "data: failed\n\n", started, true, true},
+		{"event without an ID before others", stream + "data:\n\nid: 1\ndata:\n\n", started, true, true},
+		{"event without an ID in a resumed stream", stream + "id: 3\ndata:\n\ndata:\n\n", resume, true, true},
+		{"paragraphs of a text", text + "failed\n\n", started, true, true},
+		{"large answer that is no stream", text + strings.Repeat("x", maxBufferedBytes+1), nil, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r, _ := newClosingUpstream(t, c.response).call(t, c.change)
+			is := is.New(t)
+			is.Equal(r.Outcome, OutcomeLost)
+			is.Equal(r.Begun, c.begun)
+			is.Equal(r.Unresumable, c.want)
+		})
+	}
+}
--- a/internal/connection/carrier/splitter.go
+++ b/internal/connection/carrier/splitter.go
@@ -19,6 +19,8 @@
 	// lastID is the ID of the last event that was returned, empty if no event had
 	// an ID.
 	lastID string
+	// unnumbered is true once an event with content but without an ID was returned.
+	unnumbered bool
 	// partial holds the bytes after the last complete event.
 	partial []byte
 }
@@ -51,6 +53,7 @@
 		whole = append(whole, event...)
 		if hasContent(event) {
 			events++
+			s.unnumbered = s.unnumbered || id == ""
 		}
 	}
 	if start > 0 || len(s.partial) == 0 {
--- a/internal/connection/carrier/stream.go
+++ b/internal/connection/carrier/stream.go
@@ -14,6 +14,7 @@
 	if c.streamBuffer == nil {
 		c.streamBuffer = make([]byte, streamReadBytes)
 	}
+	a.opaque = !isEventStream(resp)
 	if err := c.setReadDeadline(a); err != nil {
 		return c.classifyError(a, err)
 	}
--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -145,9 +145,11 @@
 	Elapsed time.Duration
 	Outcome AttemptOutcome
 	// Begun is true if the head of the answer was relayed to the caller. LastEvent
-	// is the ID of the last event that was relayed.
-	Begun     bool
-	LastEvent string
+	// is the ID of the last event that was relayed. Unresumable is true if no other
+	// answer can continue the part that was relayed.
+	Begun       bool
+	LastEvent   string
+	Unresumable bool
 
 	Table     *matcher.Table
 	Upstreams []registrar.Upstream
--- a/internal/process/dispatcher/dispatcher_test.go
+++ b/internal/process/dispatcher/dispatcher_test.go
@@ -77,6 +77,8 @@
 		{"failed check is retried", "/check/1", Event{Outcome: OutcomeFailed}, true, 0},
 		{"chat lost before the first event is retried", "/chat/1", Event{Outcome: OutcomeLost}, true, 0},
 		{"chat lost after an event is resumed", "/chat/1", Event{Outcome: OutcomeLost, Begun: true, LastEvent: "7"}, true, 0},
+		{"chat lost after an event that cannot be resumed is cut off", "/chat/1", Event{Outcome: OutcomeLost, Begun: true, Unresumable: true}, false, http.StatusBadGateway},
+		{"large check lost after its head is cut off", "/check/1", Event{Outcome: OutcomeLost, Begun: true, Unresumable: true}, false, http.StatusBadGateway},
 		{"brief lost before the first event fails", "/brief/1", Event{Outcome: OutcomeLost}, false, http.StatusBadGateway},
 		{"brief lost after an event is cut off", "/brief/1", Event{Outcome: OutcomeLost, Begun: true, LastEvent: "7"}, false, http.StatusBadGateway},
 	} {
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -231,6 +231,7 @@
 		return nil
 	}
 	f.begun, f.lastEvent = e.Begun, e.LastEvent
+	f.state.Repeatable = f.state.Repeatable && !e.Unresumable
 	strikes := d.recordOutcome(now, f, e)
 	switch e.Outcome {
 	case OutcomeAnswered:
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -129,7 +129,7 @@
 	}
 	f.dispatch(now, dispatcher.Event{
 		Kind: dispatcher.EventEnded, ID: r.Request, Attempt: r.Attempt, Outcome: attemptOutcome(r),
-		Begun: r.Begun, LastEvent: r.LastEvent, Elapsed: r.Elapsed,
+		Begun: r.Begun, LastEvent: r.LastEvent, Unresumable: r.Unresumable, Elapsed: r.Elapsed,
 	})
 	f.cleanUpPool(p)
 }
