Cut a resumed stream at an event without an ID

Callers found the text of an error in the middle of their stream: a stream broke off, and the upstream that was to go on sent the error as an event, then ended its answer. The stream looked complete.

Cause: an event without an ID passes the check for repeated events, so that a resumed stream relayed it, although the events before it had IDs.

Evidence: TestEventWithoutIDDoesNotContinueStream.

Change: an event with content but without an ID ends the call of a resumed stream as lost, and it is not relayed. The first answer is relayed as it is.

Result: the test passes, and the package with -race.

--- a/internal/connection/carrier/resume_test.go
+++ b/internal/connection/carrier/resume_test.go
@@ -103,3 +103,16 @@
 		})
 	}
 }
+
+// An upstream that should go on with a stream sent the text of an error as an event, and
+// the caller got it as a part of the stream.
+func TestEventWithoutIDDoesNotContinueStream(t *testing.T) {
+	response := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 27\r\n\r\nid: 3\ndata:\n\ndata: failed\n\n"
+	r, replies := newClosingUpstream(t, response).call(t, resume)
+	is := is.New(t)
+	is.Equal(r.Outcome, OutcomeLost)
+	for _, reply := range replies {
+		is.True(!strings.Contains(string(reply.Bytes), "failed"))
+		is.True(reply.Kind != relayer.KindEnd)
+	}
+}
--- a/internal/connection/carrier/stream.go
+++ b/internal/connection/carrier/stream.go
@@ -24,6 +24,9 @@
 		if !ok {
 			return a.newReport(OutcomeLost, errors.Errorf("an event exceeds %d bytes", maxEventBytes))
 		}
+		if a.call.LastEvent != "" && a.splitter.unnumbered {
+			return a.newReport(OutcomeLost, errors.New("an event of the resumed stream has no ID"))
+		}
 		cutOff := len(a.splitter.partial) > 0 && (isCloseDelimited(resp) || a.call.Begun)
 		if errors.Is(err, io.EOF) && !cutOff {
 			// The framing of the response shows that it is complete, so the rest is
