Treat any stream that ends inside an event as cut

Callers could take a stream that had broken off for complete: its last event was cut in the middle, but the length or the last chunk of the answer was right.

Cause: only an unframed or a resumed stream was checked for a part of an event at its end. In return, a line feed or a part of a comment behind the last event of such a stream made it count as cut, although no event was missing.

Evidence: TestStreamThatEndsInsideEventIsLost.

Change: an event stream that ends with a part of an event is lost, whatever its framing; comments and empty lines are no part of an event. Answers of other types keep the rule for unframed ones.

--- a/internal/connection/carrier/resume_test.go
+++ b/internal/connection/carrier/resume_test.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -116,3 +117,36 @@
 		is.True(reply.Kind != relayer.KindEnd)
 	}
 }
+
+// A stream that ended inside an event was relayed as complete if its length or its last
+// chunk was right.
+func TestStreamThatEndsInsideEventIsLost(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	const event = "id: 1\ndata:\n\n"
+	for _, c := range []struct {
+		name, rest string
+		want       Outcome
+	}{
+		{"between events", "", OutcomeAnswered},
+		{"after an empty line more", "\n", OutcomeAnswered},
+		{"inside a comment", ": idl", OutcomeAnswered},
+		{"inside the name of a field", "i", OutcomeLost},
+		{"inside a value", "id: 2\ndata: x", OutcomeLost},
+		{"before the blank line", "id: 2\ndata: x\n", OutcomeLost},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			text := event + c.rest
+			for _, response := range []string{
+				fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(text), text),
+				fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(text), text),
+				head + "\r\n" + text,
+			} {
+				r, replies := newClosingUpstream(t, response).call(t, func(c *Call) { c.Stream = true })
+				is := is.New(t)
+				is.Equal(r.Outcome, c.want)
+				is.Equal(r.LastEvent, "1")
+				is.Equal(replies[len(replies)-1].Kind == relayer.KindEnd, c.want == OutcomeAnswered)
+			}
+		})
+	}
+}
--- a/internal/connection/carrier/stream.go
+++ b/internal/connection/carrier/stream.go
@@ -8,8 +8,8 @@
 	"github.com/go-faster/errors"
 )
 
-// relayStream relays an event stream in whole events. Only the last event of a
-// complete response may lack the blank line that ends an event.
+// relayStream relays an event stream in whole events. An event stream that ends inside
+// an event is incomplete, also if the framing of the response is not.
 func (c *Conn) relayStream(a *attempt, resp *http.Response) Report {
 	if c.streamBuffer == nil {
 		c.streamBuffer = make([]byte, streamReadBytes)
@@ -27,10 +27,10 @@
 		if a.call.LastEvent != "" && a.splitter.unnumbered {
 			return a.newReport(OutcomeLost, errors.New("an event of the resumed stream has no ID"))
 		}
-		cutOff := len(a.splitter.partial) > 0 && (isCloseDelimited(resp) || a.call.Begun)
+		cutOff := hasContent(a.splitter.partial) && (isCloseDelimited(resp) || !a.opaque)
 		if errors.Is(err, io.EOF) && !cutOff {
-			// The framing of the response shows that it is complete, so the rest is
-			// relayed although no blank line ends it.
+			// The rest is no part of an event: comments, empty lines or the end of a
+			// response of another type.
 			whole = append(whole, a.splitter.partial...)
 		}
 		if len(whole) > 0 && (!a.relayHead(resp) || !a.relayBody(whole)) {
