Relay event streams without the length of the first answer

Callers got a resumed stream that looked complete although its last events were missing: the first answer stated a length, broke off, and the next upstream went on for longer. With fewer bytes than stated, a complete stream looked cut.

Cause: the head of the first answer was relayed with its Content-Length, which then bounded the events of all later answers.

Evidence: the case "chat cut in the middle of a stream with a length" of TestGatewayUpstreamFaultsKeepGuarantees.

Change: Content-Length is dropped from the head of an event stream, so that the caller gets it in chunks and only the last chunk marks its end. Answers to HEAD and those of other types keep it.

--- a/internal/connection/carrier/stream.go
+++ b/internal/connection/carrier/stream.go
@@ -15,6 +15,10 @@
 		c.streamBuffer = make([]byte, streamReadBytes)
 	}
 	a.opaque = !isEventStream(resp)
+	if !a.opaque && a.call.Head.Method != http.MethodHead {
+		// Events that another upstream goes on with may be of another length.
+		resp.Header.Del("Content-Length")
+	}
 	if err := c.setReadDeadline(a); err != nil {
 		return c.classifyError(a, err)
 	}
--- a/internal/process/emulator/runner.go
+++ b/internal/process/emulator/runner.go
@@ -32,6 +32,9 @@
 	// RunnerAbortsStream closes the connection after half of the events, in the
 	// middle of an event.
 	RunnerAbortsStream
+	// RunnerAbortsShortStream is like RunnerAbortsStream, with a Content-Length that
+	// covers one event more than it sends.
+	RunnerAbortsShortStream
 	// RunnerResetsMidBody sends the whole body without a Content-Length and then
 	// resets the connection instead of closing it, so that the client can't know
 	// that the body is complete.
@@ -261,8 +264,15 @@
 	if last, err := strconv.Atoi(req.Header.Get("Last-Event-Id")); err == nil {
 		first = last + 1
 	}
+	if b == RunnerAbortsShortStream {
+		length := 0
+		for i := first; i <= r.Events/2+1; i++ {
+			length += len(Event(run.ID, i))
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(length))
+	}
 	for i := first; i <= r.Events; i++ {
-		if b == RunnerAbortsStream && i > r.Events/2 {
+		if (b == RunnerAbortsStream || b == RunnerAbortsShortStream) && i > r.Events/2 {
 			_, _ = fmt.Fprintf(w, "id: %d\nda", i)
 			_ = flusher.Flush()
 			panic(http.ErrAbortHandler)
--- a/internal/process/starter/gateway_test.go
+++ b/internal/process/starter/gateway_test.go
@@ -104,6 +104,7 @@
 		{"check answered in part", emulator.RunnerResetsMidBody, "/check/1", http.StatusOK, 2},
 		{"chat reset", emulator.RunnerResets, "/stream/chat/1", http.StatusOK, 2},
 		{"chat cut in the middle of the stream", emulator.RunnerAbortsStream, "/stream/chat/1", http.StatusOK, 2},
+		{"chat cut in the middle of a stream with a length", emulator.RunnerAbortsShortStream, "/stream/chat/1", http.StatusOK, 2},
 		{"hold answered with a head without an end", emulator.RunnerEndlessHead, "/hold/1", http.StatusBadGateway, 1},
 		{"check answered with a head without an end", emulator.RunnerEndlessHead, "/check/1", http.StatusOK, 2},
 		{"chat with an event without an end", emulator.RunnerEndlessEvent, "/stream/chat/1", http.StatusOK, 2},
