Send each request of an agent on a new connection

In the product's own form, callers were told that a request was not run, or it was sent to a second upstream, while an engine was running it: the engine wrote an earlier refusal once more on a kept connection. In the same way a plain service call could get the answer to a health check.

Cause: the answers of engines and services have no identity, and requests were sent on connections that had carried others: engine requests on any kept one, and service calls on that of a health check, since net/http uses a kept connection also for a request that asks to close it.

Change: requests to engines and health checks ask to close their connection too, and the client of the agent keeps none. A stream mostly closed its connection before, since it is not read behind its last event.

--- a/internal/connection/reader/probe.go
+++ b/internal/connection/reader/probe.go
@@ -57,6 +57,8 @@
 	if err != nil {
 		return false
 	}
+	// No request may find a kept connection.
+	req.Close = true
 	resp, err := client.Do(req)
 	if err != nil {
 		return false
--- a/internal/connection/reader/reader.go
+++ b/internal/connection/reader/reader.go
@@ -11,6 +11,11 @@
 // priority, request_id and resume_from, the number of tokens that the caller
 // already has. Plain services get the call unchanged.
 //
+// Each request is sent on a new connection, which is cheap within the VM. Responses
+// have no identity, so that on a kept connection an earlier one could not be told from
+// that of the request. An upstream may also close a kept connection just as a request
+// is sent, and it is then unknown whether the request ran.
+//
 // # Usage
 //
 //	r := reader.NewEngine(client, clock, url, job, emit)
@@ -252,6 +257,7 @@
 		return &Error{Op: "request", Kind: ErrorRejected, Err: err}
 	}
 	req.Header.Set("Content-Type", "application/json")
+	req.Close = true
 	resp, err := r.client.Do(req)
 	if err != nil {
 		return &Error{Op: "request", Kind: transportErrorKind(err), Err: err}
@@ -365,9 +371,6 @@
 		}
 		req.Header[name] = values
 	}
-	// A service may close a keep-alive connection just as a call is sent, and it
-	// is then unknown whether the call ran. A new connection within the VM is
-	// cheap.
 	req.Close = true
 	resp, err := r.sendOnce(req)
 	if err != nil {
--- a/internal/process/starter/agent.go
+++ b/internal/process/starter/agent.go
@@ -21,7 +21,7 @@
 func newExecutor(lc fx.Lifecycle, s loader.Agent, c timer.Clock, rec *recorder.Recorder, e *exchanger.Exchanger) *executor.Executor {
 	x := executor.New(executor.Options{
 		Upstream: s.Upstream, URL: s.UpstreamURL, Clock: c, Recorder: rec, OnNewerRevision: e.HintRevision,
-		Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+		Client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	})
 	lc.Append(fx.StopHook(x.Stop))
 	return x
