Take an error event of an engine as the loss of the answer

In the product's own form, callers got a part of an answer that looked complete: an engine failed within a stream, sent the error as an event and then [DONE].

Cause: the reader of the agent looked only at the choices of an event. One with an error has none, so it was skipped and the stream finished.

Evidence: TestErrorEventIsReportedAsLost got EventFinished in place of EventLost for an error as an object, as a text and beside choices.

Change: an event with an error ends the attempt as lost, without a crash of the engine, so that a repeatable request is resumed and any other fails.

Result: the test passes, and the package with -race.

--- a/internal/connection/reader/reader.go
+++ b/internal/connection/reader/reader.go
@@ -308,6 +308,8 @@
 		} `json:"delta"`
 		FinishReason *string `json:"finish_reason"`
 	} `json:"choices"`
+	// Error is set if the engine failed after the head of its response.
+	Error any `json:"error"`
 }
 
 // readEvents reads server-sent events until the terminating [DONE]. Each chunk
@@ -333,6 +335,9 @@
 		if err := json.Unmarshal([]byte(data), &c); err != nil {
 			return &Error{Op: "read", Kind: ErrorMalformed, Err: err}
 		}
+		if c.Error != nil {
+			return &Error{Op: "read", Kind: ErrorMalformed, Err: errors.Errorf("the engine failed: %.*s", maxReasonBytes, data)}
+		}
 		for _, choice := range c.Choices {
 			if choice.FinishReason != nil {
 				reason = *choice.FinishReason
--- a/internal/connection/reader/reader_test.go
+++ b/internal/connection/reader/reader_test.go
@@ -65,3 +65,34 @@
 		}
 	}
 }
+
+// An engine that fails within a stream sends the error as an event and may still end the
+// stream with [DONE]. The part of the answer was reported as the whole.
+func TestErrorEventIsReportedAsLost(t *testing.T) {
+	for _, c := range []struct {
+		name, event string
+		want        EventKind
+	}{
+		{"error object", `{"error":{"message":"out of memory","code":500}}`, EventLost},
+		{"error text", `{"error":"out of memory"}`, EventLost},
+		{"error beside choices", `{"choices":[],"error":{"message":"x"}}`, EventLost},
+		{"no error", `{"choices":[],"error":null}`, EventFinished},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+				if q.Method == http.MethodPost {
+					_, _ = w.Write([]byte("data: {\"choices\":[{\"delta\":{\"content\":\"x\"}}]}\n\ndata: " + c.event + "\n\ndata: [DONE]\n\n"))
+				}
+			}))
+			defer s.Close()
+			events := make(chan Event, 8)
+			NewEngine(s.Client(), timer.System{}, s.URL, Job{Key: scheduler.Key{Request: "r"}, Body: []byte(`{}`)}, func(e Event) { events <- e })
+			is := is.New(t)
+			is.Equal((<-events).Kind, EventTokens)
+			last := <-events
+			is.Equal(last.Kind, c.want)
+			is.True(!last.Crashed)
+			is.True(!last.Unreachable)
+		})
+	}
+}
