Abort the connection of an answer that broke off

In the product's own form, callers got an answer that looked complete: the last chunk after a part of the tokens, or an empty answer with status 200, when the caller had read too slowly or the entry stopped.

Cause: the handler returned after such an error, and net/http then ended the response in good order.

Evidence: TestBrokenAnswerDoesNotLookComplete. Before the change the client read both answers without an error.

Change: the handler aborts the connection. An error that an entry reports as the last event of a stream is still followed by the last chunk: it is the form that package responder documents, and [DONE] is missing.

--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -181,7 +181,9 @@
 	if !ok {
 		return
 	}
-	_ = responder.WriteModels(req.Context(), w, replies)
+	if responder.WriteModels(req.Context(), w, replies) != nil {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 func (s *Server) handleReadyz(w http.ResponseWriter, _ *http.Request) {
@@ -224,10 +226,12 @@
 }
 
 // abandonOnError tells the router to abandon the request if writing its response
-// failed, for example because the caller has disconnected.
+// failed, for example because the caller has disconnected. It then aborts the
+// connection, since net/http would end the response as if it were complete.
 func (s *Server) abandonOnError(id string, err error) {
 	if err != nil {
 		s.options.Router.Abandon(id)
+		panic(http.ErrAbortHandler)
 	}
 }
 
--- a/internal/process/server/server_test.go
+++ b/internal/process/server/server_test.go
@@ -4,10 +4,13 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
 	"magnoliafront.dev/magnoliafront/internal/process/recorder"
@@ -48,3 +51,45 @@
 	is.NoErr(resp.Body.Close())
 	return resp
 }
+
+// An answer that broke off ended with its last chunk, and one of which nothing was
+// written became an empty answer with status 200, so that both looked complete.
+func TestBrokenAnswerDoesNotLookComplete(t *testing.T) {
+	rec := recorder.New(recorder.Options{Clock: timer.System{}})
+	defer rec.Stop()
+	r := router.New(router.Options{Clock: timer.System{}, Recorder: rec})
+	defer r.Stop()
+	s := &Server{options: Options{Router: r}}
+	for _, c := range []struct {
+		name, written string
+		err           error
+		complete      bool
+	}{
+		{"nothing written", "", errors.New("broken"), false},
+		{"a part written", "data: x\n\n", errors.New("broken"), false},
+		{"whole answer", "data: [DONE]\n\n", nil, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if c.written != "" {
+					_, _ = w.Write([]byte(c.written))
+					_ = http.NewResponseController(w).Flush()
+				}
+				s.abandonOnError("r1", c.err)
+			}))
+			defer h.Close()
+			is := is.New(t)
+			conn, err := net.Dial("tcp", h.Listener.Addr().String())
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			_, err = fmt.Fprint(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: desk\r\nContent-Length: 0\r\n\r\n")
+			is.NoErr(err)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+			}
+			is.Equal(err == nil, c.complete)
+		})
+	}
+}
