Send no refused identity on the same connection again

A caller that sent a refused request again with the same identity could be told "not run, try again" once more while the upstream was running it: the upstream wrote the earlier refusal a second time, and its identity matched.

Cause: an answer is matched to a request by the identity alone, and the second request could go out on the connection that had carried the refusal.

Evidence: TestRefusedIdentityIsNotSentOnSameConnectionAgain. Before the change the second request was sent and ended as refused (outcome 2 in place of 4). Within one request this cannot happen: each of its attempts goes to another upstream (TestAttemptOutcomeDecidesRetry), and a request whose identity is in flight is refused.

Change: a connection keeps the identities that were refused on it. A request with one of them is sent on another connection. After 32 refusals a connection is closed, which bounds what it keeps.

Result: the test passes; carrier and forwarder pass with -race.

--- a/internal/connection/carrier/carrier.go
+++ b/internal/connection/carrier/carrier.go
@@ -43,6 +43,9 @@
 	// progressInterval is the minimum time between two progress reports of a
 	// stream.
 	progressInterval = 200 * time.Millisecond
+	// maxRefusedIdentities is the number of refused requests after which a connection
+	// is not reused, which bounds its memory of them.
+	maxRefusedIdentities = 32
 )
 
 // Verdict is the classification of a response by its head.
@@ -107,7 +110,8 @@
 	// OutcomeNotSent means that no byte of the request was sent.
 	OutcomeNotSent
 	// OutcomeStale means that no byte of the request was sent, since the
-	// keep-alive connection was no longer usable. The call needs another [Conn].
+	// keep-alive connection was no longer usable, or not for a request of this
+	// identity. The call needs another [Conn].
 	OutcomeStale
 	// OutcomeLost means that the request was sent and no complete response was
 	// received.
@@ -188,6 +192,9 @@
 	// connection is closed, since the Conn then does not dial again.
 	used         bool
 	streamBuffer []byte
+	// refused holds the identities of the requests that the upstream has refused on
+	// this connection. It may repeat these refusals at any time.
+	refused map[string]struct{}
 }
 
 // New returns a connection, which dials on its first call.
--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -72,6 +72,9 @@
 	if c.used && !c.alive() {
 		return a.newReport(OutcomeStale, errors.Errorf("the keep-alive connection to %s has ended", c.options.Address))
 	}
+	if _, ok := c.refused[call.Request]; ok {
+		return a.newReport(OutcomeStale, errors.Errorf("the connection to %s has carried a refusal of the request", c.options.Address))
+	}
 	if c.conn == nil {
 		if err := c.dial(call); err != nil {
 			return a.newReport(dialOutcome(call, err), err)
@@ -255,6 +258,11 @@
 	r := a.newReport(OutcomeRefused, nil)
 	r.Status = resp.StatusCode
 	c.setReusable(a, &r, resp, err)
+	if c.refused == nil {
+		c.refused = map[string]struct{}{}
+	}
+	c.refused[a.call.Request] = struct{}{}
+	r.Reusable = r.Reusable && len(c.refused) < maxRefusedIdentities
 	return r
 }
 
