Abort an answer into which another one would be written

No path is known on which this happens: the dispatcher closes the ring of a request whose answer has begun (TestFailedResumeCutsStream), and a connection relays no head or whole answer in a resumed stream (FuzzResumedAnswer). If one of them failed, callers would find the text of an error, or a second head, in the middle of a stream that ends as if it were complete.

Cause: Relay wrote each reply without regard to those before it.

Evidence: TestWholeAnswerIsNotWrittenIntoAnother. Before the change Relay wrote a failure, a whole answer or a second head behind a part of a stream and returned no error.

Change: Relay returns an error, on which the receiver cuts the connection.

Result: the test passes with -race.

--- a/internal/request/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -74,7 +74,7 @@
 // [*Error].
 func Relay(ctx context.Context, w http.ResponseWriter, replies *Ring, fail func(http.ResponseWriter, *admitter.Failure)) error {
 	controller := http.NewResponseController(w)
-	for {
+	for begun := false; ; {
 		r, ok := replies.Take(ctx)
 		if !ok && ctx.Err() == nil {
 			return &Error{Op: "take a reply", Kind: ErrorBroken, Err: errors.New("the response ended prematurely")}
@@ -82,6 +82,10 @@
 		if !ok {
 			return &Error{Op: "take a reply", Kind: ErrorCaller, Err: ctx.Err()}
 		}
+		if begun && r.Kind != KindBody && r.Kind != KindEnd {
+			return &Error{Op: "write", Kind: ErrorBroken, Err: errors.New("another response follows the beginning of one")}
+		}
+		begun = true
 		switch r.Kind {
 		case KindComplete:
 			return writeComplete(w, r)
--- /dev/null
+++ b/internal/request/relayer/relayer_test.go
@@ -0,0 +1,41 @@
+package relayer
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"magnoliafront.dev/magnoliafront/internal/request/admitter"
+)
+
+// A reply that is a whole answer by itself must not be written into one that has begun:
+// the caller would find its text in the stream, and the stream would look complete.
+func TestWholeAnswerIsNotWrittenIntoAnother(t *testing.T) {
+	head := Reply{Kind: KindHead, Status: http.StatusOK, Header: http.Header{}}
+	part := Reply{Kind: KindBody, Bytes: []byte("id: 1\n\n")}
+	for _, c := range []struct {
+		name string
+		next Reply
+	}{
+		{"failure", Reply{Kind: KindFailed, Failure: admitter.OverloadedFailure()}},
+		{"error of an upstream", Reply{Kind: KindComplete, Status: http.StatusInternalServerError, Bytes: []byte("failed")}},
+		{"second head", Reply{Kind: KindHead, Status: http.StatusOK, Header: http.Header{"X-Second": {"1"}}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			replies := NewRing()
+			for _, r := range []Reply{head, part, c.next, {Kind: KindEnd}} {
+				replies.Put(t.Context(), r)
+			}
+			w := httptest.NewRecorder()
+			err := Relay(t.Context(), w, replies, func(w http.ResponseWriter, _ *admitter.Failure) {
+				_, _ = w.Write([]byte("failed"))
+			})
+			is := is.New(t)
+			is.True(err != nil)
+			is.Equal(w.Body.String(), "id: 1\n\n")
+			is.Equal(w.Header().Get("X-Second"), "")
+		})
+	}
+}
