Reset a cut answer to a caller that speaks HTTP/1.0

Callers that speak HTTP/1.0 got a part of a stream that looked complete.

Cause: net/http sends no chunks to them, so that the end of the connection marks that of the answer. The receiver reset the connection only if the upstream's answer was unframed too, and closed it in good order otherwise.

Evidence: TestGatewayCutStreamIsResetForOldCallers read the part without an error.

Change: a cut answer resets the connection of any caller below HTTP/1.1.

--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -182,15 +182,15 @@
 	}
 	if err := relayer.Relay(req.Context(), w, j.Replies, r.options.Codec.WriteFailure); err != nil {
 		klog.InfoS("answer cut off", "request", request.ID, "err", err)
-		cutOff(w)
+		cutOff(w, req)
 	}
 }
 
 // cutOff closes the connection without the end of the answer. If only the end of the
-// connection marks that of the answer, it resets the connection, since a closed one
-// would make the part that was sent look complete.
-func cutOff(w http.ResponseWriter) {
-	if w.Header().Get("Transfer-Encoding") != "identity" {
+// connection marks that of the answer, as for callers that speak HTTP/1.0, it resets the
+// connection, since a closed one would make the part that was sent look complete.
+func cutOff(w http.ResponseWriter, req *http.Request) {
+	if req.ProtoAtLeast(1, 1) && w.Header().Get("Transfer-Encoding") != "identity" {
 		panic(http.ErrAbortHandler)
 	}
 	conn, _, err := http.NewResponseController(w).Hijack()
--- a/internal/process/starter/gateway_test.go
+++ b/internal/process/starter/gateway_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -168,6 +169,33 @@
 	}
 }
 
+// A caller that speaks HTTP/1.0 gets a stream without chunks. A cut stream must not look
+// complete to it, as it did since the connection was closed in good order.
+func TestGatewayCutStreamIsResetForOldCallers(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		behaviour emulator.RunnerBehaviour
+		complete  bool
+	}{
+		{"whole stream", emulator.RunnerAnswers, true},
+		{"stream that was cut", emulator.RunnerAbortsStream, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newGatewayFixture(t, 1)
+			g := r.startReadyEntry()
+			r.setBehaviour(c.behaviour)
+			is := is.New(t)
+			conn, err := net.Dial("tcp", g.callerAddress)
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			_, err = fmt.Fprint(conn, "POST /stream/brief/1 HTTP/1.0\r\nHost: desk.example\r\nAuthorization: Bearer key\r\nMagnoliafront-Request-Id: x1\r\nContent-Length: 0\r\n\r\n")
+			is.NoErr(err)
+			_, err = io.ReadAll(conn)
+			is.Equal(err == nil, c.complete)
+		})
+	}
+}
+
 // No request may fail because the upstream has closed a keep-alive connection.
 func TestGatewayClosedKeepAliveConnectionFailsNoRequest(t *testing.T) {
 	r := newGatewayFixture(t, 1)
