Go on writing a request after an answer to another one

Callers waited until their deadline, and got 502 or 504, for a long request that its upstream had not read to the end.

Cause: an answer that arrives while the request is being written ends the writing, since it may be a refusal. If it belonged to another request it was skipped, and the rest of the request was never written.

Evidence: TestForeignResponseDoesNotStopRequest.

Change: after an answer was skipped, the rest of the request is written.

--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -51,10 +51,11 @@
 	lastRead     time.Time
 	firstEvent   time.Duration
 	longestPause time.Duration
-	// requestWritten is true if the whole request was sent and no mismatched
-	// response was skipped. If it is false, the connection is not reused, and a
-	// timeout ends the call as lost rather than as expired or silent.
-	requestWritten bool
+	// unsent is the rest of the request, and sent the number of bytes before it.
+	unsent []byte
+	sent   int
+	// skipped is true if a mismatched response was skipped.
+	skipped bool
 	// keepAliveTimeout is the timeout in the Keep-Alive header of the response.
 	keepAliveTimeout time.Duration
 }
@@ -105,8 +106,8 @@
 
 // roundTrip writes the request and reads the response.
 func (c *Conn) roundTrip(a *attempt) Report {
-	n, err := c.writeRequest(a)
-	if err != nil && n == 0 {
+	err := c.writeRequest(a)
+	if err != nil && a.sent == 0 {
 		return a.newReport(OutcomeNotSent, err)
 	}
 	if err != nil {
@@ -135,10 +136,9 @@
 	return c.relayComplete(a, resp)
 }
 
-// writeRequest writes the request and returns the number of bytes sent. It
-// returns early, without an error, if a response arrives before the whole request
-// was sent.
-func (c *Conn) writeRequest(a *attempt) (int, error) {
+// writeRequest writes the request. It returns early, without an error, if a response
+// arrives before the whole request was sent.
+func (c *Conn) writeRequest(a *attempt) error {
 	var b bytes.Buffer
 	b.Grow(len(a.call.Body) + 1024)
 	m := a.call.Head
@@ -147,30 +147,39 @@
 		m.ContentLength = int64(len(a.call.Body))
 	}
 	if err := m.Write(&b); err != nil {
-		return 0, errors.Wrap(err, "encode the request")
+		return errors.Wrap(err, "encode the request")
 	}
-	data := b.Bytes()
-	written := 0
-	for {
+	a.unsent = b.Bytes()
+	return c.writeUnsent(a)
+}
+
+// writeUnsent writes the rest of the request like writeRequest.
+func (c *Conn) writeUnsent(a *attempt) error {
+	for len(a.unsent) > 0 {
 		now := c.options.Clock.Now()
 		if a.call.Context.Err() != nil || !now.Before(a.call.Deadline) {
-			return written, os.ErrDeadlineExceeded
+			return os.ErrDeadlineExceeded
 		}
 		_ = c.conn.SetWriteDeadline(earlier(a.call.Deadline, now.Add(writePollInterval)))
-		n, err := c.conn.Write(data[written:])
-		written += n
+		n, err := c.conn.Write(a.unsent)
+		a.sent += n
+		a.unsent = a.unsent[n:]
 		switch {
 		case err == nil:
-			a.requestWritten = true
-			return written, nil
 		case !errors.Is(err, os.ErrDeadlineExceeded):
-			return written, errors.Wrap(err, "write the request")
-		case written > 0 && c.peek() != noData:
-			return written, nil
+			return errors.Wrap(err, "write the request")
+		case a.sent > 0 && c.peek() != noData:
+			return nil
 		}
 	}
+	return nil
 }
 
+// requestWritten reports whether the whole request was sent and no mismatched response
+// was skipped. Otherwise the connection is not reused, and a timeout ends the call as
+// lost rather than as expired or silent.
+func (a *attempt) requestWritten() bool { return a.sent > 0 && len(a.unsent) == 0 && !a.skipped }
+
 // readFinalHead reads a head and the informational responses before it, within
 // maxHeadBytes and one idle timeout.
 func (c *Conn) readFinalHead(a *attempt) (*http.Response, error) {
@@ -209,10 +218,13 @@
 			return nil, VerdictInvalid, errors.Errorf("more than %d responses to other requests on the connection", maxMismatchedResponses)
 		}
 		// A connection with mismatched responses must not be reused.
-		a.requestWritten = false
+		a.skipped = true
 		if err := skipBody(resp); err != nil {
 			return nil, VerdictInvalid, errors.Wrap(err, "skip a response to another request")
 		}
+		if err := c.writeUnsent(a); err != nil {
+			return nil, VerdictInvalid, err
+		}
 	}
 }
 
@@ -336,9 +348,9 @@
 		r.Outcome = OutcomeCancelled
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		r.ClosedByPeer = isClosedByPeer(err)
-	case !c.options.Clock.Now().Before(a.call.Deadline) && a.requestWritten:
+	case !c.options.Clock.Now().Before(a.call.Deadline) && a.requestWritten():
 		r.Outcome = OutcomeExpired
-	case a.requestWritten:
+	case a.requestWritten():
 		r.Outcome = OutcomeSilent
 	}
 	return r
@@ -353,7 +365,7 @@
 // setReusable sets in the report whether the connection can be reused. Err is the
 // error of reading the response to its end.
 func (c *Conn) setReusable(a *attempt, r *Report, resp *http.Response, err error) {
-	r.Reusable = err == nil && a.requestWritten && !resp.Close && !isCloseDelimited(resp) && c.reader.Buffered() == 0 && r.Outcome != OutcomeCancelled
+	r.Reusable = err == nil && a.requestWritten() && !resp.Close && !isCloseDelimited(resp) && c.reader.Buffered() == 0 && r.Outcome != OutcomeCancelled
 	r.KeepAliveTimeout = a.keepAliveTimeout
 }
 
--- a/internal/connection/carrier/foreign_test.go
+++ b/internal/connection/carrier/foreign_test.go
@@ -1,10 +1,14 @@
 package carrier
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -46,3 +50,39 @@
 		is.Equal(string(replies[0].Bytes), "ok")
 	})
 }
+
+// A response to another request that arrived while a long request was being written ended
+// the writing. The upstream waited for the rest until the deadline.
+func TestForeignResponseDoesNotStopRequest(t *testing.T) {
+	const size = 64 << 20
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		in := bufio.NewReader(conn)
+		q, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		// The body does not fit into the buffers of the connection, so that it is still
+		// being written.
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nForeign: 1\r\nContent-Length: 2\r\n\r\nno")
+		time.Sleep(3 * writePollInterval)
+		n, _ := io.Copy(io.Discard, q.Body)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n%08d", n)
+		_, _ = io.Copy(io.Discard, in)
+	}()
+	u := &rawUpstream{address: l.Addr().String()}
+	r, replies := u.call(t, func(c *Call) {
+		c.Body, c.Classify, c.IdleTimeout = make([]byte, size), classifyForeign, 20*time.Second
+	})
+	is := is.New(t)
+	is.Equal(r.Outcome, OutcomeAnswered)
+	is.True(!r.Reusable)
+	is.Equal(string(replies[0].Bytes), fmt.Sprintf("%08d", size))
+}
