--- a/internal/connection/carrier/dial.go
+++ b/internal/connection/carrier/dial.go
@@ -1,9 +1,13 @@
 package carrier
 
 import (
+	"bufio"
+	"context"
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 const (
@@ -44,3 +48,25 @@
 	}
 	return optionErr
 }
+
+// dial connects to the upstream within the dial timeout and the deadline of the
+// call.
+func (c *Conn) dial(call Call) error {
+	ctx, cancel := context.WithDeadline(call.Context, earlier(call.Deadline, c.options.Clock.Now().Add(call.DialTimeout)))
+	defer cancel()
+	conn, err := Dialer().DialContext(ctx, "tcp", c.options.Address)
+	if err != nil {
+		return errors.Wrap(err, "connect")
+	}
+	c.conn, c.received = conn, &limitedConn{Conn: conn}
+	c.reader = bufio.NewReaderSize(c.received, readBufferBytes)
+	return nil
+}
+
+// dialOutcome returns the outcome of a call whose dial failed with err.
+func dialOutcome(call Call, err error) Outcome {
+	if call.Context.Err() != nil || errors.Is(err, context.Canceled) {
+		return OutcomeCancelled
+	}
+	return OutcomeNotSent
+}
--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -1,8 +1,6 @@
 package carrier
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -24,9 +22,6 @@
 	// maxMismatchedResponses is the maximum number of responses to other requests
 	// that are skipped in one call.
 	maxMismatchedResponses = 2
-	// writePollInterval is the time after which a blocked write checks for an
-	// early response.
-	writePollInterval = 50 * time.Millisecond
 	// earlyResponseTimeout is the time for which a response is awaited after
 	// writing the request has failed.
 	earlyResponseTimeout = 100 * time.Millisecond
@@ -136,50 +131,6 @@
 	return c.relayComplete(a, resp)
 }
 
-// writeRequest writes the request. It returns early, without an error, if a response
-// arrives before the whole request was sent.
-func (c *Conn) writeRequest(a *attempt) error {
-	var b bytes.Buffer
-	b.Grow(len(a.call.Body) + 1024)
-	m := a.call.Head
-	if len(a.call.Body) > 0 {
-		m.Body = io.NopCloser(bytes.NewReader(a.call.Body))
-		m.ContentLength = int64(len(a.call.Body))
-	}
-	if err := m.Write(&b); err != nil {
-		return errors.Wrap(err, "encode the request")
-	}
-	a.unsent = b.Bytes()
-	return c.writeUnsent(a)
-}
-
-// writeUnsent writes the rest of the request like writeRequest.
-func (c *Conn) writeUnsent(a *attempt) error {
-	for len(a.unsent) > 0 {
-		now := c.options.Clock.Now()
-		if a.call.Context.Err() != nil || !now.Before(a.call.Deadline) {
-			return os.ErrDeadlineExceeded
-		}
-		_ = c.conn.SetWriteDeadline(earlier(a.call.Deadline, now.Add(writePollInterval)))
-		n, err := c.conn.Write(a.unsent)
-		a.sent += n
-		a.unsent = a.unsent[n:]
-		switch {
-		case err == nil:
-		case !errors.Is(err, os.ErrDeadlineExceeded):
-			return errors.Wrap(err, "write the request")
-		case a.sent > 0 && c.peek() != noData:
-			return nil
-		}
-	}
-	return nil
-}
-
-// requestWritten reports whether the whole request was sent and no mismatched response
-// was skipped. Otherwise the connection is not reused, and a timeout ends the call as
-// lost rather than as expired or silent.
-func (a *attempt) requestWritten() bool { return a.sent > 0 && len(a.unsent) == 0 && !a.skipped }
-
 // readFinalHead reads a head and the informational responses before it, within
 // maxHeadBytes and one idle timeout.
 func (c *Conn) readFinalHead(a *attempt) (*http.Response, error) {
@@ -395,28 +346,6 @@
 	return a.call.Replies.Put(a.call.Context, relayer.Reply{Kind: relayer.KindBody, Bytes: b})
 }
 
-// dial connects to the upstream within the dial timeout and the deadline of the
-// call.
-func (c *Conn) dial(call Call) error {
-	ctx, cancel := context.WithDeadline(call.Context, earlier(call.Deadline, c.options.Clock.Now().Add(call.DialTimeout)))
-	defer cancel()
-	conn, err := Dialer().DialContext(ctx, "tcp", c.options.Address)
-	if err != nil {
-		return errors.Wrap(err, "connect")
-	}
-	c.conn, c.received = conn, &limitedConn{Conn: conn}
-	c.reader = bufio.NewReaderSize(c.received, readBufferBytes)
-	return nil
-}
-
-// dialOutcome returns the outcome of a call whose dial failed with err.
-func dialOutcome(call Call, err error) Outcome {
-	if call.Context.Err() != nil || errors.Is(err, context.Canceled) {
-		return OutcomeCancelled
-	}
-	return OutcomeNotSent
-}
-
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
