Count the end of an unframed stream inside an event as a crash

Content that crashes upstreams went on to others if their answers had neither a length nor chunks.

Cause: such a stream ends with its connection. Its end inside an event was reported as a loss, but not as an end by the upstream, so that the detector gave no strike, unlike for a stream whose framing breaks off.

Evidence: TestUnframedStreamThatEndsInsideEventWasClosedByPeer.

Change: the report says that the upstream closed the connection. A framed answer that is complete but ends inside an event stays without a strike, since its upstream lives.

--- a/internal/connection/carrier/resume_test.go
+++ b/internal/connection/carrier/resume_test.go
@@ -150,3 +150,26 @@
 		})
 	}
 }
+
+// An upstream that crashed while it wrote an unframed stream was not counted as crashed,
+// so that content which crashes upstreams went on to others. One that ends a framed answer
+// in good order is alive.
+func TestUnframedStreamThatEndsInsideEventWasClosedByPeer(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	for _, c := range []struct {
+		name, response string
+		want           bool
+	}{
+		{"without framing", head + "\r\nid: 1", true},
+		{"with a length", head + "Content-Length: 5\r\n\r\nid: 1", false},
+		{"with the last chunk", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nid: 1\r\n0\r\n\r\n", false},
+		{"without the last chunk", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nid: 1\r\n", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r, _ := newClosingUpstream(t, c.response).call(t, func(c *Call) { c.Stream = true })
+			is := is.New(t)
+			is.Equal(r.Outcome, OutcomeLost)
+			is.Equal(r.ClosedByPeer, c.want)
+		})
+	}
+}
--- a/internal/connection/carrier/stream.go
+++ b/internal/connection/carrier/stream.go
@@ -55,8 +55,10 @@
 // it ended within an event.
 func (c *Conn) endStream(a *attempt, resp *http.Response, err error, cutOff bool) Report {
 	switch {
+	case errors.Is(err, io.EOF) && cutOff && isCloseDelimited(resp):
+		return c.classifyError(a, errors.Wrap(io.ErrUnexpectedEOF, "the stream ends within an event"))
 	case errors.Is(err, io.EOF) && cutOff:
-		return c.classifyError(a, errors.New("the stream ends within an event"))
+		return c.classifyError(a, errors.New("the framed stream ends within an event"))
 	case !errors.Is(err, io.EOF):
 		return c.classifyError(a, errors.Wrap(err, "read the stream"))
 	case a.call.Begun && a.lastRead.IsZero():
