Test repeated refusals at the gateway

An upstream writes a refusal once more before its own answer to a request that must not run twice. With the identity of another request it is skipped and the answer is relayed; without an identity the outcome is unknown (502).

--- a/internal/process/emulator/runner.go
+++ b/internal/process/emulator/runner.go
@@ -48,6 +48,10 @@
 	// RunnerPrependsForeign sends a response with the ID of another request before
 	// its own.
 	RunnerPrependsForeign
+	// RunnerRepeatsRefusal sends the refusal of another request before its own response.
+	RunnerRepeatsRefusal
+	// RunnerRepeatsUnnamedRefusal sends a refusal without an ID before its own response.
+	RunnerRepeatsUnnamedRefusal
 	// RunnerGarbles sends bytes that are not an HTTP response.
 	RunnerGarbles
 	// RunnerSilent executes the request and never answers.
@@ -233,7 +237,8 @@
 	case RunnerSilent:
 		<-req.Context().Done()
 		close(run.Cancelled)
-	case RunnerResetsMidBody, RunnerOmitsLength, RunnerAppendsForeign, RunnerPrependsForeign, RunnerGarbles:
+	case RunnerResetsMidBody, RunnerOmitsLength, RunnerAppendsForeign, RunnerPrependsForeign, RunnerGarbles,
+		RunnerRepeatsRefusal, RunnerRepeatsUnnamedRefusal:
 		r.writeRaw(w, run, b)
 	case RunnerEndlessHead, RunnerEndlessEvent, RunnerTrickles, RunnerEndlessUnframed:
 		r.writeEndless(w, req, run, b)
@@ -324,11 +329,18 @@
 		send(rw, withLength(run.ID)+withLength("another"))
 	case RunnerPrependsForeign:
 		send(rw, withLength("another")+withLength(run.ID))
+	case RunnerRepeatsRefusal:
+		send(rw, fmt.Sprintf(refusal, "Magnoliafront-Request-Id: another\r\n")+withLength(run.ID))
+	case RunnerRepeatsUnnamedRefusal:
+		send(rw, fmt.Sprintf(refusal, "")+withLength(run.ID))
 	case RunnerGarbles:
 		send(rw, "\x16\x03\x01\x00*\x02\r\n\r\n")
 	}
 }
 
+// refusal is the format of a refusal with a further header.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\n%sMagnoliafront-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
 func send(rw *bufio.ReadWriter, text string) {
 	_, _ = rw.WriteString(text)
 	_ = rw.Flush()
--- a/internal/process/starter/gateway_test.go
+++ b/internal/process/starter/gateway_test.go
@@ -95,6 +95,8 @@
 		{"hold answered with garbage", emulator.RunnerGarbles, "/hold/1", http.StatusBadGateway, 1},
 		{"hold answered without a signature", emulator.RunnerUnsigned, "/hold/1", http.StatusBadGateway, 1},
 		{"hold answered after an answer to another request", emulator.RunnerPrependsForeign, "/hold/1", http.StatusOK, 1},
+		{"hold answered after a refusal of another request", emulator.RunnerRepeatsRefusal, "/hold/1", http.StatusOK, 1},
+		{"hold answered after a refusal without an identity", emulator.RunnerRepeatsUnnamedRefusal, "/hold/1", http.StatusBadGateway, 1},
 		{"hold answered twice", emulator.RunnerAppendsForeign, "/hold/1", http.StatusOK, 1},
 		{"hold refused before its body was read", emulator.RunnerRefusesBeforeBody, "/hold/1", http.StatusOK, 1},
 		{"hold answered without a Content-Length", emulator.RunnerOmitsLength, "/hold/1", http.StatusOK, 1},
