--- a/internal/connection/carrier/carrier.go
+++ b/internal/connection/carrier/carrier.go
@@ -43,6 +43,9 @@
 	// progressInterval is the minimum time between two progress reports of a
 	// stream.
 	progressInterval = 200 * time.Millisecond
+	// maxRefusedIdentities is the number of refused requests after which a connection
+	// is not reused, which bounds its memory of them.
+	maxRefusedIdentities = 32
 )
 
 // Verdict is the classification of a response by its head.
@@ -110,7 +113,8 @@
 	// OutcomeNotSent means that no byte of the request was sent.
 	OutcomeNotSent
 	// OutcomeStale means that no byte of the request was sent, since the
-	// keep-alive connection was no longer usable. The call needs another [Conn].
+	// keep-alive connection was no longer usable, or not for a request of this
+	// identity. The call needs another [Conn].
 	OutcomeStale
 	// OutcomeLost means that the request was sent and no complete response was
 	// received.
@@ -148,9 +152,11 @@
 	// some outcomes without a complete response.
 	Status int
 	// Begun is true if the head of the response was relayed. LastEvent is the ID
-	// of the last event that was relayed.
-	Begun     bool
-	LastEvent string
+	// of the last event that was relayed. Unresumable is true if no other response can
+	// continue the part that was relayed: an event had no ID, or it is no event stream.
+	Begun       bool
+	LastEvent   string
+	Unresumable bool
 	// FirstEvent is the time from the start of the call to the first event of a
 	// stream. LongestPause is the longest time between two later reads that
 	// completed events. Both are zero if there were none.
@@ -194,6 +200,9 @@
 	// connection is closed, since the Conn then does not dial again.
 	used         bool
 	streamBuffer []byte
+	// refused holds the identities of the requests that the upstream has refused on
+	// this connection. It may repeat these refusals at any time.
+	refused map[string]struct{}
 }
 
 // New returns a connection, which dials on its first call.
--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -1,8 +1,6 @@
 package carrier
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -24,9 +22,6 @@
 	// maxMismatchedResponses is the maximum number of responses to other requests
 	// that are skipped in one call.
 	maxMismatchedResponses = 2
-	// writePollInterval is the time after which a blocked write checks for an
-	// early response.
-	writePollInterval = 50 * time.Millisecond
 	// earlyResponseTimeout is the time for which a response is awaited after
 	// writing the request has failed.
 	earlyResponseTimeout = 100 * time.Millisecond
@@ -40,6 +35,8 @@
 	start    time.Time
 	splitter splitter
 	begun    bool
+	// opaque is true if the caller has a part of a response that is no event stream.
+	opaque bool
 	// suspended is true from the report of a silence until the call is resumed.
 	suspended bool
 	// unreportedEvents is the number of events since the last progress report,
@@ -51,10 +48,11 @@
 	lastRead     time.Time
 	firstEvent   time.Duration
 	longestPause time.Duration
-	// requestWritten is true if the whole request was sent and no mismatched
-	// response was skipped. If it is false, the connection is not reused, and a
-	// timeout ends the call as lost rather than as expired.
-	requestWritten bool
+	// unsent is the rest of the request, and sent the number of bytes before it.
+	unsent []byte
+	sent   int
+	// skipped is true if a mismatched response was skipped.
+	skipped bool
 	// keepAliveTimeout is the timeout in the Keep-Alive header of the response.
 	keepAliveTimeout time.Duration
 }
@@ -72,6 +70,9 @@
 	if c.used && !c.alive() {
 		return a.newReport(OutcomeStale, errors.Errorf("the keep-alive connection to %s has ended", c.options.Address))
 	}
+	if _, ok := c.refused[call.Request]; ok {
+		return a.newReport(OutcomeStale, errors.Errorf("the connection to %s has carried a refusal of the request", c.options.Address))
+	}
 	if c.conn == nil {
 		if err := c.dial(call); err != nil {
 			return a.newReport(dialOutcome(call, err), err)
@@ -102,8 +103,8 @@
 
 // roundTrip writes the request and reads the response.
 func (c *Conn) roundTrip(a *attempt) Report {
-	n, err := c.writeRequest(a)
-	if err != nil && n == 0 {
+	err := c.writeRequest(a)
+	if err != nil && a.sent == 0 {
 		return a.newReport(OutcomeNotSent, err)
 	}
 	if err != nil {
@@ -131,48 +132,12 @@
 		r.Status = resp.StatusCode
 		return r
 	}
-	if a.call.Stream && resp.StatusCode/100 == 2 {
+	if a.call.Stream && resp.StatusCode/100 == 2 && (!a.begun || isEventStream(resp)) {
 		return c.relayStream(a, resp)
 	}
 	return c.relayComplete(a, resp)
 }
 
-// writeRequest writes the request and returns the number of bytes sent. It
-// returns early, without an error, if a response arrives before the whole request
-// was sent.
-func (c *Conn) writeRequest(a *attempt) (int, error) {
-	var b bytes.Buffer
-	b.Grow(len(a.call.Body) + 1024)
-	m := a.call.Head
-	if len(a.call.Body) > 0 {
-		m.Body = io.NopCloser(bytes.NewReader(a.call.Body))
-		m.ContentLength = int64(len(a.call.Body))
-	}
-	if err := m.Write(&b); err != nil {
-		return 0, errors.Wrap(err, "encode the request")
-	}
-	data := b.Bytes()
-	written := 0
-	for {
-		now := c.options.Clock.Now()
-		if a.call.Context.Err() != nil || !now.Before(a.call.Deadline) {
-			return written, os.ErrDeadlineExceeded
-		}
-		_ = c.conn.SetWriteDeadline(earlier(a.call.Deadline, now.Add(writePollInterval)))
-		n, err := c.conn.Write(data[written:])
-		written += n
-		switch {
-		case err == nil:
-			a.requestWritten = true
-			return written, nil
-		case !errors.Is(err, os.ErrDeadlineExceeded):
-			return written, errors.Wrap(err, "write the request")
-		case written > 0 && c.peek() != noData:
-			return written, nil
-		}
-	}
-}
-
 // readFinalHead reads a head and the informational responses before it, within
 // maxHeadBytes and one idle timeout.
 func (c *Conn) readFinalHead(a *attempt) (*http.Response, error) {
@@ -211,11 +176,28 @@
 			return nil, VerdictInvalid, errors.Errorf("more than %d responses to other requests on the connection", maxMismatchedResponses)
 		}
 		// A connection with mismatched responses must not be reused.
-		a.requestWritten = false
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBytes)); err != nil {
+		a.skipped = true
+		if err := skipBody(resp); err != nil {
 			return nil, VerdictInvalid, errors.Wrap(err, "skip a response to another request")
 		}
+		if err := c.writeUnsent(a); err != nil {
+			return nil, VerdictInvalid, err
+		}
+	}
+}
+
+// skipBody reads the body of a response to another request. It returns an error if the
+// next byte may not be the first of another response.
+func skipBody(resp *http.Response) error {
+	if resp.Request.Method == http.MethodHead {
+		// Whether a body follows depends on the method of the other request.
+		return errors.New("the length of the body is unknown")
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBytes+1))
+	if err == nil && n > maxBufferedBytes {
+		err = errors.Errorf("the body exceeds %d bytes", maxBufferedBytes)
 	}
+	return err
 }
 
 // setReadDeadline sets the deadline for the next read from the deadline and the
@@ -246,7 +228,8 @@
 	a.suspended = true
 	c.resumes.TryTake()
 	c.options.Report(Report{
-		Conn: c, Request: a.call.Request, Attempt: a.call.Attempt, Silent: true, Begun: a.begun, LastEvent: a.splitter.lastID,
+		Conn: c, Request: a.call.Request, Attempt: a.call.Attempt, Silent: true,
+		Begun: a.begun, LastEvent: a.splitter.lastID, Unresumable: a.isUnresumable(),
 	})
 	ctx, cancel := context.WithDeadline(a.call.Context, a.call.Deadline)
 	defer cancel()
@@ -276,6 +259,11 @@
 	r := a.newReport(OutcomeRefused, nil)
 	r.Status = resp.StatusCode
 	c.setReusable(a, &r, resp, err)
+	if c.refused == nil {
+		c.refused = map[string]struct{}{}
+	}
+	c.refused[a.call.Request] = struct{}{}
+	r.Reusable = r.Reusable && len(c.refused) < maxRefusedIdentities
 	return r
 }
 
@@ -310,6 +298,7 @@
 	if a.begun {
 		return a.newReport(OutcomeFailed, errors.Errorf("the response with status %d does not continue the stream", resp.StatusCode))
 	}
+	a.opaque = true
 	ok := a.relayHead(resp) && a.relayBody(body)
 	for ok {
 		if err := c.setReadDeadline(a); err != nil {
@@ -348,7 +337,7 @@
 		r.Outcome = OutcomeCancelled
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		r.ClosedByPeer = isClosedByPeer(err)
-	case a.requestWritten:
+	case a.requestWritten():
 		r.Outcome = OutcomeExpired
 	}
 	return r
@@ -363,15 +352,22 @@
 // setReusable sets in the report whether the connection can be reused. Err is the
 // error of reading the response to its end.
 func (c *Conn) setReusable(a *attempt, r *Report, resp *http.Response, err error) {
-	r.Reusable = err == nil && a.requestWritten && !resp.Close && !isCloseDelimited(resp) && c.reader.Buffered() == 0 && r.Outcome != OutcomeCancelled
+	r.Reusable = err == nil && a.requestWritten() && !resp.Close && !isCloseDelimited(resp) && c.reader.Buffered() == 0 && r.Outcome != OutcomeCancelled
 	r.KeepAliveTimeout = a.keepAliveTimeout
 }
 
 // newReport returns the report of a call that ended with the outcome o.
 func (a *attempt) newReport(o Outcome, err error) Report {
-	return Report{Outcome: o, Err: err, Begun: a.begun, LastEvent: a.splitter.lastID, Events: a.unreportedEvents, FirstEvent: a.firstEvent, LongestPause: a.longestPause}
+	return Report{
+		Outcome: o, Err: err, Begun: a.begun, LastEvent: a.splitter.lastID, Unresumable: a.isUnresumable(),
+		Events: a.unreportedEvents, FirstEvent: a.firstEvent, LongestPause: a.longestPause,
+	}
 }
 
+// isUnresumable reports whether no other response can continue the part that was
+// relayed.
+func (a *attempt) isUnresumable() bool { return a.begun && (a.opaque || a.splitter.unnumbered) }
+
 // relay puts a reply on the ring. It reports false if the call was cancelled: another
 // attempt may then be relaying.
 func (a *attempt) relay(r relayer.Reply) bool {
@@ -396,28 +392,6 @@
 	return a.relay(relayer.Reply{Kind: relayer.KindBody, Bytes: b})
 }
 
-// dial connects to the upstream within the dial timeout and the deadline of the
-// call.
-func (c *Conn) dial(call Call) error {
-	ctx, cancel := context.WithDeadline(call.Context, earlier(call.Deadline, c.options.Clock.Now().Add(call.DialTimeout)))
-	defer cancel()
-	conn, err := Dialer().DialContext(ctx, "tcp", c.options.Address)
-	if err != nil {
-		return errors.Wrap(err, "connect")
-	}
-	c.conn, c.received = conn, &limitedConn{Conn: conn}
-	c.reader = bufio.NewReaderSize(c.received, readBufferBytes)
-	return nil
-}
-
-// dialOutcome returns the outcome of a call whose dial failed with err.
-func dialOutcome(call Call, err error) Outcome {
-	if call.Context.Err() != nil || errors.Is(err, context.Canceled) {
-		return OutcomeCancelled
-	}
-	return OutcomeNotSent
-}
-
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- /dev/null
+++ b/internal/connection/carrier/resume_test.go
@@ -0,0 +1,175 @@
+package carrier
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"magnoliafront.dev/magnoliafront/internal/request/relayer"
+)
+
+// resume is a change of a call that goes on with a stream after its event 2.
+func resume(c *Call) { c.Stream, c.Begun, c.LastEvent = true, true, "2" }
+
+// assertNotContinued checks that an answer did not go on with a stream: none of its bytes
+// reached the caller, nor an end.
+func assertNotContinued(t *testing.T, r Report, replies []relayer.Reply) {
+	t.Helper()
+	is := is.New(t)
+	is.Equal(r.Outcome, OutcomeFailed)
+	is.True(r.Begun)
+	is.Equal(r.LastEvent, "2")
+	is.Equal(len(replies), 0)
+}
+
+// A stream was resumed with a page of text, whose paragraphs were relayed as events, and
+// its end as that of the stream.
+func TestAnswerThatIsNoStreamDoesNotContinueStream(t *testing.T) {
+	for _, c := range []struct{ name, head string }{
+		{"text", "Content-Type: text/plain\r\nContent-Length: 15\r\n"},
+		{"text without framing", "Content-Type: text/plain\r\n"},
+		{"JSON", "Content-Type: application/json\r\nContent-Length: 15\r\n"},
+		{"unknown type", "Content-Length: 15\r\n"},
+		{"invalid type", "Content-Type: text/event-stream; =\r\nContent-Length: 15\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			u := newClosingUpstream(t, "HTTP/1.1 200 OK\r\n"+c.head+"\r\nfailed\n\nsorry\n\n")
+			r, replies := u.call(t, resume)
+			assertNotContinued(t, r, replies)
+		})
+	}
+	t.Run("a stream with parameters in its type goes on", func(t *testing.T) {
+		u := newRawUpstream(t, "HTTP/1.1 200 OK\r\nContent-Type: Text/Event-Stream; charset=utf-8\r\nContent-Length: 13\r\n\r\nid: 3\ndata:\n\n", "", 0)
+		r, replies := u.call(t, resume)
+		is := is.New(t)
+		is.Equal(r.Outcome, OutcomeAnswered)
+		is.Equal(r.LastEvent, "3")
+		is.Equal(len(replies), 2)
+	})
+}
+
+// An answer whose end holds no event ended a stream that had broken off as if it were
+// complete.
+func TestAnswerWithoutEventDoesNotEndStream(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	for _, c := range []struct{ name, response string }{
+		{"empty body", head + "Content-Length: 0\r\n\r\n"},
+		{"no chunk", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+		{"closed connection", head + "\r\n"},
+		{"no content", "HTTP/1.1 204 No Content\r\nContent-Type: text/event-stream\r\n\r\n"},
+		{"events that the caller has", head + "Content-Length: 26\r\n\r\nid: 1\ndata:\n\nid: 2\ndata:\n\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r, replies := newClosingUpstream(t, c.response).call(t, resume)
+			assertNotContinued(t, r, replies)
+		})
+	}
+	t.Run("comments only", func(t *testing.T) {
+		r, replies := newClosingUpstream(t, head+"Content-Length: 3\r\n\r\n:\n\n").call(t, resume)
+		is := is.New(t)
+		is.Equal(r.Outcome, OutcomeFailed)
+		is.Equal(replies[len(replies)-1].Kind, relayer.KindBody)
+	})
+}
+
+// A part of an answer that no upstream can go on with was followed by the events of
+// another answer. The report must say so, and only then.
+func TestReportSaysWhetherAnswerCanBeResumed(t *testing.T) {
+	const stream = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 999999\r\n\r\n"
+	const text = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 999999\r\n\r\n"
+	started := func(c *Call) { c.Stream = true }
+	for _, c := range []struct {
+		name, response string
+		change         func(*Call)
+		begun, want    bool
+	}{
+		{"event with an ID", stream + "id: 1\ndata:\n\n", started, true, false},
+		{"comment", stream + ":\n\nid: 1\ndata:\n\n:\n\n", started, true, false},
+		{"nothing", stream, started, false, false},
+		{"part of an event without an ID", stream + "data: x", started, false, false},
+		{"event without an ID", stream + "data: failed\n\n", started, true, true},
+		{"event without an ID before others", stream + "data:\n\nid: 1\ndata:\n\n", started, true, true},
+		{"event without an ID in a resumed stream", stream + "id: 3\ndata:\n\ndata:\n\n", resume, true, true},
+		{"paragraphs of a text", text + "failed\n\n", started, true, true},
+		{"large answer that is no stream", text + strings.Repeat("x", maxBufferedBytes+1), nil, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r, _ := newClosingUpstream(t, c.response).call(t, c.change)
+			is := is.New(t)
+			is.Equal(r.Outcome, OutcomeLost)
+			is.Equal(r.Begun, c.begun)
+			is.Equal(r.Unresumable, c.want)
+		})
+	}
+}
+
+// An upstream that should go on with a stream sent the text of an error as an event, and
+// the caller got it as a part of the stream.
+func TestEventWithoutIDDoesNotContinueStream(t *testing.T) {
+	response := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 27\r\n\r\nid: 3\ndata:\n\ndata: failed\n\n"
+	r, replies := newClosingUpstream(t, response).call(t, resume)
+	is := is.New(t)
+	is.Equal(r.Outcome, OutcomeLost)
+	for _, reply := range replies {
+		is.True(!strings.Contains(string(reply.Bytes), "failed"))
+		is.True(reply.Kind != relayer.KindEnd)
+	}
+}
+
+// A stream that ended inside an event was relayed as complete if its length or its last
+// chunk was right.
+func TestStreamThatEndsInsideEventIsLost(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	const event = "id: 1\ndata:\n\n"
+	for _, c := range []struct {
+		name, rest string
+		want       Outcome
+	}{
+		{"between events", "", OutcomeAnswered},
+		{"after an empty line more", "\n", OutcomeAnswered},
+		{"inside a comment", ": idl", OutcomeAnswered},
+		{"inside the name of a field", "i", OutcomeLost},
+		{"inside a value", "id: 2\ndata: x", OutcomeLost},
+		{"before the blank line", "id: 2\ndata: x\n", OutcomeLost},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			text := event + c.rest
+			for _, response := range []string{
+				fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(text), text),
+				fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(text), text),
+				head + "\r\n" + text,
+			} {
+				r, replies := newClosingUpstream(t, response).call(t, func(c *Call) { c.Stream = true })
+				is := is.New(t)
+				is.Equal(r.Outcome, c.want)
+				is.Equal(r.LastEvent, "1")
+				is.Equal(replies[len(replies)-1].Kind == relayer.KindEnd, c.want == OutcomeAnswered)
+			}
+		})
+	}
+}
+
+// An upstream that crashed while it wrote an unframed stream was not counted as crashed,
+// so that content which crashes upstreams went on to others. One that ends a framed answer
+// in good order is alive.
+func TestUnframedStreamThatEndsInsideEventWasClosedByPeer(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	for _, c := range []struct {
+		name, response string
+		want           bool
+	}{
+		{"without framing", head + "\r\nid: 1", true},
+		{"with a length", head + "Content-Length: 5\r\n\r\nid: 1", false},
+		{"with the last chunk", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nid: 1\r\n0\r\n\r\n", false},
+		{"without the last chunk", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nid: 1\r\n", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r, _ := newClosingUpstream(t, c.response).call(t, func(c *Call) { c.Stream = true })
+			is := is.New(t)
+			is.Equal(r.Outcome, OutcomeLost)
+			is.Equal(r.ClosedByPeer, c.want)
+		})
+	}
+}
--- a/internal/connection/carrier/stream.go
+++ b/internal/connection/carrier/stream.go
@@ -8,12 +8,17 @@
 	"github.com/go-faster/errors"
 )
 
-// relayStream relays an event stream in whole events. Only the last event of a
-// complete response may lack the blank line that ends an event.
+// relayStream relays an event stream in whole events. An event stream that ends inside
+// an event is incomplete, also if the framing of the response is not.
 func (c *Conn) relayStream(a *attempt, resp *http.Response) Report {
 	if c.streamBuffer == nil {
 		c.streamBuffer = make([]byte, streamReadBytes)
 	}
+	a.opaque = !isEventStream(resp)
+	if !a.opaque && a.call.Head.Method != http.MethodHead {
+		// Events that another upstream goes on with may be of another length.
+		resp.Header.Del("Content-Length")
+	}
 	if err := c.setReadDeadline(a); err != nil {
 		return c.classifyError(a, err)
 	}
@@ -23,10 +28,13 @@
 		if !ok {
 			return a.newReport(OutcomeLost, errors.Errorf("an event exceeds %d bytes", maxEventBytes))
 		}
-		cutOff := len(a.splitter.partial) > 0 && (isCloseDelimited(resp) || a.call.Begun)
+		if a.call.LastEvent != "" && a.splitter.unnumbered {
+			return a.newReport(OutcomeLost, errors.New("an event of the resumed stream has no ID"))
+		}
+		cutOff := hasContent(a.splitter.partial) && (isCloseDelimited(resp) || !a.opaque)
 		if errors.Is(err, io.EOF) && !cutOff {
-			// The framing of the response shows that it is complete, so the rest is
-			// relayed although no blank line ends it.
+			// The rest is no part of an event: comments, empty lines or the end of a
+			// response of another type.
 			whole = append(whole, a.splitter.partial...)
 		}
 		if len(whole) > 0 && (!a.relayHead(resp) || !a.relayBody(whole)) {
@@ -47,10 +55,17 @@
 // it ended within an event.
 func (c *Conn) endStream(a *attempt, resp *http.Response, err error, cutOff bool) Report {
 	switch {
+	case errors.Is(err, io.EOF) && cutOff && isCloseDelimited(resp):
+		return c.classifyError(a, errors.Wrap(io.ErrUnexpectedEOF, "the stream ends within an event"))
 	case errors.Is(err, io.EOF) && cutOff:
-		return c.classifyError(a, errors.New("the stream ends within an event"))
+		return c.classifyError(a, errors.New("the framed stream ends within an event"))
 	case !errors.Is(err, io.EOF):
 		return c.classifyError(a, errors.Wrap(err, "read the stream"))
+	case a.call.Begun && a.lastRead.IsZero():
+		// Whether the stream that broke off was complete is as unknown as before.
+		r := a.newReport(OutcomeFailed, errors.New("the answer holds no event after the last one of the stream"))
+		r.Status = resp.StatusCode
+		return r
 	case !a.relayHead(resp):
 		return a.newReport(OutcomeCancelled, nil)
 	}
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -266,6 +266,7 @@
 		out = d.abandonSuspended(now, f)
 	}
 	f.begun, f.lastEvent = e.Begun, e.LastEvent
+	f.state.Repeatable = f.state.Repeatable && !e.Unresumable
 	out = append(out, d.recordOutcome(now, f, e)...)
 	switch e.Outcome {
 	case OutcomeAnswered:
--- a/internal/process/dispatcher/silence.go
+++ b/internal/process/dispatcher/silence.go
@@ -25,6 +25,7 @@
 		return nil
 	}
 	f.begun, f.lastEvent = e.Begun, e.LastEvent
+	f.state.Repeatable = f.state.Repeatable && !e.Unresumable
 	// At most two upstreams work on a request, and one silent attempt can go on.
 	out := d.abandonSuspended(now, f)
 	s := d.service(f.admission.Service.Name)
@@ -32,9 +33,6 @@
 	f.suspended, d.suspended[f.request.ID] = &silent, f
 	// The suspended attempt may have been run.
 	f.state.Lost++
-	if f.begun && f.lastEvent == "" {
-		return append(out, d.resume(now, f, "not_resumable"))
-	}
 	if _, ok := s.picker.Pick(now, d.query(now, s, f)); !ok {
 		return append(out, d.resume(now, f, "no_upstream"))
 	}
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -129,7 +129,8 @@
 		if current {
 			t.conn = r.Conn
 			f.dispatch(now, dispatcher.Event{
-				Kind: dispatcher.EventSilent, ID: r.Request, Attempt: r.Attempt, Begun: r.Begun, LastEvent: r.LastEvent,
+				Kind: dispatcher.EventSilent, ID: r.Request, Attempt: r.Attempt,
+				Begun: r.Begun, LastEvent: r.LastEvent, Unresumable: r.Unresumable,
 			})
 		}
 		return
@@ -164,7 +165,7 @@
 	}
 	f.dispatch(now, dispatcher.Event{
 		Kind: dispatcher.EventEnded, ID: r.Request, Attempt: r.Attempt, Outcome: attemptOutcome(r),
-		Begun: r.Begun, LastEvent: r.LastEvent, Elapsed: r.Elapsed,
+		Begun: r.Begun, LastEvent: r.LastEvent, Unresumable: r.Unresumable, Elapsed: r.Elapsed,
 	})
 	f.cleanUpPool(p)
 }
--- a/internal/process/starter/gateway_test.go
+++ b/internal/process/starter/gateway_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -94,6 +95,8 @@
 		{"hold answered with garbage", emulator.RunnerGarbles, "/hold/1", http.StatusBadGateway, 1},
 		{"hold answered without a signature", emulator.RunnerUnsigned, "/hold/1", http.StatusBadGateway, 1},
 		{"hold answered after an answer to another request", emulator.RunnerPrependsForeign, "/hold/1", http.StatusOK, 1},
+		{"hold answered after a refusal of another request", emulator.RunnerRepeatsRefusal, "/hold/1", http.StatusOK, 1},
+		{"hold answered after a refusal without an identity", emulator.RunnerRepeatsUnnamedRefusal, "/hold/1", http.StatusBadGateway, 1},
 		{"hold answered twice", emulator.RunnerAppendsForeign, "/hold/1", http.StatusOK, 1},
 		{"hold refused before its body was read", emulator.RunnerRefusesBeforeBody, "/hold/1", http.StatusOK, 1},
 		{"hold answered without a Content-Length", emulator.RunnerOmitsLength, "/hold/1", http.StatusOK, 1},
@@ -104,6 +107,7 @@
 		{"check answered in part", emulator.RunnerResetsMidBody, "/check/1", http.StatusOK, 2},
 		{"chat reset", emulator.RunnerResets, "/stream/chat/1", http.StatusOK, 2},
 		{"chat cut in the middle of the stream", emulator.RunnerAbortsStream, "/stream/chat/1", http.StatusOK, 2},
+		{"chat cut in the middle of a stream with a length", emulator.RunnerAbortsShortStream, "/stream/chat/1", http.StatusOK, 2},
 		{"hold answered with a head without an end", emulator.RunnerEndlessHead, "/hold/1", http.StatusBadGateway, 1},
 		{"check answered with a head without an end", emulator.RunnerEndlessHead, "/check/1", http.StatusOK, 2},
 		{"chat with an event without an end", emulator.RunnerEndlessEvent, "/stream/chat/1", http.StatusOK, 2},
@@ -167,6 +171,33 @@
 	}
 }
 
+// A caller that speaks HTTP/1.0 gets a stream without chunks. A cut stream must not look
+// complete to it, as it did since the connection was closed in good order.
+func TestGatewayCutStreamIsResetForOldCallers(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		behaviour emulator.RunnerBehaviour
+		complete  bool
+	}{
+		{"whole stream", emulator.RunnerAnswers, true},
+		{"stream that was cut", emulator.RunnerAbortsStream, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newGatewayFixture(t, 1)
+			g := r.startReadyEntry()
+			r.setBehaviour(c.behaviour)
+			is := is.New(t)
+			conn, err := net.Dial("tcp", g.callerAddress)
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			_, err = fmt.Fprint(conn, "POST /stream/brief/1 HTTP/1.0\r\nHost: desk.example\r\nAuthorization: Bearer key\r\nMagnoliafront-Request-Id: x1\r\nContent-Length: 0\r\n\r\n")
+			is.NoErr(err)
+			_, err = io.ReadAll(conn)
+			is.Equal(err == nil, c.complete)
+		})
+	}
+}
+
 // No request may fail because the upstream has closed a keep-alive connection.
 func TestGatewayClosedKeepAliveConnectionFailsNoRequest(t *testing.T) {
 	r := newGatewayFixture(t, 1)
