--- a/internal/process/emulator/objectstore.go
+++ b/internal/process/emulator/objectstore.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -43,6 +44,9 @@
 	Metadata StoreMetadata   `json:"metadata"`
 	Spec     json.RawMessage `json:"spec"`
 	Status   json.RawMessage `json:"status,omitempty"`
+	// text replaces the JSON text of the object if it is set; see
+	// [ObjectStore.PutText].
+	text []byte
 }
 
 // StoreMetadata holds the fields of an object that the store assigns. Created is
@@ -129,6 +133,18 @@
 	s.do(func(st *storeState) { st.put(kind, name, data) })
 }
 
+// PutText writes an object of another writer that encoding/json may not be able to
+// read or write. The store serves text as the whole object.
+func (s *ObjectStore) PutText(kind, name string, text []byte) {
+	s.do(func(st *storeState) {
+		st.remove(kind, name)
+		o := st.put(kind, name, json.RawMessage("null"))
+		o.text = text
+		st.objects[kind][name] = o
+		st.history[len(st.history)-1].object = o
+	})
+}
+
 // Delete removes an object, regardless of the mode.
 func (s *ObjectStore) Delete(kind, name string) {
 	s.do(func(st *storeState) { st.remove(kind, name) })
@@ -227,7 +243,11 @@
 	if more {
 		items = items[:size]
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"items": nonNilObjects(items), "has_more": more, "as_of": revision})
+	texts := make([]string, len(items))
+	for i, o := range items {
+		texts[i] = o.jsonText()
+	}
+	writeText(w, fmt.Sprintf(`{"items":[%s],"has_more":%t,"as_of":%d}`, strings.Join(texts, ","), more, revision))
 }
 
 // serveWatch answers with the changes of a kind after a revision, and waits for
@@ -243,7 +263,7 @@
 	timeout := time.NewTimer(min(time.Duration(waitMillis)*time.Millisecond, maxStoreWait))
 	defer timeout.Stop()
 	for {
-		var events []map[string]any
+		var events []string
 		var revision int64
 		var compacted bool
 		changed := make(chan struct{})
@@ -251,7 +271,7 @@
 			revision, compacted = st.revision, after < st.compacted
 			for _, c := range st.history {
 				if c.kind == kind && c.revision > after {
-					events = append(events, map[string]any{"object": c.object, "deleted": c.deleted})
+					events = append(events, fmt.Sprintf(`{"object":%s,"deleted":%t}`, c.object.jsonText(), c.deleted))
 				}
 			}
 			st.waiters = append(st.waiters, changed)
@@ -261,7 +281,7 @@
 			return
 		}
 		if len(events) > 0 {
-			writeJSON(w, http.StatusOK, map[string]any{"events": events, "as_of": revision})
+			writeText(w, fmt.Sprintf(`{"events":[%s],"as_of":%d}`, strings.Join(events, ","), revision))
 			return
 		}
 		select {
@@ -286,7 +306,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	writeJSON(w, http.StatusOK, o)
+	writeText(w, o.jsonText())
 }
 
 // serveWrite creates, replaces or deletes an object. It answers 409 Conflict with
@@ -385,12 +405,23 @@
 	return out
 }
 
-// nonNilObjects replaces nil, which JSON encodes as null, with an empty slice.
-func nonNilObjects(objects []StoreObject) []StoreObject {
-	if objects == nil {
-		return []StoreObject{}
+// jsonText returns the JSON text of an object.
+func (o StoreObject) jsonText() string {
+	if o.text != nil {
+		return string(o.text)
 	}
-	return objects
+	data, err := json.Marshal(o)
+	if err != nil {
+		return "null"
+	}
+	return string(data)
+}
+
+// writeText answers with JSON text.
+func writeText(w http.ResponseWriter, text string) {
+	w.Header().Set("Content-Type", "application/json")
+	// The client may have disconnected.
+	_, _ = io.WriteString(w, text)
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
