--- a/internal/process/starter/gateway_odd_object_test.go
+++ b/internal/process/starter/gateway_odd_object_test.go
@@ -23,6 +23,7 @@
 		"deeply nested":         object(nested),
 		"number too large":      object(`{"service":"desk","address":"127.0.0.1:9","zone":"z","slots":1e400,"state":"ready"}`),
 		"number that is NaN":    object(`{"service":"desk","address":"127.0.0.1:9","zone":"z","slots":NaN,"state":"ready"}`),
+		"port out of range":     object(`{"service":"desk","address":"127.0.0.1:70000","zone":"z","slots":8,"state":"ready"}`),
 		"revision out of range": fmt.Sprintf(`{"metadata":{"name":%q,"revision":1e30},"spec":%s}`, name, nested),
 	}
 }
