--- a/internal/process/starter/gateway_odd_object_test.go
+++ b/internal/process/starter/gateway_odd_object_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
 	"magnoliafront.dev/magnoliafront/internal/process/emulator"
 )
 
@@ -72,3 +73,24 @@
 		})
 	}
 }
+
+// A registration with a name of megabytes made the state that an entry sends to one
+// without the store too large for a message: the other entry closed the connection and
+// never became ready.
+func TestGatewayWithoutStoreLearnsFromPeerBesideLongName(t *testing.T) {
+	for _, field := range []string{"zone", "service"} {
+		t.Run(field, func(t *testing.T) {
+			r := newGatewayFixture(t, 1)
+			long := r.runners[0].StoreSpec("desk", "ready")
+			long[field] = strings.Repeat("x", messenger.MaxMessageBytes)
+			r.store.Put("servers", "i-long", long)
+			first := r.startReadyEntry()
+			refusing := emulator.NewObjectStore()
+			refusing.SetMode(emulator.StoreBusy)
+			t.Cleanup(refusing.Stop)
+			second := r.startEntry("entry-2", r.serveStore(refusing).URL, first.peerAddress)
+			assertEventually(t, "ready", second.isReady)
+			assertStatus(t, second.call(http.MethodPost, "/hold/1", "n1", "", nil), http.StatusOK)
+		})
+	}
+}
