Cut long values in lines of the log

The error about an odd object quotes its contents: a number of a megabyte became a line of a megabyte, at each change of the object, and the buffer for a slow destination holds 2,048 lines, more than the memory of a VM.

Cause: the length of a line had no limit.

Change: a text value or an error is cut at 8 KB, which keeps the stack of a panic.

--- a/internal/process/logger/logger.go
+++ b/internal/process/logger/logger.go
@@ -12,20 +12,30 @@
 import (
 	"io"
 	"log/slog"
+	"strings"
 
 	"k8s.io/klog/v2"
 )
 
+// maxValueBytes is the maximum length of a value in a line. Longer ones, such as
+// contents that another process wrote, are cut.
+const maxValueBytes = 8 << 10
+
 // Setup makes klog write its records to w. A program calls it once at startup.
-func Setup(w io.Writer) {
-	klog.SetSlogLogger(slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{ReplaceAttr: errorsAsText})))
+func Setup(w io.Writer) { klog.SetSlogLogger(slog.New(newHandler(w))) }
+
+func newHandler(w io.Writer) slog.Handler {
+	return slog.NewTextHandler(w, &slog.HandlerOptions{ReplaceAttr: boundedText})
 }
 
-// errorsAsText replaces an error by its message, since the detailed format of an
-// error includes a stack trace.
-func errorsAsText(_ []string, a slog.Attr) slog.Attr {
+// boundedText replaces an error by its message, since the detailed format of an error
+// includes a stack trace, and cuts long text.
+func boundedText(_ []string, a slog.Attr) slog.Attr {
 	if err, ok := a.Value.Any().(error); ok {
 		a.Value = slog.StringValue(err.Error())
 	}
+	if a.Value.Kind() == slog.KindString && len(a.Value.String()) > maxValueBytes {
+		a.Value = slog.StringValue(strings.ToValidUTF8(a.Value.String()[:maxValueBytes], "") + "...")
+	}
 	return a
 }
