Drop an upstream at once when its object becomes unreadable

Callers saw: for up to 2.2 s after an outage of the store, requests went to an upstream whose object another writer had replaced meanwhile.

Cause: the syncer passed the name of an object that cannot be decoded on as a removed registration. In an outage and 3 s after it a removed registration is taken to have lapsed for lack of the store, and its upstream stays eligible. This one has not lapsed: its object is there and names no upstream. With a complete list the name was just missing, with the same effect.

Change: the event EventInvalidated removes the upstreams of such names in any case.

Evidence: TestObjectReplacedInOutageNamesNoUpstream failed on the code before (one eligible upstream) and passes now.

--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -74,6 +74,9 @@
 	EventChanged
 	// EventRemoved carries the names of upstreams whose registration was removed.
 	EventRemoved
+	// EventInvalidated carries the names of objects that describe no upstream. An
+	// upstream that was registered under such a name is removed, in an outage too.
+	EventInvalidated
 	// EventOutageBegan means that the platform is unreachable.
 	EventOutageBegan
 	// EventOutageEnded means that the platform is reachable again.
@@ -82,7 +85,8 @@
 
 // Event is a change of the registrations or of the reachability of the
 // platform.
-// Upstreams is set for EventListed and EventChanged, Names for EventRemoved.
+// Upstreams is set for EventListed and EventChanged, Names for EventRemoved and
+// EventInvalidated.
 type Event struct {
 	Kind      EventKind
 	Upstreams []Upstream
@@ -119,6 +123,10 @@
 		for _, name := range e.Names {
 			r.remove(now, name)
 		}
+	case EventInvalidated:
+		for _, name := range e.Names {
+			delete(r.registrations, name)
+		}
 	case EventOutageBegan:
 		r.inOutage = true
 	case EventOutageEnded:
--- a/internal/process/registrar/registrar_test.go
+++ b/internal/process/registrar/registrar_test.go
@@ -56,6 +56,28 @@
 	})
 }
 
+// An object that describes no upstream must remove the upstream of its name, also while
+// removed registrations are taken to have lapsed.
+func TestInvalidatedUpstreamIsNotEligible(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		before []EventKind
+	}{
+		{"without an outage", nil},
+		{"in an outage", []EventKind{EventOutageBegan}},
+		{"after an outage", []EventKind{EventOutageBegan, EventOutageEnded}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRegistrar(3)
+			for _, kind := range c.before {
+				r.HandleEvent(start(), Event{Kind: kind})
+			}
+			r.HandleEvent(start(), Event{Kind: EventInvalidated, Names: []string{"desk-0", "unknown"}})
+			assertEligible(t, r, start(), 2)
+		})
+	}
+}
+
 // Registrations that expire while the platform is unreachable must not make
 // healthy upstreams ineligible. They must be removed if their upstreams do not
 // register again.
--- a/internal/process/syncer/outage_test.go
+++ b/internal/process/syncer/outage_test.go
@@ -119,6 +119,24 @@
 	}
 }
 
+// afterBackoff runs call, which answers a subscriber that waits for its backoff.
+func (f *outageFixture) afterBackoff(call func()) {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		call()
+	}()
+	for {
+		select {
+		case <-ended:
+			return
+		default:
+			f.clock.Advance(50 * time.Millisecond)
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
 var errStoreDown = errors.New("store is down")
 
 // The wait for the upstreams may outlive an outage that the wait for the
@@ -135,21 +153,7 @@
 	for f.syncer.synced.Load() {
 		time.Sleep(time.Millisecond)
 	}
-	// The subscriber waits for its backoff.
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		f.configure()
-	}()
-	for open := true; open; {
-		select {
-		case <-ended:
-			open = false
-		default:
-			f.clock.Advance(50 * time.Millisecond)
-			time.Sleep(time.Millisecond)
-		}
-	}
+	f.afterBackoff(f.configure)
 	f.answer(upstreamsKind, storeAnswer{changes: []accessor.Change{{Object: accessor.Object{Key: "desk-1"}, Deleted: true}}})
 	t.Run("lapsed upstream is kept", func(t *testing.T) {
 		for len(f.forwarder.State().Upstreams) != 0 {
@@ -174,3 +178,21 @@
 	f.configure()
 	is.New(t).Equal(f.forwarder.State().EligibleCount, 0)
 }
+
+// An upstream whose object another writer had replaced during an outage counted as one
+// whose registration had lapsed, and got requests for two more seconds.
+func TestObjectReplacedInOutageNamesNoUpstream(t *testing.T) {
+	f := newOutageFixture(t)
+	f.answer(upstreamsKind, storeAnswer{objects: []accessor.Object{{Key: "desk-1", Value: []byte(`{"name":"desk-1","service":"desk"}`)}}})
+	f.configure()
+	f.awaitEligible(1)
+	f.answer(upstreamsKind, storeAnswer{err: errStoreDown}) // the poll
+	f.answer(upstreamsKind, storeAnswer{err: errStoreDown}) // the snapshot after it
+	f.afterBackoff(func() {
+		f.answer(upstreamsKind, storeAnswer{objects: []accessor.Object{{Key: "desk-1", Value: []byte(`7`)}}})
+	})
+	for len(f.forwarder.State().Upstreams) != 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.New(t).Equal(f.forwarder.State().EligibleCount, 0)
+}
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -357,13 +357,12 @@
 	if u.Complete {
 		e.Kind = registrar.EventListed
 	}
-	var removed []string
+	var invalid, removed []string
 	for _, o := range u.Objects {
 		up, err := s.options.Decoder.Upstream(o)
 		if err != nil {
 			s.ignoreObject(o, err)
-			// An upstream whose object can no longer be decoded is removed.
-			removed = append(removed, s.options.Decoder.Name(o.Key))
+			invalid = append(invalid, s.options.Decoder.Name(o.Key))
 			continue
 		}
 		e.Upstreams = append(e.Upstreams, up)
@@ -371,6 +370,9 @@
 	for _, key := range u.Removed {
 		removed = append(removed, s.options.Decoder.Name(key))
 	}
+	if len(invalid) > 0 {
+		f.HandleRegistrarEvent(registrar.Event{Kind: registrar.EventInvalidated, Names: invalid})
+	}
 	if u.Complete || len(e.Upstreams) > 0 {
 		f.HandleRegistrarEvent(e)
 	}
