Pause between polls that end early without progress

All entries share the rate of the store, whose refusals then take them out of step.

A poll that ended without a change was taken to have waited.

Evidence: four cases of TestPollWithoutProgressIsRepeatedAfterPause failed on the code before: 20 polls without a pause. All pass now, as do the tests of outages of the entry.

--- a/internal/process/subscriber/subscriber.go
+++ b/internal/process/subscriber/subscriber.go
@@ -87,6 +87,7 @@
 	version      int64
 	lastSnapshot time.Time
 	failures     int
+	stalledPolls int
 	reachable    bool
 }
 
@@ -122,6 +123,8 @@
 	changes, version, err := s.options.Feed.Changes(wait, s.options.Kind, s.version, d)
 	silent := wait.Err() != nil
 	cancel()
+	waited := s.options.Clock.Now().Sub(now) >= d/2
+	defer s.pauseIfStalled(ctx, waited || err == nil && version > s.version)
 	if err != nil {
 		// The snapshot that follows shows whether the platform is reachable.
 		s.lastSnapshot = time.Time{}
@@ -142,6 +145,24 @@
 	s.sleep(ctx, s.options.BatchDelay)
 }
 
+// pauseIfStalled counts the consecutive polls that ended early with a failure or without
+// progress, and waits for a backoff from the second one on. A snapshot between them may
+// succeed.
+func (s *Subscriber) pauseIfStalled(ctx context.Context, progress bool) {
+	if progress {
+		s.stalledPolls = 0
+		return
+	}
+	if s.stalledPolls++; s.stalledPolls > 1 {
+		s.sleep(ctx, s.backoff(s.stalledPolls))
+	}
+}
+
+// backoff returns the pause after n consecutive failures.
+func (s *Subscriber) backoff(n int) time.Duration {
+	return min(backoffBase<<min(n, 8), cmp.Or(s.options.MaxBackoff, defaultMaxBackoff))
+}
+
 // coalesce returns an update with the last change of each object.
 func coalesce(kind string, version int64, changes []accessor.Change) Update {
 	u := Update{Kind: kind, Reachable: true, Version: version}
@@ -175,7 +196,7 @@
 		}
 		s.reportUnreachable()
 		s.failures++
-		s.sleep(ctx, min(backoffBase<<min(s.failures, 8), cmp.Or(s.options.MaxBackoff, defaultMaxBackoff)))
+		s.sleep(ctx, s.backoff(s.failures))
 		return
 	}
 	if !s.reachable {
--- a/internal/process/subscriber/subscriber_test.go
+++ b/internal/process/subscriber/subscriber_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,3 +60,70 @@
 		is.True(all[1].Complete && all[1].Reachable)
 	})
 }
+
+// pollFeed is a platform whose polls end at once with the results of the test, and from
+// maxPolls on no more.
+type pollFeed struct {
+	poll  func(after int64) ([]accessor.Change, int64, error)
+	polls atomic.Int32
+	spun  chan struct{}
+}
+
+const maxPolls = 20
+
+func (f *pollFeed) Snapshot(context.Context, string) ([]accessor.Object, int64, error) {
+	return []accessor.Object{{Key: "servers/a"}}, 7, nil
+}
+
+func (f *pollFeed) Changes(ctx context.Context, _ string, after int64, _ time.Duration) ([]accessor.Change, int64, error) {
+	if f.polls.Add(1) == maxPolls {
+		close(f.spun)
+		<-ctx.Done()
+	}
+	return f.poll(after)
+}
+
+// assertPauses checks whether a subscriber pauses between polls that end with the given
+// result.
+func assertPauses(t *testing.T, poll func(after int64) ([]accessor.Change, int64, error), want bool) {
+	t.Helper()
+	f := &pollFeed{poll: poll, spun: make(chan struct{})}
+	clock := timer.NewManual(time.Unix(1000, 0))
+	s := New(Options{Feed: f, Kind: "servers", Clock: clock, PollTimeout: time.Minute, OnUpdate: func(Update) {}})
+	defer s.Stop()
+	paused := false
+	for end := false; !end && !paused; {
+		select {
+		case <-f.spun:
+			end = true
+		default:
+			paused = clock.PendingTimers() > 0
+			time.Sleep(time.Millisecond)
+		}
+	}
+	is.New(t).Equal(paused, want)
+}
+
+// A platform that answered polls at once without any progress, or refused all of them
+// and served snapshots, was asked again without a pause. The calls of one entry used up
+// the rate that all entries share.
+func TestPollWithoutProgressIsRepeatedAfterPause(t *testing.T) {
+	change := []accessor.Change{{Object: accessor.Object{Key: "servers/a", Version: 7}}}
+	t.Run("no change and no progress", func(t *testing.T) {
+		assertPauses(t, func(after int64) ([]accessor.Change, int64, error) { return nil, after, nil }, true)
+	})
+	t.Run("same change for ever", func(t *testing.T) {
+		assertPauses(t, func(after int64) ([]accessor.Change, int64, error) { return change, after, nil }, true)
+	})
+	t.Run("failure", func(t *testing.T) {
+		assertPauses(t, func(int64) ([]accessor.Change, int64, error) { return nil, 0, errors.New("not readable") }, true)
+	})
+	t.Run("history that is always gone", func(t *testing.T) {
+		assertPauses(t, func(int64) ([]accessor.Change, int64, error) {
+			return nil, 0, &accessor.Error{Op: "watch", Kind: accessor.ErrorCompacted, Err: errors.New("status 410")}
+		}, true)
+	})
+	t.Run("changes", func(t *testing.T) {
+		assertPauses(t, func(after int64) ([]accessor.Change, int64, error) { return change, after + 1, nil }, false)
+	})
+}
