Count only entries that can be connected to

Among the objects of the entries, one with a port out of range or without an IP address counted as an entry: it took its part of the retry budget and of the connections to upstreams, and was dialled for ever. An entry whose object was replaced by another writer stayed known until the next complete list.

Cause: the same assumption as for the objects of upstreams: any text was an address, and an object that could not be decoded was skipped without removing the one it replaced.

Change: the address must be an IP address and a port. An object that cannot be decoded removes the entry of its name.

--- a/internal/process/syncer/members.go
+++ b/internal/process/syncer/members.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 
+	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
+	"magnoliafront.dev/magnoliafront/internal/process/accessor"
 	"magnoliafront.dev/magnoliafront/internal/process/subscriber"
 )
 
@@ -19,12 +22,15 @@
 		clear(s.entries)
 	}
 	for _, o := range u.Objects {
-		var e Entry
-		if err := json.Unmarshal(o.Value, &e); err != nil || e.Address == "" {
+		name := s.options.Decoder.Name(o.Key)
+		e, err := decodeEntry(o)
+		if err != nil {
 			s.ignoreObject(o, err)
+			// An entry whose object can no longer be decoded is not known any more.
+			delete(s.entries, name)
 			continue
 		}
-		s.entries[s.options.Decoder.Name(o.Key)] = e
+		s.entries[name] = e
 	}
 	for _, key := range u.Removed {
 		delete(s.entries, s.options.Decoder.Name(key))
@@ -36,6 +42,20 @@
 	s.publishMembers()
 }
 
+// decodeEntry decodes the object of an entry. It returns an error if no connection can
+// be opened to its address.
+func decodeEntry(o accessor.Object) (Entry, error) {
+	var e Entry
+	if err := json.Unmarshal(o.Value, &e); err != nil {
+		return Entry{}, errors.Wrap(err, "decode the entry")
+	}
+	address, err := netip.ParseAddrPort(e.Address)
+	if err == nil && address.Port() == 0 {
+		err = errors.Errorf("address %q has no port", e.Address)
+	}
+	return e, err
+}
+
 // writeOwnEntry writes the object of this entry. After a failure it is written with
 // the next update of the entries.
 func (s *Syncer) writeOwnEntry(own Entry) {
