Call an upstream at the address of its last object

Callers saw: 502 or 503 for requests to an upstream, or a further attempt for each of them, for as long as the upstream was registered, if its object had once held a wrong address under the same name and start.

Cause: the pool of connections of an upstream kept the address with which it was created.

Change: a pool is replaced when the address of its upstream has changed. Calls that are in flight end on the connections of the previous one.

Evidence: TestGatewayCallsUpstreamAtLatestAddress failed on the code before: no request succeeded within 20 s after the object was corrected. It passes now.

--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -57,12 +57,7 @@
 	if t == nil {
 		return
 	}
-	id := a.Upstream.InstanceID()
-	p := f.pools[id]
-	if p == nil {
-		p = &pool{upstream: a.Upstream}
-		f.pools[id] = p
-	}
+	p := f.poolOf(a.Upstream)
 	ctx, cancel := context.WithCancel(t.job.Context)
 	t.cancel, t.pool, t.number = cancel, p, a.Attempt
 	t.call = carrier.Call{
--- a/internal/process/forwarder/pool.go
+++ b/internal/process/forwarder/pool.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"magnoliafront.dev/magnoliafront/internal/connection/carrier"
 	"magnoliafront.dev/magnoliafront/internal/process/registrar"
 )
@@ -98,6 +100,24 @@
 	p.idle = nil
 }
 
+// poolOf returns the pool of an upstream. If the address of the upstream has changed,
+// the pool for the previous address is replaced.
+func (f *Forwarder) poolOf(u registrar.Upstream) *pool {
+	id := u.InstanceID()
+	p := f.pools[id]
+	if p != nil && p.upstream.Address != u.Address {
+		klog.InfoS("upstream address changed", "upstream", id, "service", u.Service, "address", u.Address, "previous", p.upstream.Address)
+		p.removed = true
+		f.cleanUpPool(p)
+		p = nil
+	}
+	if p == nil {
+		p = &pool{upstream: u}
+		f.pools[id] = p
+	}
+	return p
+}
+
 // cleanUpPool closes the idle connections of a removed upstream, and deletes its
 // pool once the last call has ended.
 func (f *Forwarder) cleanUpPool(p *pool) {
--- a/internal/process/starter/gateway_odd_object_test.go
+++ b/internal/process/starter/gateway_odd_object_test.go
@@ -94,3 +94,18 @@
 		})
 	}
 }
+
+// An upstream whose object first held a wrong address was called there as long as it was
+// registered, also after it had written its own address.
+func TestGatewayCallsUpstreamAtLatestAddress(t *testing.T) {
+	r := newGatewayFixture(t, 1)
+	spec := r.runners[0].StoreSpec("desk", "ready")
+	spec["address"] = freeAddress(t)
+	r.store.Put("servers", "i-0", spec)
+	g := r.startReadyEntry()
+	is.New(t).True(g.call(http.MethodPost, "/hold/1", "w1", "", nil).status != http.StatusOK)
+	r.store.Put("servers", "i-0", r.runners[0].StoreSpec("desk", "ready"))
+	assertEventually(t, "the upstream is called", func() bool {
+		return g.call(http.MethodPost, "/hold/1", "w2", "", nil).status == http.StatusOK
+	})
+}
