Take slots and zone of an upstream from its last object

An upstream whose object once held a wrong number of slots or a wrong zone was chosen by these values for as long as it was registered, also after its object had been corrected.

Cause: the dispatcher told the picker about an upstream only when it was new.

Change: it tells the picker again when the upstream has changed.

Evidence: TestUpstreamHasValuesOfLastUpdate failed on the code before in all its cases and passes now.

--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -356,7 +356,7 @@
 				continue
 			}
 			id := u.InstanceID()
-			if _, ok := s.upstreams[id]; !ok {
+			if old, ok := s.upstreams[id]; !ok || old != u {
 				s.picker.Step(now, picker.Event{Kind: picker.EventConnected, Upstream: id, AvailabilityZone: u.AvailabilityZone, Slots: u.Slots})
 			}
 			s.instanceIDs = append(s.instanceIDs, id)
