Size the pool for long prompts by the usual slots

One object with an unknown or a wrong number of slots, if its name came first, changed the share of all upstreams of its service that requests with long prompts get, and entries that had not read it yet disagreed with the others.

Cause: the number of slots of the first upstream stood for all.

Change: the median of the known numbers stands for all.

Evidence: the cases "first unknown" and "first huge" of TestOddSlotsOfOneUpstreamDoNotCountForAll failed on the code before and pass now.

--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -252,6 +252,8 @@
 	// instanceIDs lists their instance IDs in the order of the last update.
 	upstreams   map[string]registrar.Upstream
 	instanceIDs []string
+	// usualSlots is the median of the known numbers of slots of the upstreams.
+	usualSlots int
 }
 
 // New returns a dispatcher without a configuration and without upstreams.
@@ -362,6 +364,7 @@
 			s.instanceIDs = append(s.instanceIDs, id)
 		}
 		s.upstreams = byService[name]
+		s.usualSlots = medianSlots(s.upstreams)
 	}
 	return out
 }
--- a/internal/process/dispatcher/separation.go
+++ b/internal/process/dispatcher/separation.go
@@ -1,9 +1,11 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"magnoliafront.dev/magnoliafront/internal/process/picker"
+	"magnoliafront.dev/magnoliafront/internal/process/registrar"
 	"magnoliafront.dev/magnoliafront/internal/process/separator"
 	"magnoliafront.dev/magnoliafront/internal/version/matcher"
 )
@@ -29,11 +31,7 @@
 		Kind: separator.EventArrived, Request: r.Name, PromptTokens: f.request.PromptTokens,
 		GapTarget: r.GapTarget, LatencyTarget: r.LatencyTarget, Priority: r.Priority,
 	})
-	fleet := separator.Fleet{Engines: len(s.instanceIDs), Entries: d.entries}
-	if fleet.Engines > 0 {
-		fleet.Slots = s.upstreams[s.instanceIDs[0]].Slots
-	}
-	if !s.separator.Decide(now, fleet) {
+	if !s.separator.Decide(now, s.fleet(d.entries)) {
 		return nil
 	}
 	return []Action{{Kind: ActionRoutesSeparated, Summary: Summary{Service: f.admission.Service.Name}, Separation: Separation{
@@ -41,6 +39,26 @@
 	}}}
 }
 
+// fleet describes the upstreams of s to its separator.
+func (s *service) fleet(entries int) separator.Fleet {
+	return separator.Fleet{Engines: len(s.instanceIDs), Slots: s.usualSlots, Entries: entries}
+}
+
+// medianSlots returns the median of the known numbers of slots, zero if none is known.
+func medianSlots(upstreams map[string]registrar.Upstream) int {
+	var known []int
+	for _, u := range upstreams {
+		if u.Slots > 0 {
+			known = append(known, u.Slots)
+		}
+	}
+	if len(known) == 0 {
+		return 0
+	}
+	slices.Sort(known)
+	return known[len(known)/2]
+}
+
 // hasLongPrompt reports whether the prompts of the route of f would delay the streams
 // of other requests too much.
 func (f *inFlightRequest) hasLongPrompt(s *service) bool {
--- a/internal/process/dispatcher/upstreams_test.go
+++ b/internal/process/dispatcher/upstreams_test.go
@@ -32,3 +32,26 @@
 		})
 	}
 }
+
+// The number of slots with which the dispatcher sizes the pool for long prompts was that
+// of the first upstream, so that one object with another number changed the pool of all.
+func TestOddSlotsOfOneUpstreamDoNotCountForAll(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		slots []int
+		want  int
+	}{
+		{"no upstream", nil, 0},
+		{"equal numbers", []int{96, 96, 96}, 96},
+		{"first unknown", []int{0, 96, 96}, 96},
+		{"first huge", []int{65_535, 96, 96}, 96},
+		{"last huge", []int{96, 96, 65_535}, 96},
+		{"all unknown", []int{0, 0, 0}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDispatcher()
+			updateUpstreams(d, c.slots...)
+			is.New(t).Equal(d.services["desk"].fleet(1).Slots, c.want)
+		})
+	}
+}
