Refuse a head of the records without its writer

In the product's own form, a head that another program had replaced by one with a high revision and no buckets came into force: all records were withdrawn, and no later revision was accepted, since each was older.

Cause: the same assumption as for the objects of upstreams: what can be decoded was taken. The buckets of a head are checked by their hashes, but a head without any has none.

Change: a head is decoded only if its last writer accepted its revision, as each head of the product states.

Evidence: the last two cases of TestRelayIgnoresOddHead failed on the code before: the revision came into force. The others (deeply nested, revision too large, text) passed before as well. All pass now.

--- a/internal/version/cataloger/cataloger.go
+++ b/internal/version/cataloger/cataloger.go
@@ -89,7 +89,8 @@
 func Root(buckets [BucketCount]string) string { return hash([]byte(strings.Join(buckets[:], ","))) }
 
 // DecodeHead decodes a head. Empty data is the head before the first
-// revision.
+// revision. It returns an error for a head whose last writer did not accept its
+// revision: another program stored it, and its buckets may be missing.
 func DecodeHead(data []byte) (Head, error) {
 	var h Head
 	if len(data) == 0 {
@@ -98,6 +99,9 @@
 	if err := json.Unmarshal(data, &h); err != nil {
 		return h, &Error{Op: "decode head", Kind: ErrorFormat, Err: err}
 	}
+	if n := len(h.RecentWriters); n == 0 || h.RecentWriters[n-1].Revision != h.Revision {
+		return h, &Error{Op: "decode head", Kind: ErrorFormat, Err: errors.Errorf("revision %d is not that of the last writer", h.Revision)}
+	}
 	return h, nil
 }
 
