--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -274,6 +274,8 @@
 	// instanceIDs lists their instance IDs in the order of the last update.
 	upstreams   map[string]registrar.Upstream
 	instanceIDs []string
+	// usualSlots is the median of the known numbers of slots of the upstreams.
+	usualSlots int
 }
 
 // New returns a dispatcher without a configuration and without upstreams.
@@ -388,12 +390,13 @@
 				continue
 			}
 			id := u.InstanceID()
-			if _, ok := s.upstreams[id]; !ok {
+			if old, ok := s.upstreams[id]; !ok || old != u {
 				s.picker.Step(now, picker.Event{Kind: picker.EventConnected, Upstream: id, AvailabilityZone: u.AvailabilityZone, Slots: u.Slots})
 			}
 			s.instanceIDs = append(s.instanceIDs, id)
 		}
 		s.upstreams = byService[name]
+		s.usualSlots = medianSlots(s.upstreams)
 	}
 	return out
 }
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -68,12 +68,7 @@
 	if t == nil {
 		return
 	}
-	id := a.Upstream.InstanceID()
-	p := f.pools[id]
-	if p == nil {
-		p = &pool{upstream: a.Upstream}
-		f.pools[id] = p
-	}
+	p := f.poolOf(a.Upstream)
 	if t.conn != nil {
 		silent := t.liveCall
 		t.suspended = &silent
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -357,13 +357,12 @@
 	if u.Complete {
 		e.Kind = registrar.EventListed
 	}
-	var removed []string
+	var invalid, removed []string
 	for _, o := range u.Objects {
 		up, err := s.options.Decoder.Upstream(o)
 		if err != nil {
 			s.ignoreObject(o, err)
-			// An upstream whose object can no longer be decoded is removed.
-			removed = append(removed, s.options.Decoder.Name(o.Key))
+			invalid = append(invalid, s.options.Decoder.Name(o.Key))
 			continue
 		}
 		e.Upstreams = append(e.Upstreams, up)
@@ -371,6 +370,9 @@
 	for _, key := range u.Removed {
 		removed = append(removed, s.options.Decoder.Name(key))
 	}
+	if len(invalid) > 0 {
+		f.HandleRegistrarEvent(registrar.Event{Kind: registrar.EventInvalidated, Names: invalid})
+	}
 	if u.Complete || len(e.Upstreams) > 0 {
 		f.HandleRegistrarEvent(e)
 	}
@@ -382,14 +384,22 @@
 
 // ignoreObject logs an object that cannot be decoded, once for each revision.
 func (s *Syncer) ignoreObject(o accessor.Object, err error) {
-	if s.ignoredRevisions[o.Key] == o.Version {
-		return
+	if s.isNewlyIgnored(o) {
+		klog.InfoS("object ignored", "key", o.Key, "revision", o.Version, "err", err)
+	}
+}
+
+// isNewlyIgnored reports whether an object was not ignored at the same revision before.
+// The revision is zero if it cannot be read.
+func (s *Syncer) isNewlyIgnored(o accessor.Object) bool {
+	if last, ok := s.ignoredRevisions[o.Key]; ok && last == o.Version {
+		return false
 	}
 	if len(s.ignoredRevisions) >= maxIgnoredRevisions {
 		clear(s.ignoredRevisions)
 	}
 	s.ignoredRevisions[o.Key] = o.Version
-	klog.InfoS("object ignored", "key", o.Key, "revision", o.Version, "err", err)
+	return true
 }
 
 // maxIgnoredRevisions is the maximum number of objects in ignoredRevisions.
