Stop using an upstream whose answer says that it shuts down

Callers: an upstream may say in its answers that it shuts down (Server-Leaving: 1) before the store says so, or while the store is away. Entries went on sending requests there until the store's list changed, and such requests end with a closed connection when the upstream exits.

Cause: the entry knew of a shutdown from registrations alone. The header was passed on without being read.

Change: platform decodes the header into carrier.Notice. carrier reports the notice of each head that it reads, before it relays any part of the answer or ends the call, so that refusals, errors, answers that are skipped or not accepted, and heads of long streams count. The forwarder passes it to the registrar, and the upstream is dropped at once: no request, retry or resumed stream is sent there, and its idle connections are closed. A call that finds its kept connection dead is no longer started again on a dropped upstream. The registrar remembers the announcement by instance (name and start), beyond the registration, since the store may list the instance as ready again. A new start under the same name is a new upstream.

--- a/internal/connection/carrier/carrier.go
+++ b/internal/connection/carrier/carrier.go
@@ -86,6 +86,9 @@
 	LastEvent string
 	// Classify classifies a response by its head. It must not read the body.
 	Classify func(*http.Response) Verdict
+	// DecodeNotice returns what the head of a response says about its upstream. It
+	// must not read the body. It may be nil.
+	DecodeNotice func(*http.Response) Notice
 	// Replies receives the response for the caller.
 	Replies *relayer.Ring
 }
@@ -169,6 +172,10 @@
 	// Report is called on the goroutine of the connection with the progress and
 	// the result of each call.
 	Report func(Report)
+	// ReportNotice is called on the goroutine of the connection with each notice in a
+	// response during the call of the given request, before any report that follows
+	// from the response. It may be nil if no call has DecodeNotice.
+	ReportNotice func(request string, n Notice)
 	// Recoverer handles a panic during a call. It may be nil.
 	Recoverer *recoverer.Recoverer
 }
--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -180,6 +180,7 @@
 			return nil, errors.Wrap(err, "read the answer")
 		}
 		if resp.StatusCode >= http.StatusOK {
+			c.reportNotice(a, resp)
 			return resp, nil
 		}
 	}
--- a/internal/process/emulator/runner.go
+++ b/internal/process/emulator/runner.go
@@ -103,6 +103,7 @@
 	Release chan struct{}
 
 	behaviour atomic.Int32
+	draining  atomic.Bool
 	once      atomic.Pointer[OneTimeBehaviour]
 	server    *http.Server
 	listener  net.Listener
@@ -151,6 +152,10 @@
 // SetBehaviour sets the behaviour for later requests.
 func (r *Runner) SetBehaviour(b RunnerBehaviour) { r.behaviour.Store(int32(b)) }
 
+// SetDraining sets whether the runner says in all answers to later requests that it
+// is shutting down. It does not change what the store says.
+func (r *Runner) SetDraining(draining bool) { r.draining.Store(draining) }
+
 // SetOnce sets a behaviour for the next request only, which takes precedence over
 // [Runner.SetBehaviour].
 func (r *Runner) SetOnce(o *OneTimeBehaviour) { r.once.Store(o) }
@@ -201,6 +206,9 @@
 	}
 	r.calls.Put(context.Background(), func(requests *[]*RunnerRequest) { *requests = append(*requests, run) })
 	w.Header().Set("Magnoliafront-Request-Id", run.ID)
+	if r.draining.Load() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if expected != "" && expected != r.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -292,13 +300,17 @@
 		return
 	}
 	defer func() { _ = conn.Close() }()
+	draining := ""
+	if r.draining.Load() {
+		draining = "Server-Leaving: 1\r\n"
+	}
 	withLength := func(id string) string {
 		body := r.body(run)
-		return fmt.Sprintf("HTTP/1.1 200 OK\r\nMagnoliafront-Request-Id: %s\r\nMagnoliafront-Response-Signature: %s\r\nContent-Length: %d\r\n\r\n%s",
-			id, r.signature(run), len(body), body)
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nMagnoliafront-Request-Id: %s\r\n%sMagnoliafront-Response-Signature: %s\r\nContent-Length: %d\r\n\r\n%s",
+			id, draining, r.signature(run), len(body), body)
 	}
-	withoutLength := fmt.Sprintf("HTTP/1.1 200 OK\r\nMagnoliafront-Request-Id: %s\r\nMagnoliafront-Response-Signature: %s\r\n\r\n%s",
-		run.ID, r.signature(run), r.body(run))
+	withoutLength := fmt.Sprintf("HTTP/1.1 200 OK\r\nMagnoliafront-Request-Id: %s\r\n%sMagnoliafront-Response-Signature: %s\r\n\r\n%s",
+		run.ID, draining, r.signature(run), r.body(run))
 	switch b {
 	case RunnerOmitsLength:
 		send(rw, withoutLength)
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -70,8 +70,9 @@
 		Head: f.options.Codec.Encode(t.job, a, a.Deadline.Sub(now)), Body: t.job.Body,
 		DialTimeout: a.DialTimeout, Deadline: a.Deadline.Add(deadlineGrace), IdleTimeout: a.IdleTimeout,
 		Stream: a.Stream, Begun: a.Begun, LastEvent: a.LastEvent,
-		Classify: f.options.Codec.ClassifyResponse(a.ID), //nolint:bodyclose // the function reads only the head
-		Replies:  t.job.Replies,
+		Classify:     f.options.Codec.ClassifyResponse(a.ID), //nolint:bodyclose // the function reads only the head
+		DecodeNotice: f.options.Codec.DecodeNotice,
+		Replies:      t.job.Replies,
 	}
 	if a.Attempt > 1 {
 		logDecision("request sent again", a)
@@ -92,6 +93,9 @@
 		c = carrier.New(carrier.Options{
 			Address: p.upstream.Address, Clock: f.options.Clock, Recoverer: f.options.Recoverer,
 			Report: func(r carrier.Report) { f.put(event{kind: eventReport, pool: p, report: r}) },
+			ReportNotice: func(request string, n carrier.Notice) {
+				f.put(event{kind: eventNotice, pool: p, request: request, notice: n})
+			},
 		})
 	}
 	c.Send(t.call)
@@ -116,7 +120,7 @@
 		f.cleanUpPool(p)
 		return
 	}
-	if r.Outcome == carrier.OutcomeStale {
+	if r.Outcome == carrier.OutcomeStale && !p.removed {
 		// Nothing was sent, so the call is started on another connection.
 		f.startCall(now, t)
 		return
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -66,6 +66,8 @@
 	// ClassifyResponse returns a function that classifies an answer to the request
 	// with the given identity.
 	ClassifyResponse(request string) func(*http.Response) carrier.Verdict
+	// DecodeNotice returns what the head of an answer says about its upstream.
+	DecodeNotice(resp *http.Response) carrier.Notice
 }
 
 // Options configures a forwarder.
@@ -149,6 +151,7 @@
 
 const (
 	eventReport eventKind = iota
+	eventNotice
 	eventConfigured
 	eventRegistrar
 	eventEntryCount
@@ -164,6 +167,8 @@
 	kind          eventKind
 	pool          *pool
 	report        carrier.Report
+	request       string
+	notice        carrier.Notice
 	table         *matcher.Table
 	registrar     registrar.Event
 	entryCount    int
@@ -306,6 +311,8 @@
 	switch e.kind {
 	case eventReport:
 		f.handleReport(now, e.pool, e.report)
+	case eventNotice:
+		f.handleNotice(now, e.pool.upstream, e.request, e.notice)
 	case eventConfigured:
 		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventConfigured, Table: e.table})
 		s := f.State()
--- a/internal/process/forwarder/forwarder_test.go
+++ b/internal/process/forwarder/forwarder_test.go
@@ -59,6 +59,8 @@
 	return func(*http.Response) carrier.Verdict { return carrier.VerdictAccepted }
 }
 
+func (faultyCodec) DecodeNotice(*http.Response) carrier.Notice { return carrier.Notice{} }
+
 // A panic of the goroutine that forwards all requests ended the process. It must end
 // the request that caused it, and the next one must be handled.
 func TestPanicEndsOneRequest(t *testing.T) {
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -9,6 +9,10 @@
 // that are missing after such an outage count as lapsed: they are kept for
 // [ReregistrationPeriod], unless the upstream was draining.
 //
+// An upstream may announce in an answer that it is shutting down, before the platform
+// knows or while it is unreachable. It then gets no more requests, even if its
+// registration still says that it is ready.
+//
 // An upstream that restarts under the same name counts as a new upstream,
 // since its state in memory is lost; [Upstream.InstanceID] distinguishes the
 // two.
@@ -74,6 +78,9 @@
 	EventChanged
 	// EventRemoved carries the names of upstreams whose registration was removed.
 	EventRemoved
+	// EventDraining carries upstreams that announced in an answer that they are
+	// shutting down.
+	EventDraining
 	// EventOutageBegan means that the platform is unreachable.
 	EventOutageBegan
 	// EventOutageEnded means that the platform is reachable again.
@@ -82,7 +89,8 @@
 
 // Event is a change of the registrations or of the reachability of the
 // platform.
-// Upstreams is set for EventListed and EventChanged, Names for EventRemoved.
+// Upstreams is set for EventListed, EventChanged and EventDraining, Names for
+// EventRemoved.
 type Event struct {
 	Kind      EventKind
 	Upstreams []Upstream
@@ -94,6 +102,9 @@
 	registrations map[string]registration
 	inOutage      bool
 	outageEndedAt time.Time
+	// announced holds the instance IDs of the upstreams that announced in an answer
+	// that they are shutting down, with the time of the announcement.
+	announced map[string]time.Time
 }
 
 // registration is a current or lapsed registration.
@@ -113,12 +124,16 @@
 		r.replaceAll(now, e.Upstreams)
 	case EventChanged:
 		for _, u := range e.Upstreams {
-			r.registrations[u.Name] = registration{upstream: u}
+			r.register(u)
 		}
 	case EventRemoved:
 		for _, name := range e.Names {
 			r.remove(now, name)
 		}
+	case EventDraining:
+		for _, u := range e.Upstreams {
+			r.recordAnnouncement(now, u)
+		}
 	case EventOutageBegan:
 		r.inOutage = true
 	case EventOutageEnded:
@@ -185,7 +200,7 @@
 	listed := map[string]struct{}{}
 	for _, u := range all {
 		listed[u.Name] = struct{}{}
-		r.registrations[u.Name] = registration{upstream: u}
+		r.register(u)
 	}
 	for name := range r.registrations {
 		if _, ok := listed[name]; !ok {
@@ -194,11 +209,21 @@
 	}
 }
 
+// register stores a current registration. An upstream that announced that it is
+// shutting down stays draining, whatever its registration says.
+func (r *Registrar) register(u Upstream) {
+	u.Draining = u.Draining || r.AnnouncedDraining(u)
+	r.registrations[u.Name] = registration{upstream: u}
+}
+
 func (r *Registrar) remove(now time.Time, name string) {
 	reg, ok := r.registrations[name]
 	if !ok || reg.lapsed {
 		return
 	}
+	if reg.upstream.StartUnixMilli == 0 {
+		delete(r.announced, reg.upstream.InstanceID())
+	}
 	dueToOutage := r.inOutage || !r.outageEndedAt.IsZero() && now.Sub(r.outageEndedAt) < postOutageLapsePeriod
 	if reg.upstream.Draining || !dueToOutage {
 		delete(r.registrations, name)
