Send nothing to an upstream during the pause that it asked for

Callers: an upstream may turn requests away with 503 and Retry-After, which asks the entry for a pause. The entry went on sending requests and retries there during the pause; each cost its caller a refused attempt, and when all upstreams paused, callers were told to come back after 1 s at most although every request until the end of the first pause was refused.

Cause: Retry-After of upstreams was not read. A refusal does not count as a failure in the picker, so that it did not keep further requests away.

The dispatcher learns of it before it decides on a retry, and the picker skips the upstream until the end of the pause, also as the last resort and as the source of a cached prefix. The longest of several pauses holds, since a shorter one does not take back the earlier one. A pause outlasts a registration that is removed and comes back, and ends with a new start of the upstream. While all upstreams of a service pause, callers are refused at once with the outcome held_back and are told the end of the first pause, or as much of it as they wait for.

--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -103,6 +103,9 @@
 	// EventSynced means that the entry became synced with the platform, or is no
 	// longer synced.
 	EventSynced
+	// EventHeldBack means that Upstream wants no requests from this entry for
+	// RetryAfter, as it said in the answer to request ID.
+	EventHeldBack
 )
 
 // AttemptOutcome is the way in which an attempt ended.
@@ -149,6 +152,10 @@
 	Begun     bool
 	LastEvent string
 
+	// Upstream and RetryAfter are set for EventHeldBack.
+	Upstream   registrar.Upstream
+	RetryAfter time.Duration
+
 	Table     *matcher.Table
 	Upstreams []registrar.Upstream
 	Entries   int
@@ -186,6 +193,9 @@
 	ActionSendLoad
 	// ActionRoutesSeparated means that the routes with long prompts have changed.
 	ActionRoutesSeparated
+	// ActionUpstreamHeldBack means that Upstream gets no requests for RetryAfter. It is
+	// returned only if the upstream was not held back before.
+	ActionUpstreamHeldBack
 )
 
 // Action is an instruction for the caller of [Dispatcher.Step]. Only the fields of
@@ -218,6 +228,8 @@
 	Report LoadReport
 	// Separation is set for ActionRoutesSeparated.
 	Separation Separation
+	// RetryAfter is set for ActionUpstreamHeldBack.
+	RetryAfter time.Duration
 	// Summary describes the request for logs and metrics.
 	Summary Summary
 }
@@ -289,6 +301,8 @@
 		return d.tick(now)
 	case EventSynced:
 		d.synced = e.Synced
+	case EventHeldBack:
+		return d.holdBack(now, e)
 	}
 	return nil
 }
--- a/internal/process/dispatcher/dispatcher_test.go
+++ b/internal/process/dispatcher/dispatcher_test.go
@@ -36,12 +36,16 @@
 		Version: 1, Routes: routes(), Services: []matcher.Service{{Name: "desk"}},
 		Organisations: []matcher.Organisation{{Name: "guides", Keys: []string{"key"}}},
 	})})
-	var all []registrar.Upstream
+	d.Step(testTime(), Event{Kind: EventUpstreams, Upstreams: upstreams()})
+	return d
+}
+
+// upstreams returns the upstreams of the service.
+func upstreams() (out []registrar.Upstream) {
 	for i := range 3 {
-		all = append(all, registrar.Upstream{Name: fmt.Sprint("desk-", i), Service: "desk", Address: "10.0.0.1:80"})
+		out = append(out, registrar.Upstream{Name: fmt.Sprint("desk-", i), Service: "desk", Address: "10.0.0.1:80"})
 	}
-	d.Step(testTime(), Event{Kind: EventUpstreams, Upstreams: all})
-	return d
+	return out
 }
 
 func request(path string) Request {
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -143,6 +143,10 @@
 		MaxSpilloverTokens: s.separator.MaxSpilloverTokens(), Deferrable: f.isDeferrable(s),
 	}
 	id, ok := s.picker.Pick(now, q)
+	if !ok && f.attempt == 0 && !d.heldBackUntil(now, f.admission.Service.Name).IsZero() {
+		delete(d.inFlight, f.request.ID)
+		return []Action{d.failAction(now, f, unavailable("held_back", "all upstreams asked to get no requests for some time"))}
+	}
 	if !ok {
 		return d.retryOrFail(now, f, retrier.CauseNoUpstream, nil)
 	}
@@ -278,8 +282,8 @@
 		}
 	}
 	s.picker.Step(now, p)
-	if _, ok := s.upstreams[f.upstream]; !ok && s.picker.Upstream(f.upstream).Outstanding == 0 {
-		s.picker.Remove(f.upstream)
+	if _, ok := s.upstreams[f.upstream]; !ok {
+		s.picker.RemoveIdle(now, f.upstream)
 	}
 	switch e.Outcome {
 	case OutcomeCrashed:
@@ -340,9 +344,12 @@
 // retryAfter returns the Retry-After time for the caller of f.
 func (d *Dispatcher) retryAfter(now time.Time, f *inFlightRequest) time.Duration {
 	divisor, limit := float64(retryAfterDivisor), maxRetryAfter
+	heldBackUntil := d.heldBackUntil(now, f.admission.Service.Name)
 	switch {
 	case d.table == nil:
 		divisor, limit = longRetryAfterDivisor, maxStartRetryAfter
+	case !heldBackUntil.IsZero():
+		divisor, limit = longRetryAfterDivisor, heldBackUntil.Sub(now)
 	case f.admission.Service.Name != "" && f.isDeferrable(d.service(f.admission.Service.Name)):
 		divisor, limit = longRetryAfterDivisor, maxOverloadRetryAfter
 	}
--- a/internal/process/emulator/runner.go
+++ b/internal/process/emulator/runner.go
@@ -104,11 +104,13 @@
 
 	behaviour atomic.Int32
 	draining  atomic.Bool
-	once      atomic.Pointer[OneTimeBehaviour]
-	server    *http.Server
-	listener  net.Listener
-	calls     *buffer.Ring[func(*[]*RunnerRequest), buffer.Block]
-	done      chan struct{}
+	// retryAfter is the Retry-After value of refusals, or nil for none.
+	retryAfter atomic.Pointer[string]
+	once       atomic.Pointer[OneTimeBehaviour]
+	server     *http.Server
+	listener   net.Listener
+	calls      *buffer.Ring[func(*[]*RunnerRequest), buffer.Block]
+	done       chan struct{}
 }
 
 // NewRunner starts a runner on a free port of the loopback interface.
@@ -156,6 +158,9 @@
 // is shutting down. It does not change what the store says.
 func (r *Runner) SetDraining(draining bool) { r.draining.Store(draining) }
 
+// SetRetryAfter sets the value of the Retry-After header in later refusals.
+func (r *Runner) SetRetryAfter(value string) { r.retryAfter.Store(&value) }
+
 // SetOnce sets a behaviour for the next request only, which takes precedence over
 // [Runner.SetBehaviour].
 func (r *Runner) SetOnce(o *OneTimeBehaviour) { r.once.Store(o) }
@@ -229,6 +234,9 @@
 	switch b {
 	case RunnerRefuses, RunnerRefusesBeforeBody:
 		w.Header().Set("Magnoliafront-Not-Executed", "1")
+		if after := r.retryAfter.Load(); after != nil {
+			w.Header().Set("Retry-After", *after)
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case RunnerFails:
 		w.Header().Set("Magnoliafront-Response-Signature", r.signature(run))
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -44,6 +44,9 @@
 	case dispatcher.ActionRoutesSeparated:
 		klog.InfoS("routes with long prompts changed", "service", a.Summary.Service, "routes", a.Separation.Routes,
 			"upstream_share", a.Separation.Share, "prefill_per_token", a.Separation.PrefillPerToken)
+	case dispatcher.ActionUpstreamHeldBack:
+		klog.InfoS("upstream held back", "upstream", a.Upstream.InstanceID(), "service", a.Upstream.Service,
+			"address", a.Upstream.Address, "request", a.ID, "retry_after", a.RetryAfter)
 	case dispatcher.ActionSendLoad:
 		if f.options.SendLoad != nil {
 			f.options.SendLoad(a.Report)
--- a/internal/process/forwarder/notice.go
+++ b/internal/process/forwarder/notice.go
@@ -6,6 +6,7 @@
 	"k8s.io/klog/v2"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/carrier"
+	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
 	"magnoliafront.dev/magnoliafront/internal/process/registrar"
 )
 
@@ -17,4 +18,7 @@
 		f.registrar.HandleEvent(now, registrar.Event{Kind: registrar.EventDraining, Upstreams: []registrar.Upstream{u}})
 		f.updateUpstreams(now)
 	}
+	if n.RetryAfter > 0 {
+		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventHeldBack, ID: request, Upstream: u, RetryAfter: n.RetryAfter})
+	}
 }
--- a/internal/process/picker/picker.go
+++ b/internal/process/picker/picker.go
@@ -70,6 +70,9 @@
 	// flight on the upstream: RunsDelta requests and PromptTokens pending tokens,
 	// negative for a decrease.
 	EventShared
+	// EventHeldBack means that the upstream wants no requests from this entry for
+	// RetryAfter.
+	EventHeldBack
 )
 
 // Event is a change of the state of an upstream. Only the fields of its kind are
@@ -93,6 +96,8 @@
 	PromptTokens int
 	// RunsDelta is the change in requests in flight of EventShared.
 	RunsDelta int
+	// RetryAfter is set for EventHeldBack.
+	RetryAfter time.Duration
 	// Slots is the number of requests that the upstream runs concurrently, with
 	// EventConnected. Zero means unknown.
 	Slots int
@@ -239,7 +244,7 @@
 	case EventConnected:
 		u.Connected, u.Leaving, u.AvailabilityZone, u.Slots = true, false, e.AvailabilityZone, e.Slots
 	case EventDisconnected:
-		*u = Upstream{Name: u.Name, AvailabilityZone: u.AvailabilityZone, BackoffUntil: u.BackoffUntil, failures: u.failures}
+		*u = Upstream{Name: u.Name, AvailabilityZone: u.AvailabilityZone, BackoffUntil: u.BackoffUntil, HeldBackUntil: u.HeldBackUntil, failures: u.failures}
 	case EventLeaving:
 		u.Leaving = true
 	case EventCached:
@@ -249,11 +254,18 @@
 	case EventShared:
 		u.SharedRuns = max(0, u.SharedRuns+e.RunsDelta)
 		u.SharedPendingTokens = max(0, u.SharedPendingTokens+e.PromptTokens)
+	case EventHeldBack:
+		u.holdBack(e.At.Add(e.RetryAfter))
 	}
 }
 
-// Remove deletes an upstream that has left permanently.
-func (p *Picker[P]) Remove(upstream string) { delete(p.upstreams, upstream) }
+// RemoveIdle deletes an upstream that has left, unless it has requests of this entry
+// in flight. An upstream that is held back is kept, since it may return.
+func (p *Picker[P]) RemoveIdle(now time.Time, upstream string) {
+	if u := p.upstreams[upstream]; u != nil && u.Outstanding == 0 && !u.IsHeldBack(now) {
+		delete(p.upstreams, upstream)
+	}
+}
 
 // Upstream returns the state of an upstream, nil if the upstream is unknown. The
 // caller must not change it.
@@ -267,7 +279,7 @@
 
 // Pick returns the upstream with the lowest cost among the sampled candidates and
 // the candidates that served the prefix. Only candidates that are connected, not
-// leaving and not excluded are compared. It returns false if there is none.
+// leaving, not held back and not excluded are compared. It returns false if there is none.
 func (p *Picker[P]) Pick(now time.Time, q Query) (string, bool) {
 	sample := p.policy.SampleSize()
 	if sample == 0 || q.Suspect {
@@ -298,7 +310,7 @@
 // sample adds u to the reservoir of its zone if u is available. With usableOnly, u
 // must also be usable for the policy.
 func (p *Picker[P]) sample(now time.Time, q Query, u *Upstream, usableOnly bool) {
-	if !p.available(q, u) || usableOnly && !p.policy.Usable(now, q, &p.fleet, u) {
+	if !p.available(now, q, u) || usableOnly && !p.policy.Usable(now, q, &p.fleet, u) {
 		return
 	}
 	if u.AvailabilityZone == q.AvailabilityZone {
@@ -308,9 +320,10 @@
 	p.otherZones.add(p.random, u)
 }
 
-// available reports whether u is connected, not leaving and not excluded.
-func (p *Picker[P]) available(q Query, u *Upstream) bool {
-	return u != nil && u.Connected && !u.Leaving && !slices.Contains(q.Exclude, u.Name)
+// available reports whether u is connected, not leaving, not held back and not
+// excluded.
+func (p *Picker[P]) available(now time.Time, q Query, u *Upstream) bool {
+	return u != nil && u.Connected && !u.Leaving && !u.IsHeldBack(now) && !slices.Contains(q.Exclude, u.Name)
 }
 
 // findPrefixHolders sets prefixHolders to the usable candidates that served the
@@ -323,7 +336,7 @@
 	}
 	for _, h := range all {
 		u := p.upstreams[h.upstream]
-		if p.available(q, u) && p.policy.Usable(now, q, &p.fleet, u) && slices.Contains(q.Candidates, u.Name) {
+		if p.available(now, q, u) && p.policy.Usable(now, q, &p.fleet, u) && slices.Contains(q.Candidates, u.Name) {
 			p.prefixHolders = append(p.prefixHolders, u)
 		}
 	}
--- a/internal/process/picker/ranking.go
+++ b/internal/process/picker/ranking.go
@@ -44,7 +44,7 @@
 func (p *Picker[P]) rankCandidates(now time.Time, q Query) {
 	p.usable = p.usable[:0]
 	for _, name := range q.Candidates {
-		if u := p.upstreams[name]; p.available(q, u) && p.policy.Usable(now, q, &p.fleet, u) {
+		if u := p.upstreams[name]; p.available(now, q, u) && p.policy.Usable(now, q, &p.fleet, u) {
 			p.usable = append(p.usable, u)
 		}
 	}
@@ -74,7 +74,7 @@
 	var last holder
 	if all := p.prefixes.get(q.Prefix); all != nil {
 		for _, h := range all {
-			if h.upstream != chosen && now.Sub(h.at) < maxSourceAge && h.at.After(last.at) && p.available(q, p.upstreams[h.upstream]) {
+			if h.upstream != chosen && now.Sub(h.at) < maxSourceAge && h.at.After(last.at) && p.available(now, q, p.upstreams[h.upstream]) {
 				last = h
 			}
 		}
--- a/internal/process/picker/upstream.go
+++ b/internal/process/picker/upstream.go
@@ -86,8 +86,11 @@
 	// BackoffUntil is the end of the backoff after a failure, during which the
 	// upstream gets no new requests.
 	BackoffUntil time.Time
-	failures     int
-	nameHash     uint64
+	// HeldBackUntil is the time until which the upstream asked this entry to send it
+	// no requests.
+	HeldBackUntil time.Time
+	failures      int
+	nameHash      uint64
 	// samples is a ring of the last values of Outstanding, and samplesTaken the
 	// number of all values so far.
 	samples      [maxOutstandingSamples]outstandingSample
--- a/internal/process/starter/gateway_notice_test.go
+++ b/internal/process/starter/gateway_notice_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -79,6 +80,55 @@
 	})
 }
 
+// An upstream that turns requests away and asks for a pause got more of them during
+// that pause, new ones and retries.
+func TestGatewayPauseOfUpstreamEndsRequests(t *testing.T) {
+	const longPause = "3600"
+	pause := func(run *emulator.Runner, retryAfter string) {
+		run.SetRetryAfter(retryAfter)
+		run.SetBehaviour(emulator.RunnerRefuses)
+	}
+	t.Run("one upstream: the other serves", func(t *testing.T) {
+		r := newGatewayFixture(t, 2)
+		g := r.startReadyEntry()
+		pause(r.runners[0], longPause)
+		for i := 0; len(r.runners[0].Requests()) == 0; i++ {
+			assertStatus(t, g.call(http.MethodPost, "/hold/1", fmt.Sprint("before", i), "", nil), http.StatusOK)
+		}
+		r.runners[0].SetBehaviour(emulator.RunnerAnswers)
+		r.assertOnlySecondServes(g)
+	})
+	t.Run("all upstreams: refused at once with a time to come back", func(t *testing.T) {
+		r := newGatewayFixture(t, 2)
+		g := r.startReadyEntry()
+		for _, run := range r.runners {
+			pause(run, longPause)
+		}
+		assertStatus(t, g.call(http.MethodPost, "/hold/1", "first", "", nil), http.StatusServiceUnavailable)
+		is := is.New(t)
+		is.Equal(len(r.allRequests()), 2)
+		a := g.call(http.MethodPost, "/hold/1", "second", "", nil)
+		assertStatus(t, a, http.StatusServiceUnavailable)
+		after, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+		is.NoErr(err)
+		// The deadline of the caller is 10 s.
+		is.True(after > 2 && after < 10.0/3)
+		is.Equal(len(r.allRequests()), 2)
+	})
+	t.Run("end of the pause: served again", func(t *testing.T) {
+		r := newGatewayFixture(t, 1)
+		g := r.startReadyEntry()
+		pause(r.runners[0], "0.2")
+		assertStatus(t, g.call(http.MethodPost, "/hold/1", "first", "", nil), http.StatusServiceUnavailable)
+		r.runners[0].SetBehaviour(emulator.RunnerAnswers)
+		i := 0
+		assertEventually(t, "served", func() bool {
+			i++
+			return g.call(http.MethodPost, "/hold/1", fmt.Sprint("later", i), "", nil).status == http.StatusOK
+		})
+	})
+}
+
 // awaitAnnouncement sends requests until the first runner has answered one and is no
 // longer eligible. It returns the last answer.
 func (r *gatewayFixture) awaitAnnouncement(g *gateway, path string) (last answer) {
