Forget upstreams that left without a request in flight

Change: the picker removes all leaving upstreams without requests in flight at each change of the upstreams and at the end of an attempt on one that has left. Those that are held back or in backoff are kept for that time, since a registration may lapse and come back.

Evidence: TestUpstreamsThatLeftAreForgotten found 100 of 100 starts of an upstream in the picker before, and 2 after (the registered one and one that is held back).

--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -376,6 +376,7 @@
 			s.instanceIDs = append(s.instanceIDs, id)
 		}
 		s.upstreams = byService[name]
+		s.picker.RemoveIdle(now)
 	}
 	return out
 }
--- a/internal/process/dispatcher/dispatcher_test.go
+++ b/internal/process/dispatcher/dispatcher_test.go
@@ -274,3 +274,28 @@
 	}
 	is.New(t).Equal(reports, 1)
 }
+
+// An upstream that left without a request in flight stayed in the picker for good.
+func TestUpstreamsThatLeftAreForgotten(t *testing.T) {
+	start := func(i int) registrar.Upstream {
+		return registrar.Upstream{Name: "desk-0", StartUnixMilli: int64(i), Service: "desk"}
+	}
+	const starts = 100
+	d := newDispatcher()
+	known := func() (n int) {
+		for i := range starts {
+			if d.services["desk"].picker.Upstream(start(i+1).InstanceID()) != nil {
+				n++
+			}
+		}
+		return n
+	}
+	for i := range starts {
+		now := testTime().Add(time.Duration(i) * time.Second)
+		u := start(i + 1)
+		d.Step(now, Event{Kind: EventUpstreams, Upstreams: []registrar.Upstream{u}})
+		d.Step(now, Event{Kind: EventHeldBack, Upstream: u, RetryAfter: 1500 * ms})
+	}
+	// The last start is registered, and the one before is held back still.
+	is.New(t).Equal(known(), 2)
+}
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -283,7 +283,7 @@
 	}
 	s.picker.Step(now, p)
 	if _, ok := s.upstreams[f.upstream]; !ok {
-		s.picker.RemoveIdle(now, f.upstream)
+		s.picker.RemoveIdle(now)
 	}
 	switch e.Outcome {
 	case OutcomeCrashed:
--- a/internal/process/picker/picker.go
+++ b/internal/process/picker/picker.go
@@ -259,11 +259,13 @@
 	}
 }
 
-// RemoveIdle deletes an upstream that has left, unless it has requests of this entry
-// in flight. An upstream that is held back is kept, since it may return.
-func (p *Picker[P]) RemoveIdle(now time.Time, upstream string) {
-	if u := p.upstreams[upstream]; u != nil && u.Outstanding == 0 && !u.IsHeldBack(now) {
-		delete(p.upstreams, upstream)
+// RemoveIdle deletes the leaving upstreams without requests of this entry in flight.
+// One that is held back or in backoff is kept for that time, since it may return.
+func (p *Picker[P]) RemoveIdle(now time.Time) {
+	for name, u := range p.upstreams {
+		if u.Leaving && u.Outstanding == 0 && !u.IsHeldBack(now) && !now.Before(u.BackoffUntil) {
+			delete(p.upstreams, name)
+		}
 	}
 }
 
