Let runners of the soak announce draining and ask for pauses

The soak did not exercise the notices of upstreams. Runners that drain now say so in their answers, those with an odd number only there, and each drain ends with a new start of the runner. Runners with an odd number ask for a pause of 0.7 s when they refuse a request. What reaches a runner during a pause is not checked: the runner does not know the entry behind its proxy.

--- a/internal/process/soaker/faults_test.go
+++ b/internal/process/soaker/faults_test.go
@@ -70,10 +70,16 @@
 		f.writeConfig()
 		return func() {}
 	}
-	// A draining runner still serves requests for two seconds.
+	// A draining runner still serves requests for two seconds. It says in its answers
+	// that it drains; of some runners the store does not say so.
 	return func() {
-		f.registerRunner(r, "draining")
+		f.runners[r].SetDraining(true)
+		if r%2 == 0 {
+			f.registerRunner(r, "draining")
+		}
 		time.Sleep(time.Second)
+		f.runners[r].SetDraining(false)
+		f.runnerStarts[r].Add(1)
 		f.registerRunner(r, "ready")
 	}
 }
--- a/internal/process/soaker/fleet_test.go
+++ b/internal/process/soaker/fleet_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -40,6 +41,8 @@
 	store   *emulator.ObjectStore
 	runners []*emulator.Runner
 	proxies []*proxy
+	// runnerStarts is the number of starts of each runner after the first.
+	runnerStarts [runnerCount]atomic.Int64
 	// foreignRunner serves another service. It is registered at the address of a
 	// removed runner.
 	foreignRunner *emulator.Runner
@@ -92,6 +95,9 @@
 			f.foreignRunner = r
 			break
 		}
+		if i%2 == 1 {
+			r.SetRetryAfter("0.7")
+		}
 		f.runners = append(f.runners, r)
 		f.proxies = append(f.proxies, newProxy(t, r.Address()))
 		f.registerRunner(i, "ready")
@@ -120,7 +126,7 @@
 // its proxy.
 func (f *fleet) registerRunner(i int, state string) {
 	e := f.runners[i].StoreSpec("desk", state)
-	e["address"] = f.proxies[i].address()
+	e["address"], e["born"] = f.proxies[i].address(), 1+f.runnerStarts[i].Load()
 	f.store.Put("servers", f.runners[i].ID, e)
 }
 
