Guard the version of the configuration in the soak

Fault: two injected faults that end together write the configuration at once, so that its version was incremented without synchronisation, and a later version could be written before an earlier one.

Change: writeConfig holds the mutex of the fleet.

--- a/internal/process/soaker/fleet_test.go
+++ b/internal/process/soaker/fleet_test.go
@@ -132,6 +132,8 @@
 
 // writeConfig writes the next version of the configuration to the store.
 func (f *fleet) writeConfig() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.configVersion++
 	route := func(name, kind string, attempts int, resumable bool) map[string]any {
 		return map[string]any{
