--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -40,6 +40,8 @@
 	start    time.Time
 	splitter splitter
 	begun    bool
+	// suspended is true from the report of a silence until the call is resumed.
+	suspended bool
 	// unreportedEvents is the number of events since the last progress report,
 	// which was sent at lastReport.
 	unreportedEvents int
@@ -51,7 +53,7 @@
 	longestPause time.Duration
 	// requestWritten is true if the whole request was sent and no mismatched
 	// response was skipped. If it is false, the connection is not reused, and a
-	// timeout ends the call as lost rather than as expired or silent.
+	// timeout ends the call as lost rather than as expired.
 	requestWritten bool
 	// keepAliveTimeout is the timeout in the Keep-Alive header of the response.
 	keepAliveTimeout time.Duration
@@ -109,6 +111,11 @@
 		// have sent a response.
 		a.call.Deadline = earlier(a.call.Deadline, c.options.Clock.Now().Add(earlyResponseTimeout))
 	}
+	if a.call.ReportSent {
+		c.options.Report(Report{Conn: c, Request: a.call.Request, Attempt: a.call.Attempt, Sent: true, Begun: a.begun, LastEvent: a.splitter.lastID})
+	}
+	c.received.onTimeout = func() bool { return c.suspend(a) }
+	defer func() { c.received.onTimeout = nil }()
 	// The body isn't closed: when the call ends, the body has been read to its end
 	// or the connection is closed.
 	resp, verdict, err := c.readHead(a) //nolint:bodyclose // see above
@@ -230,6 +237,36 @@
 	return nil
 }
 
+// suspend is called when a read has reached its deadline. If this is due to the idle
+// timeout, it reports the silence of the upstream and waits until the owner of the
+// connection resumes the call or cancels it. It reports whether the read continues.
+func (c *Conn) suspend(a *attempt) bool {
+	if a.call.Context.Err() != nil || !c.options.Clock.Now().Before(a.call.Deadline) {
+		return false
+	}
+	a.suspended = true
+	c.resumes.TryTake()
+	c.options.Report(Report{
+		Conn: c, Request: a.call.Request, Attempt: a.call.Attempt, Silent: true, Begun: a.begun, LastEvent: a.splitter.lastID,
+	})
+	ctx, cancel := context.WithDeadline(a.call.Context, a.call.Deadline)
+	defer cancel()
+	_, resumed := c.resumes.Take(ctx)
+	a.suspended = !resumed
+	return resumed && c.setReadDeadline(a) == nil
+}
+
+// readBody reads from the body of a response. If the call has ended while it was
+// suspended, it drops the bytes that were read before, since another attempt may have
+// relayed them.
+func (a *attempt) readBody(resp *http.Response, b []byte) (int, error) {
+	n, err := resp.Body.Read(b)
+	if a.suspended {
+		return 0, errors.Wrap(os.ErrDeadlineExceeded, "wait for the upstream")
+	}
+	return n, err
+}
+
 // discardRefusal reads the rest of a response that says that the request was not
 // run, so that the connection can be reused.
 func (c *Conn) discardRefusal(a *attempt, resp *http.Response) Report {
@@ -262,7 +299,7 @@
 	if resp.StatusCode >= http.StatusInternalServerError || a.begun {
 		// A caller that has received a part of a stream cannot get another response.
 		r.Outcome, r.ErrorResponse = OutcomeFailed, reply
-	} else if !a.call.Replies.Put(a.call.Context, reply) {
+	} else if !a.relay(reply) {
 		r.Outcome = OutcomeCancelled
 	}
 	c.setReusable(a, &r, resp, nil)
@@ -280,7 +317,7 @@
 			return c.classifyError(a, err)
 		}
 		b := make([]byte, streamReadBytes)
-		n, err := resp.Body.Read(b)
+		n, err := a.readBody(resp, b)
 		ok = n == 0 || a.relayBody(b[:n])
 		if errors.Is(err, io.EOF) {
 			return c.relayEnd(a, resp)
@@ -296,7 +333,7 @@
 func (c *Conn) relayEnd(a *attempt, resp *http.Response) Report {
 	r := a.newReport(OutcomeAnswered, nil)
 	r.Status = resp.StatusCode
-	if !a.call.Replies.Put(a.call.Context, relayer.Reply{Kind: relayer.KindEnd}) {
+	if !a.relay(relayer.Reply{Kind: relayer.KindEnd}) {
 		r.Outcome = OutcomeCancelled
 	}
 	c.setReusable(a, &r, resp, nil)
@@ -312,10 +349,8 @@
 		r.Outcome = OutcomeCancelled
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		r.ClosedByPeer = isClosedByPeer(err)
-	case !c.options.Clock.Now().Before(a.call.Deadline) && a.requestWritten:
-		r.Outcome = OutcomeExpired
 	case a.requestWritten:
-		r.Outcome = OutcomeSilent
+		r.Outcome = OutcomeExpired
 	}
 	return r
 }
@@ -338,13 +373,19 @@
 	return Report{Outcome: o, Err: err, Begun: a.begun, LastEvent: a.splitter.lastID, Events: a.unreportedEvents, FirstEvent: a.firstEvent, LongestPause: a.longestPause}
 }
 
+// relay puts a reply on the ring. It reports false if the call was cancelled: another
+// attempt may then be relaying.
+func (a *attempt) relay(r relayer.Reply) bool {
+	return a.call.Context.Err() == nil && a.call.Replies.Put(a.call.Context, r)
+}
+
 // relayHead relays the head of a response unless the caller has received one, in
 // this attempt or an earlier one. It reports false if the call was cancelled.
 func (a *attempt) relayHead(resp *http.Response) bool {
 	if a.begun {
 		return true
 	}
-	a.begun = a.call.Replies.Put(a.call.Context, relayer.Reply{
+	a.begun = a.relay(relayer.Reply{
 		Kind: relayer.KindHead, Status: resp.StatusCode, Header: resp.Header, CloseDelimited: isCloseDelimited(resp),
 	})
 	return a.begun
@@ -353,7 +394,7 @@
 // relayBody relays a part of the body. It reports false if the call was
 // cancelled.
 func (a *attempt) relayBody(b []byte) bool {
-	return a.call.Replies.Put(a.call.Context, relayer.Reply{Kind: relayer.KindBody, Bytes: b})
+	return a.relay(relayer.Reply{Kind: relayer.KindBody, Bytes: b})
 }
 
 // dial connects to the upstream within the dial timeout and the deadline of the
--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -83,8 +83,17 @@
 	EventArrived EventKind = iota
 	// EventProgress means that events of an answer arrived.
 	EventProgress
+	// EventSent means that the request of an attempt was written. It is due only
+	// while an earlier attempt is suspended.
+	EventSent
+	// EventSilent means that an attempt has made no progress for its idle timeout. It
+	// is suspended until ActionResume.
+	EventSilent
 	// EventEnded means that an attempt has ended.
 	EventEnded
+	// EventAborted means that a request cannot be continued after a fault of the
+	// program.
+	EventAborted
 	// EventConfigured carries a configuration.
 	EventConfigured
 	// EventUpstreams carries the upstreams that may get requests.
@@ -136,7 +145,8 @@
 type Event struct {
 	Kind    EventKind
 	Request Request
-	// ID and Attempt identify the attempt of EventProgress and EventEnded.
+	// ID and Attempt identify the attempt of EventProgress, EventSent, EventSilent
+	// and EventEnded. ID identifies the request of EventAborted.
 	ID      string
 	Attempt int
 	// First is true for the first event of an answer, which arrived Elapsed after
@@ -180,6 +190,10 @@
 	// ActionFail answers the caller with Failure. If Begun is true, the connection
 	// to the caller must be closed instead, since a part of the answer was sent.
 	ActionFail
+	// ActionResume lets the suspended attempt go on.
+	ActionResume
+	// ActionAbandon ends the suspended attempt.
+	ActionAbandon
 	// ActionForwardError forwards the error response of the upstream to the caller.
 	ActionForwardError
 	// ActionFinish means that the request was answered or cancelled, so its
@@ -213,8 +227,8 @@
 	Priority     int
 	Organisation string
 	Deadline     time.Time
-	// IdleTimeout is the longest time without a byte of the answer. Zero means
-	// that only Deadline applies.
+	// IdleTimeout is the time without progress after which EventSilent is due. Zero
+	// means that it is never due.
 	IdleTimeout time.Duration
 	DialTimeout time.Duration
 	Stream      bool
@@ -247,7 +261,9 @@
 	detector detector.Detector
 	services map[string]*service
 	inFlight map[string]*inFlightRequest
-	exchange loadExchange
+	// suspended holds the requests in flight that have a suspended attempt.
+	suspended map[string]*inFlightRequest
+	exchange  loadExchange
 }
 
 // service holds the load balancer, the retry budget and the upstreams of one
@@ -268,7 +284,10 @@
 
 // New returns a dispatcher without a configuration and without upstreams.
 func New(s Settings) *Dispatcher {
-	return &Dispatcher{settings: s, entries: 1, services: map[string]*service{}, inFlight: map[string]*inFlightRequest{}}
+	return &Dispatcher{
+		settings: s, entries: 1, services: map[string]*service{},
+		inFlight: map[string]*inFlightRequest{}, suspended: map[string]*inFlightRequest{},
+	}
 }
 
 // Step processes one event and returns the resulting actions.
@@ -277,9 +296,15 @@
 	case EventArrived:
 		return d.admit(now, e.Request)
 	case EventProgress:
-		d.recordProgress(now, e)
+		return d.recordProgress(now, e)
+	case EventSent:
+		d.beginOverlap(now, e)
+	case EventSilent:
+		return d.handleSilence(now, e)
 	case EventEnded:
 		return d.endAttempt(now, e)
+	case EventAborted:
+		return d.abort(now, e.ID)
 	case EventConfigured:
 		// An older configuration must not replace a newer one.
 		if d.table == nil || e.Table.Configuration.Version > d.table.Configuration.Version {
@@ -298,7 +323,7 @@
 	case EventLoadReceived:
 		d.receiveLoad(now, e.Entry, e.Report)
 	case EventTick:
-		return d.tick(now)
+		return append(d.abandonOverdue(now), d.tick(now)...)
 	case EventSynced:
 		d.synced = e.Synced
 	case EventHeldBack:
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -133,11 +133,11 @@
 
 // attempt is a request in flight and its current attempt.
 type attempt struct {
-	job    Job
-	number int
-	call   carrier.Call
-	cancel context.CancelFunc
-	pool   *pool
+	job Job
+	liveCall
+	// suspended is the call of an earlier attempt whose upstream is silent, nil if
+	// there is none.
+	suspended *liveCall
 	// firstEvent is the time to the first event of the last call, and longestPause
 	// the longest time between its events. They are logged.
 	firstEvent   time.Duration
@@ -147,6 +147,16 @@
 	errorResponse relayer.Reply
 }
 
+// liveCall is the call of one attempt.
+type liveCall struct {
+	number int
+	call   carrier.Call
+	cancel context.CancelFunc
+	pool   *pool
+	// conn is the connection of a call that is suspended.
+	conn *carrier.Conn
+}
+
 type eventKind int
 
 const (
@@ -259,12 +269,15 @@
 	defer stop()
 	select {
 	case e := <-f.events.C():
-		_ = f.options.Recoverer.Run("forwarder event", func() { f.handleEvent(e) })
+		if err := f.options.Recoverer.Run("forwarder event", func() { f.handleEvent(e) }); err != nil && e.kind == eventReport {
+			f.abort(f.attempts[e.report.Request])
+		}
 	case j := <-f.jobs.C():
 		if err := f.options.Recoverer.Run("forwarder job", func() { f.handleJob(j) }); err != nil {
-			// The caller sees its connection close, since a part of the request may have
-			// been sent.
 			j.Replies.Close()
+			if t := f.attempts[j.Request.ID]; t != nil && t.job.Replies == j.Replies {
+				f.abort(t)
+			}
 		}
 	case <-timeout:
 		_ = f.options.Recoverer.Run("forwarder timer", f.handleTimer)
@@ -274,6 +287,20 @@
 	return true
 }
 
+// abort ends a request after a panic. The caller sees its connection close, since a
+// part of the request may have been sent.
+func (f *Forwarder) abort(t *attempt) {
+	if t == nil {
+		return
+	}
+	t.job.Replies.Close()
+	t.cancelCalls()
+	_ = f.options.Recoverer.Run("forwarder abort", func() {
+		f.dispatch(f.options.Clock.Now(), dispatcher.Event{Kind: dispatcher.EventAborted, ID: t.job.Request.ID})
+	})
+	delete(f.attempts, t.job.Request.ID)
+}
+
 // nextTimer returns a channel that receives at the next expiry or load report, and
 // a function that releases the timer.
 func (f *Forwarder) nextTimer() (<-chan time.Time, func()) {
@@ -380,9 +407,7 @@
 // closes all idle connections to upstreams.
 func (f *Forwarder) stop() {
 	for _, a := range f.attempts {
-		if a.cancel != nil {
-			a.cancel()
-		}
+		a.cancelCalls()
 		a.job.Replies.Close()
 	}
 	for _, p := range f.pools {
