--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -153,6 +153,10 @@
 	}
 	q := d.query(now, s, f)
 	id, ok := s.picker.Pick(now, q)
+	if !ok && f.attempts == 0 && !d.heldBackUntil(now, f.admission.Service.Name).IsZero() {
+		delete(d.inFlight, f.request.ID)
+		return []Action{d.failAction(now, f, unavailable("held_back", "all upstreams asked to get no requests for some time"))}
+	}
 	if !ok {
 		return d.retryOrFail(now, f, retrier.CauseNoUpstream, nil)
 	}
@@ -336,8 +340,8 @@
 // that has left once its last attempt has ended.
 func (s *service) recordEnd(now time.Time, e picker.Event) {
 	s.picker.Step(now, e)
-	if _, ok := s.upstreams[e.Upstream]; !ok && s.picker.Upstream(e.Upstream).Outstanding == 0 {
-		s.picker.Remove(e.Upstream)
+	if _, ok := s.upstreams[e.Upstream]; !ok {
+		s.picker.RemoveIdle(now)
 	}
 }
 
@@ -396,9 +400,12 @@
 // retryAfter returns the Retry-After time for the caller of f.
 func (d *Dispatcher) retryAfter(now time.Time, f *inFlightRequest) time.Duration {
 	divisor, limit := float64(retryAfterDivisor), maxRetryAfter
+	heldBackUntil := d.heldBackUntil(now, f.admission.Service.Name)
 	switch {
 	case d.table == nil:
 		divisor, limit = longRetryAfterDivisor, maxStartRetryAfter
+	case !heldBackUntil.IsZero():
+		divisor, limit = longRetryAfterDivisor, heldBackUntil.Sub(now)
 	case f.admission.Service.Name != "" && f.isDeferrable(d.service(f.admission.Service.Name)):
 		divisor, limit = longRetryAfterDivisor, maxOverloadRetryAfter
 	}
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -55,6 +55,9 @@
 	case dispatcher.ActionRoutesSeparated:
 		klog.InfoS("routes with long prompts changed", "service", a.Summary.Service, "routes", a.Separation.Routes,
 			"upstream_share", a.Separation.Share, "prefill_per_token", a.Separation.PrefillPerToken)
+	case dispatcher.ActionUpstreamHeldBack:
+		klog.InfoS("upstream held back", "upstream", a.Upstream.InstanceID(), "service", a.Upstream.Service,
+			"address", a.Upstream.Address, "request", a.ID, "retry_after", a.RetryAfter)
 	case dispatcher.ActionSendLoad:
 		if f.options.SendLoad != nil {
 			f.options.SendLoad(a.Report)
@@ -81,8 +84,9 @@
 		DialTimeout: a.DialTimeout, Deadline: a.Deadline.Add(deadlineGrace), IdleTimeout: a.IdleTimeout,
 		ReportSent: t.suspended != nil,
 		Stream:     a.Stream, Begun: a.Begun, LastEvent: a.LastEvent,
-		Classify: f.options.Codec.ClassifyResponse(a.ID), //nolint:bodyclose // the function reads only the head
-		Replies:  t.job.Replies,
+		Classify:     f.options.Codec.ClassifyResponse(a.ID), //nolint:bodyclose // the function reads only the head
+		DecodeNotice: f.options.Codec.DecodeNotice,
+		Replies:      t.job.Replies,
 	}
 	if a.Attempt > 1 {
 		logDecision("request sent again", a)
@@ -103,6 +107,9 @@
 		c = carrier.New(carrier.Options{
 			Address: p.upstream.Address, Clock: f.options.Clock, Recoverer: f.options.Recoverer,
 			Report: func(r carrier.Report) { f.put(event{kind: eventReport, pool: p, report: r}) },
+			ReportNotice: func(request string, n carrier.Notice) {
+				f.put(event{kind: eventNotice, pool: p, request: request, notice: n})
+			},
 		})
 	}
 	c.Send(t.call)
@@ -147,7 +154,7 @@
 		f.cleanUpPool(p)
 		return
 	}
-	if r.Outcome == carrier.OutcomeStale {
+	if r.Outcome == carrier.OutcomeStale && !p.removed {
 		// Nothing was sent, so the call is started on another connection.
 		f.startCall(now, t)
 		return
--- a/internal/process/forwarder/forwarder_test.go
+++ b/internal/process/forwarder/forwarder_test.go
@@ -64,6 +64,8 @@
 	return func(*http.Response) carrier.Verdict { return carrier.VerdictAccepted }
 }
 
+func (faultyCodec) DecodeNotice(*http.Response) carrier.Notice { return carrier.Notice{} }
+
 // A panic of the goroutine that forwards all requests ended the process, and later, if it
 // came with the report of a connection, left the request without an end. It must end the
 // request that caused it and release its identity, and the next one must be handled.
