--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -30,7 +30,7 @@
 	case dispatcher.ActionResume:
 		f.resume(a)
 	case dispatcher.ActionAbandon:
-		if t := f.attempts[a.ID]; t != nil && t.suspended != nil {
+		if t := f.inFlight[a.ID]; t != nil && t.suspended != nil {
 			logDecision("silent attempt abandoned", a)
 			t.suspended.cancel()
 			t.suspended = nil
@@ -67,7 +67,7 @@
 
 // send starts an attempt on an idle connection, or on a new one.
 func (f *Forwarder) send(now time.Time, a dispatcher.Action) {
-	t := f.attempts[a.ID]
+	t := f.inFlight[a.ID]
 	if t == nil {
 		return
 	}
@@ -99,7 +99,7 @@
 const deadlineGrace = 100 * time.Millisecond
 
 // startCall sends the call of an attempt on an idle or a new connection.
-func (f *Forwarder) startCall(now time.Time, t *attempt) {
+func (f *Forwarder) startCall(now time.Time, t *inFlightRequest) {
 	c := t.pool.get(now)
 	if c == nil {
 		p := t.pool
@@ -119,7 +119,7 @@
 // attempt only return the connection to its pool, unless that attempt is suspended: the
 // dispatcher must not resume it once it has ended.
 func (f *Forwarder) handleReport(now time.Time, p *pool, r carrier.Report) {
-	t := f.attempts[r.Request]
+	t := f.inFlight[r.Request]
 	current := t != nil && t.number == r.Attempt
 	if r.Sent {
 		if current {
@@ -174,7 +174,7 @@
 
 // resume lets a suspended call go on.
 func (f *Forwarder) resume(a dispatcher.Action) {
-	t := f.attempts[a.ID]
+	t := f.inFlight[a.ID]
 	if t == nil {
 		return
 	}
@@ -236,12 +236,12 @@
 
 // endRequest removes a request from the requests in flight and logs how it ended.
 // It returns nil if the request is not in flight.
-func (f *Forwarder) endRequest(a dispatcher.Action) *attempt {
-	t := f.attempts[a.ID]
+func (f *Forwarder) endRequest(a dispatcher.Action) *inFlightRequest {
+	t := f.inFlight[a.ID]
 	if t == nil {
 		return nil
 	}
-	delete(f.attempts, a.ID)
+	delete(f.inFlight, a.ID)
 	t.cancelCalls()
 	logDecision("request ended", a, "begun", a.Begun, "first_event", t.firstEvent, "longest_pause", t.longestPause)
 	if f.options.Observe != nil {
@@ -250,16 +250,6 @@
 	return t
 }
 
-// cancelCalls cancels the calls of a request.
-func (t *attempt) cancelCalls() {
-	if t.cancel != nil {
-		t.cancel()
-	}
-	if t.suspended != nil {
-		t.suspended.cancel()
-	}
-}
-
 // logDecision logs message with the summary of a and further key-value pairs.
 func logDecision(message string, a dispatcher.Action, keysAndValues ...any) {
 	s := a.Summary
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -108,9 +108,9 @@
 	registrar  registrar.Registrar
 	// upstreamsListed is true once a complete list of the upstreams was applied.
 	upstreamsListed bool
-	// attempts holds the requests in flight by identity, and pools the connection
+	// inFlight holds the requests in flight by identity, and pools the connection
 	// pools by the instance ID of the upstream.
-	attempts map[string]*attempt
+	inFlight map[string]*inFlightRequest
 	pools    map[string]*pool
 	// nextLoadReport is the time of the next load report to the other entries.
 	nextLoadReport time.Time
@@ -131,32 +131,6 @@
 	UpstreamsListed bool
 }
 
-// attempt is a request in flight and its current attempt.
-type attempt struct {
-	job Job
-	liveCall
-	// suspended is the call of an earlier attempt whose upstream is silent, nil if
-	// there is none.
-	suspended *liveCall
-	// firstEvent is the time to the first event of the last call, and longestPause
-	// the longest time between its events. They are logged.
-	firstEvent   time.Duration
-	longestPause time.Duration
-	// errorResponse is the error response of the upstream to the last call, which
-	// ActionForwardError forwards to the caller.
-	errorResponse relayer.Reply
-}
-
-// liveCall is the call of one attempt.
-type liveCall struct {
-	number int
-	call   carrier.Call
-	cancel context.CancelFunc
-	pool   *pool
-	// conn is the connection of a call that is suspended.
-	conn *carrier.Conn
-}
-
 type eventKind int
 
 const (
@@ -198,7 +172,7 @@
 		events:     buffer.New[event, buffer.Block]("forwarder_events", eventsCapacity),
 		done:       make(chan struct{}),
 		dispatcher: dispatcher.New(o.Dispatcher),
-		attempts:   map[string]*attempt{},
+		inFlight:   map[string]*inFlightRequest{},
 		pools:      map[string]*pool{},
 	}
 	f.state.Store(&State{})
@@ -270,12 +244,12 @@
 	select {
 	case e := <-f.events.C():
 		if err := f.options.Recoverer.Run("forwarder event", func() { f.handleEvent(e) }); err != nil && e.kind == eventReport {
-			f.abort(f.attempts[e.report.Request])
+			f.abort(f.inFlight[e.report.Request])
 		}
 	case j := <-f.jobs.C():
 		if err := f.options.Recoverer.Run("forwarder job", func() { f.handleJob(j) }); err != nil {
 			j.Replies.Close()
-			if t := f.attempts[j.Request.ID]; t != nil && t.job.Replies == j.Replies {
+			if t := f.inFlight[j.Request.ID]; t != nil && t.job.Replies == j.Replies {
 				f.abort(t)
 			}
 		}
@@ -289,7 +263,7 @@
 
 // abort ends a request after a panic. The caller sees its connection close, since a
 // part of the request may have been sent.
-func (f *Forwarder) abort(t *attempt) {
+func (f *Forwarder) abort(t *inFlightRequest) {
 	if t == nil {
 		return
 	}
@@ -298,7 +272,7 @@
 	_ = f.options.Recoverer.Run("forwarder abort", func() {
 		f.dispatch(f.options.Clock.Now(), dispatcher.Event{Kind: dispatcher.EventAborted, ID: t.job.Request.ID})
 	})
-	delete(f.attempts, t.job.Request.ID)
+	delete(f.inFlight, t.job.Request.ID)
 }
 
 // nextTimer returns a channel that receives at the next expiry or load report, and
@@ -390,8 +364,8 @@
 	if j.Context.Err() != nil {
 		return
 	}
-	if f.attempts[j.Request.ID] == nil {
-		f.attempts[j.Request.ID] = &attempt{job: j}
+	if f.inFlight[j.Request.ID] == nil {
+		f.inFlight[j.Request.ID] = &inFlightRequest{job: j}
 		f.dispatch(f.options.Clock.Now(), dispatcher.Event{Kind: dispatcher.EventArrived, Request: j.Request})
 		return
 	}
@@ -406,7 +380,7 @@
 // stop aborts all requests, which closes the connections to their callers, and
 // closes all idle connections to upstreams.
 func (f *Forwarder) stop() {
-	for _, a := range f.attempts {
+	for _, a := range f.inFlight {
 		a.cancelCalls()
 		a.job.Replies.Close()
 	}
--- /dev/null
+++ b/internal/process/forwarder/request.go
@@ -0,0 +1,45 @@
+package forwarder
+
+import (
+	"context"
+	"time"
+
+	"magnoliafront.dev/magnoliafront/internal/connection/carrier"
+	"magnoliafront.dev/magnoliafront/internal/request/relayer"
+)
+
+// inFlightRequest is a request in flight and its current attempt.
+type inFlightRequest struct {
+	job Job
+	liveCall
+	// suspended is the call of an earlier attempt whose upstream is silent, nil if
+	// there is none.
+	suspended *liveCall
+	// firstEvent is the time to the first event of the last call, and longestPause
+	// the longest time between its events. They are logged.
+	firstEvent   time.Duration
+	longestPause time.Duration
+	// errorResponse is the error response of the upstream to the last call, which
+	// ActionForwardError forwards to the caller.
+	errorResponse relayer.Reply
+}
+
+// liveCall is the call of one attempt.
+type liveCall struct {
+	number int
+	call   carrier.Call
+	cancel context.CancelFunc
+	pool   *pool
+	// conn is the connection of a call that is suspended.
+	conn *carrier.Conn
+}
+
+// cancelCalls cancels the calls of a request.
+func (t *inFlightRequest) cancelCalls() {
+	if t.cancel != nil {
+		t.cancel()
+	}
+	if t.suspended != nil {
+		t.suspended.cancel()
+	}
+}
