--- a/internal/process/detector/parts.go
+++ b/internal/process/detector/parts.go
@@ -164,7 +164,7 @@
 }
 
 // proveParts records that an upstream began an answer to a request with the parts. A
-// deadly part crashes each upstream before that, so all strikes against the parts are
+// poison part crashes each upstream before that, so all strikes against the parts are
 // withdrawn, whenever they were made.
 func (d *Detector) proveParts(now time.Time, parts []uint64) []Strike {
 	var out []Strike
--- a/internal/process/detector/parts_test.go
+++ b/internal/process/detector/parts_test.go
@@ -8,34 +8,34 @@
 	"github.com/matryer/is"
 )
 
-const sound, deadly, companion = 1, 2, 3
+const sound, poison, companion = 1, 2, 3
 
 // A part that was in flight without a first event in three crashes must be
 // quarantined, and a first event on any entry must withdraw all its strikes.
 func TestPartIsQuarantinedAtThirdCrash(t *testing.T) {
 	t.Run("three crashes quarantine", func(t *testing.T) {
 		var d Detector
-		loseUpstreams(&d, 0, MaxPartStrikes-1, deadly)
-		assertPartsVerdict(t, &d, time.Minute, Suspect, deadly)
-		loseUpstreams(&d, MaxPartStrikes-1, MaxPartStrikes, deadly)
-		assertPartsVerdict(t, &d, time.Second, Quarantined, deadly)
-		assertPartsVerdict(t, &d, time.Second, Quarantined, sound, deadly)
+		loseUpstreams(&d, 0, MaxPartStrikes-1, poison)
+		assertPartsVerdict(t, &d, time.Minute, Suspect, poison)
+		loseUpstreams(&d, MaxPartStrikes-1, MaxPartStrikes, poison)
+		assertPartsVerdict(t, &d, time.Second, Quarantined, poison)
+		assertPartsVerdict(t, &d, time.Second, Quarantined, sound, poison)
 		assertPartsVerdict(t, &d, time.Second, Unsuspected, sound)
 	})
 	t.Run("crashes that other entries observed count", func(t *testing.T) {
 		var d, other Detector
 		for i := range MaxPartStrikes {
-			exchange(crashTime(i), loseUpstreams(&other, i, i+1, deadly), &d)
+			exchange(crashTime(i), loseUpstreams(&other, i, i+1, poison), &d)
 		}
-		assertPartsVerdict(t, &d, time.Second, Quarantined, deadly)
+		assertPartsVerdict(t, &d, time.Second, Quarantined, poison)
 	})
 	t.Run("a first event in between withdraws the strikes on all entries", func(t *testing.T) {
 		var d, other Detector
-		exchange(crashTime(0), loseUpstreams(&d, 0, 2, sound, deadly), &other)
+		exchange(crashTime(0), loseUpstreams(&d, 0, 2, sound, poison), &other)
 		exchange(crashTime(1), begin(&other, crashTime(1), sound), &d)
-		loseUpstreams(&d, 2, 3, sound, deadly)
+		loseUpstreams(&d, 2, 3, sound, poison)
 		assertPartsVerdict(t, &d, time.Second, Unsuspected, sound)
-		assertPartsVerdict(t, &d, time.Second, Quarantined, deadly)
+		assertPartsVerdict(t, &d, time.Second, Quarantined, poison)
 	})
 	t.Run("a part that was proven just before gets no strike", func(t *testing.T) {
 		var d Detector
@@ -47,10 +47,10 @@
 	})
 	t.Run("the quarantine ends", func(t *testing.T) {
 		var d Detector
-		loseUpstreams(&d, 0, MaxPartStrikes, deadly)
-		d.Step(crashTime(MaxPartStrikes), Event{Kind: EventTrial, Parts: []uint64{deadly}})
-		assertPartsVerdict(t, &d, QuarantineDuration-1, Quarantined, deadly, sound)
-		assertPartsVerdict(t, &d, QuarantineDuration, Unsuspected, deadly)
+		loseUpstreams(&d, 0, MaxPartStrikes, poison)
+		d.Step(crashTime(MaxPartStrikes), Event{Kind: EventTrial, Parts: []uint64{poison}})
+		assertPartsVerdict(t, &d, QuarantineDuration-1, Quarantined, poison, sound)
+		assertPartsVerdict(t, &d, QuarantineDuration, Unsuspected, poison)
 	})
 }
 
@@ -59,24 +59,24 @@
 func TestPartsWithSameStrikesAreToldApart(t *testing.T) {
 	accuse := func() *Detector {
 		var d Detector
-		loseUpstreams(&d, 0, MaxPartStrikes, deadly, companion)
+		loseUpstreams(&d, 0, MaxPartStrikes, poison, companion)
 		return &d
 	}
 	t.Run("only requests with both are quarantined", func(t *testing.T) {
-		assertPartsVerdict(t, accuse(), time.Second, Quarantined, deadly, companion)
+		assertPartsVerdict(t, accuse(), time.Second, Quarantined, poison, companion)
 		assertPartsVerdict(t, accuse(), time.Second, OnTrial, companion)
 	})
 	t.Run("an answer clears the sound part and accuses the other one", func(t *testing.T) {
 		d := accuse()
 		begin(d, crashTime(4), companion)
 		assertPartsVerdict(t, d, time.Second, Unsuspected, companion)
-		assertPartsVerdict(t, d, time.Second, Quarantined, deadly)
+		assertPartsVerdict(t, d, time.Second, Quarantined, poison)
 	})
 	t.Run("a crash accuses one part and explains the strikes of the other one", func(t *testing.T) {
 		d := accuse()
-		loseUpstreams(d, 4, 5, deadly)
+		loseUpstreams(d, 4, 5, poison)
 		assertPartsVerdict(t, d, time.Second, Suspect, companion)
-		assertPartsVerdict(t, d, time.Second, Quarantined, deadly)
+		assertPartsVerdict(t, d, time.Second, Quarantined, poison)
 	})
 }
 
@@ -129,9 +129,9 @@
 	})
 	t.Run("an upstream that comes back keeps its strike", func(t *testing.T) {
 		var d Detector
-		loseUpstreams(&d, 0, MaxPartStrikes, deadly)
+		loseUpstreams(&d, 0, MaxPartStrikes, poison)
 		d.Step(crashTime(MaxPartStrikes).Add(minRestart), Event{Kind: EventProgress, Upstream: "desk-0"})
-		assertPartsVerdict(t, &d, 5*time.Second, Quarantined, deadly)
+		assertPartsVerdict(t, &d, 5*time.Second, Quarantined, poison)
 	})
 }
 
@@ -139,28 +139,28 @@
 // ends, on one entry only.
 func TestAccusedPartIsRetriedOnce(t *testing.T) {
 	var d, other Detector
-	exchange(crashTime(0), loseUpstreams(&d, 0, MaxPartStrikes, deadly), &other)
-	assertPartsVerdict(t, &d, RetrialDelay-time.Second, Quarantined, deadly)
-	assertPartsVerdict(t, &d, RetrialDelay+time.Second, OnTrial, deadly)
-	assertPartsVerdict(t, &other, RetrialDelay+time.Second, Quarantined, deadly)
-	d.Step(crashTime(40), Event{Kind: EventTrial, Parts: []uint64{deadly}})
-	assertPartsVerdict(t, &d, RetrialDelay+time.Second, Quarantined, deadly)
+	exchange(crashTime(0), loseUpstreams(&d, 0, MaxPartStrikes, poison), &other)
+	assertPartsVerdict(t, &d, RetrialDelay-time.Second, Quarantined, poison)
+	assertPartsVerdict(t, &d, RetrialDelay+time.Second, OnTrial, poison)
+	assertPartsVerdict(t, &other, RetrialDelay+time.Second, Quarantined, poison)
+	d.Step(crashTime(40), Event{Kind: EventTrial, Parts: []uint64{poison}})
+	assertPartsVerdict(t, &d, RetrialDelay+time.Second, Quarantined, poison)
 }
 
 // An entry that has just started must learn the quarantine, and the repeats must not
 // extend it.
 func TestRepeatedStrikesTeachQuarantine(t *testing.T) {
 	var d, started Detector
-	loseUpstreams(&d, 0, MaxPartStrikes, deadly)
+	loseUpstreams(&d, 0, MaxPartStrikes, poison)
 	loseUpstreams(&d, 0, 1, sound)
 	deliver(crashTime(60), d.RepeatedStrikes(crashTime(60)), &started)
-	assertPartsVerdict(t, &started, time.Minute, Quarantined, deadly)
+	assertPartsVerdict(t, &started, time.Minute, Quarantined, poison)
 	assertPartsVerdict(t, &started, time.Minute, Unsuspected, sound)
 	is.New(t).Equal(len(d.RepeatedStrikes(crashTime(60).Add(RepeatInterval-1))), 0)
 	end := crashTime(MaxPartStrikes - 1).Add(QuarantineDuration)
 	deliver(end, started.RepeatedStrikes(end.Add(-1)), &d)
-	assertPartsVerdict(t, &d, QuarantineDuration+1, Unsuspected, deadly)
-	assertPartsVerdict(t, &started, QuarantineDuration+1, Unsuspected, deadly)
+	assertPartsVerdict(t, &d, QuarantineDuration+1, Unsuspected, poison)
+	assertPartsVerdict(t, &started, QuarantineDuration+1, Unsuspected, poison)
 }
 
 // The memory for parts must stay bounded when callers send many parts and many
--- a/internal/process/dispatcher/deadly_part_test.go
+++ b/internal/process/dispatcher/poison_part_test.go
@@ -17,37 +17,37 @@
 const (
 	entryCount       = 5
 	upstreamCount    = 9
-	deadlyPart       = 666
+	poisonPart       = 666
 	stabilityWindow  = 3 * time.Second
 	allowedCrashes   = 5
 	allowedLateSends = 3
 )
 
-// Requests with one deadly prompt part, no two alike and at any entry, crashed one
+// Requests with one poison prompt part, no two alike and at any entry, crashed one
 // upstream after the other, and no entry ever refused one (BUDGET, issue 24).
-func TestDeadlyPartIsQuarantinedAtAllEntries(t *testing.T) {
+func TestPoisonPartIsQuarantinedAtAllEntries(t *testing.T) {
 	for _, share := range []float64{0.02, 0.05, 0.5} {
 		for seed := range uint64(4) {
 			t.Run(fmt.Sprint("share ", share, " seed ", seed), func(t *testing.T) {
 				f := newFleet(seed)
 				f.sendTraffic(25*time.Second, share, 40)
 				f.run(30 * time.Second)
-				assertDeadlyPartStopped(t, f)
+				assertPoisonPartStopped(t, f)
 				assertSoundRequestsBegin(t, f)
 			})
 		}
 	}
 }
 
-// A sound part that was in flight in the same crashes as the deadly part must not be
+// A sound part that was in flight in the same crashes as the poison part must not be
 // refused with it: sound requests that hold only the sound one must go on.
-func TestSoundPartBesideDeadlyPartIsServed(t *testing.T) {
+func TestSoundPartBesidePoisonPartIsServed(t *testing.T) {
 	for seed := range uint64(4) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			f := newFleet(seed)
 			f.sendTraffic(25*time.Second, 0.05, 1)
 			f.run(30 * time.Second)
-			assertDeadlyPartStopped(t, f)
+			assertPoisonPartStopped(t, f)
 			assertSoundRequestsBegin(t, f)
 		})
 	}
@@ -63,7 +63,7 @@
 	f.run(30 * time.Second)
 	is.New(t).True(f.crashes[0] < 12*time.Second)
 	assertNoCrashAfter(t, f, 12*time.Second)
-	assertDeadlyPartStopped(t, f)
+	assertPoisonPartStopped(t, f)
 }
 
 // Upstreams that are lost for other reasons, with many requests in flight, must not
@@ -93,26 +93,26 @@
 	}
 }
 
-// assertDeadlyPartStopped checks that at most allowedLateSends requests with the deadly
+// assertPoisonPartStopped checks that at most allowedLateSends requests with the poison
 // part reached upstreams later than the stability window after the allowed crashes.
-func assertDeadlyPartStopped(t *testing.T, f *fleet) {
+func assertPoisonPartStopped(t *testing.T, f *fleet) {
 	t.Helper()
 	if len(f.crashes) < allowedCrashes {
 		return
 	}
 	limit, late := f.crashes[allowedCrashes-1]+stabilityWindow, 0
-	for _, at := range f.deadlySends {
+	for _, at := range f.poisonSends {
 		if at > limit {
 			late++
 		}
 	}
 	if late > allowedLateSends {
-		t.Errorf("%d requests with the deadly part reached upstreams after %v; %d crashes", late, limit, len(f.crashes))
+		t.Errorf("%d requests with the poison part reached upstreams after %v; %d crashes", late, limit, len(f.crashes))
 	}
 }
 
 // assertSoundRequestsBegin checks that at least nine in ten sound requests, and at
-// least one in two with the sound part that deadly requests hold too, begin at the first
+// least one in two with the sound part that poison requests hold too, begin at the first
 // attempt from two stability windows after the last allowed crash on.
 func assertSoundRequestsBegin(t *testing.T, f *fleet) {
 	t.Helper()
@@ -155,10 +155,10 @@
 	entries   [entryCount]*Dispatcher
 	upstreams [upstreamCount]*fleetUpstream
 	requests  map[string]*fleetRequest
-	// crashes and deadlySends are the times of crashes by the deadly part, and of the
+	// crashes and poisonSends are the times of crashes by the poison part, and of the
 	// sends of requests with it to live upstreams.
 	crashes     []time.Duration
-	deadlySends []time.Duration
+	poisonSends []time.Duration
 	sound       []*fleetRequest
 	// refusals counts by code the failures of requests that were not sent.
 	refusals map[string]int
@@ -268,16 +268,16 @@
 const firstDocument = 100
 
 // sendTraffic sends 40 requests a second at random entries. They share a first part and
-// hold one of many documents. The share of them that holds the deadly part begins after
+// hold one of many documents. The share of them that holds the poison part begins after
 // 2 s and uses the first of documents only.
 func (f *fleet) sendTraffic(until time.Duration, share float64, documents int) {
 	const interval = 25 * ms
 	for i := range int(until / interval) {
 		r := &fleetRequest{at: time.Duration(i) * interval, parts: []uint64{1, uint64(firstDocument + f.random.IntN(40))}}
 		path := fmt.Sprint([]string{"/chat/", "/brief/"}[f.random.IntN(2)], i)
-		id, deadly := fmt.Sprint("r", i), r.at > 2*time.Second && f.random.Float64() < share
-		if deadly {
-			r.parts = []uint64{1, uint64(firstDocument + f.random.IntN(documents)), deadlyPart}
+		id, poison := fmt.Sprint("r", i), r.at > 2*time.Second && f.random.Float64() < share
+		if poison {
+			r.parts = []uint64{1, uint64(firstDocument + f.random.IntN(documents)), poisonPart}
 		} else {
 			f.sound = append(f.sound, r)
 		}
@@ -330,20 +330,20 @@
 		return
 	}
 	r := f.requests[a.id]
-	deadly := slices.Contains(r.parts, deadlyPart)
-	if deadly {
-		f.deadlySends = append(f.deadlySends, f.elapsed)
+	poison := slices.Contains(r.parts, poisonPart)
+	if poison {
+		f.poisonSends = append(f.poisonSends, f.elapsed)
 	}
 	u.running[a] = struct{}{}
-	f.at(f.elapsed+50*ms+time.Duration(f.random.IntN(300))*ms, func() { f.begin(u, a, r, deadly) })
+	f.at(f.elapsed+50*ms+time.Duration(f.random.IntN(300))*ms, func() { f.begin(u, a, r, poison) })
 }
 
 // begin writes the first event of an answer, or crashes the upstream.
-func (f *fleet) begin(u *fleetUpstream, a *fleetAttempt, r *fleetRequest, deadly bool) {
+func (f *fleet) begin(u *fleetUpstream, a *fleetAttempt, r *fleetRequest, poison bool) {
 	if _, ok := u.running[a]; !ok {
 		return
 	}
-	if deadly {
+	if poison {
 		f.crashes = append(f.crashes, f.elapsed)
 		f.crash(u)
 		return
--- a/internal/process/emulator/runner.go
+++ b/internal/process/emulator/runner.go
@@ -115,10 +115,10 @@
 	Release chan struct{}
 	// Continue ends the silence of RunnerPauses when it is closed.
 	Continue chan struct{}
-	// DeadlyPart is the ID of a prompt part. A request that holds it, not as its last
+	// PoisonPart is the ID of a prompt part. A request that holds it, not as its last
 	// part, crashes the runner in place of its first event, with RunnerAnswers. Empty
 	// means none.
-	DeadlyPart string
+	PoisonPart string
 
 	behaviour atomic.Int32
 	draining  atomic.Bool
@@ -250,7 +250,7 @@
 			return
 		}
 	}
-	if b == RunnerAnswers && r.DeadlyPart != "" && holdsSharedPart(req.Header.Get("Magnoliafront-Prompt-Prefix"), r.DeadlyPart) {
+	if b == RunnerAnswers && r.PoisonPart != "" && holdsSharedPart(req.Header.Get("Magnoliafront-Prompt-Prefix"), r.PoisonPart) {
 		// The requests in flight lose their connections and later ones are refused,
 		// as after the end of a process.
 		_ = r.server.Close()
--- a/internal/process/starter/gateway_deadly_part_test.go
+++ b/internal/process/starter/gateway_poison_part_test.go
@@ -12,9 +12,9 @@
 	"magnoliafront.dev/magnoliafront/internal/process/emulator"
 )
 
-// Requests with one deadly prompt part, no two alike, crashed one upstream after the
+// Requests with one poison prompt part, no two alike, crashed one upstream after the
 // other at any entry (BUDGET, issue 24). Requests with the other parts must go on.
-func TestGatewayRefusesDeadlyPart(t *testing.T) {
+func TestGatewayRefusesPoisonPart(t *testing.T) {
 	r := newGatewayFixture(t, 6)
 	first := r.startReadyEntry()
 	second := r.startEntry("entry-2", r.storeURL, first.peerAddress)
@@ -23,7 +23,7 @@
 	r.setBehaviour(emulator.RunnerRefuses)
 	for i, g := range []*gateway{first, second} {
 		id := fmt.Sprint("refused-", i)
-		assertEventually(t, "the deadly part is refused", func() bool {
+		assertEventually(t, "the poison part is refused", func() bool {
 			return strings.Contains(callWithParts(g, id, "aa:800,dead:9,"+id+":1").body, "quarantined")
 		})
 		assertExecuted(t, r, id, 0)
@@ -42,17 +42,17 @@
 const neededCrashes = 3
 
 // crashRunners has an entry answer a sound request and then send as many requests with
-// a deadly part as lead to a quarantine, each of which crashes a runner.
+// a poison part as lead to a quarantine, each of which crashes a runner.
 func crashRunners(t *testing.T, r *gatewayFixture, g *gateway) {
 	t.Helper()
 	for _, run := range r.runners {
-		run.DeadlyPart = "dead"
+		run.PoisonPart = "dead"
 	}
 	assertStream(t, callWithParts(g, "before", "aa:800,bb:10,cc:1"), "before", 8)
 	for i := range neededCrashes {
 		// Losses at the same moment count as one.
 		time.Sleep(50 * time.Millisecond)
-		assertStatus(t, callWithParts(g, fmt.Sprint("deadly-", i), fmt.Sprint("aa:800,bb:10,dead:9,", i, ":1")), http.StatusBadGateway)
+		assertStatus(t, callWithParts(g, fmt.Sprint("poison-", i), fmt.Sprint("aa:800,bb:10,dead:9,", i, ":1")), http.StatusBadGateway)
 	}
 }
 
@@ -63,7 +63,7 @@
 	})
 }
 
-// crashes returns the number of requests with the deadly part that runners executed.
+// crashes returns the number of requests with the poison part that runners executed.
 func crashes(r *gatewayFixture) int {
 	n := 0
 	for _, run := range r.allRequests() {
