--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -121,28 +121,9 @@
 func (f *Forwarder) handleReport(now time.Time, p *pool, r carrier.Report) {
 	t := f.inFlight[r.Request]
 	current := t != nil && t.number == r.Attempt
-	if r.Sent {
-		if current {
-			f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventSent, ID: r.Request, Attempt: r.Attempt})
-		}
-		return
-	}
-	if r.Silent {
-		if current {
-			t.conn = r.Conn
-			f.dispatch(now, dispatcher.Event{
-				Kind: dispatcher.EventSilent, ID: r.Request, Attempt: r.Attempt,
-				Begun: r.Begun, LastEvent: r.LastEvent, Unresumable: r.Unresumable,
-			})
-		}
-		return
-	}
 	if !r.Ended {
 		if current {
-			f.dispatch(now, dispatcher.Event{
-				Kind: dispatcher.EventProgress, ID: r.Request, Attempt: r.Attempt, First: r.First,
-				Events: r.Events, Elapsed: r.Elapsed, Begun: r.Begun, LastEvent: r.LastEvent,
-			})
+			f.dispatch(now, t.interimEvent(r))
 		}
 		return
 	}
@@ -172,6 +153,22 @@
 	f.cleanUpPool(p)
 }
 
+// interimEvent returns the event for a report of the current call that has not ended.
+func (t *inFlightRequest) interimEvent(r carrier.Report) dispatcher.Event {
+	e := dispatcher.Event{
+		Kind: dispatcher.EventProgress, ID: r.Request, Attempt: r.Attempt, First: r.First,
+		Events: r.Events, Elapsed: r.Elapsed, Begun: r.Begun, LastEvent: r.LastEvent, Unresumable: r.Unresumable,
+	}
+	switch {
+	case r.Sent:
+		e.Kind = dispatcher.EventSent
+	case r.Silent:
+		e.Kind = dispatcher.EventSilent
+		t.conn = r.Conn
+	}
+	return e
+}
+
 // resume lets a suspended call go on.
 func (f *Forwarder) resume(a dispatcher.Action) {
 	t := f.inFlight[a.ID]
