Split the stand-ins of runner and store and the simulated fleet

The answers of the runner, the state of the store and the fleet of the dispatcher tests have files of their own. Only declarations move; the tests of dispatcher and emulator pass with the race detector.

--- /dev/null
+++ b/internal/process/dispatcher/fleet_test.go
@@ -0,0 +1,290 @@
+package dispatcher
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"magnoliafront.dev/magnoliafront/internal/process/registrar"
+	"magnoliafront.dev/magnoliafront/internal/version/matcher"
+)
+
+// fleet simulates entries that exchange strikes, and upstreams, in virtual time.
+type fleet struct {
+	random    *rand.Rand
+	elapsed   time.Duration
+	timers    timers
+	sequence  int
+	entries   [entryCount]*Dispatcher
+	upstreams [upstreamCount]*fleetUpstream
+	requests  map[string]*fleetRequest
+	// crashes and poisonSends are the times of crashes by the poison part, and of the
+	// sends of requests with it to live upstreams.
+	crashes     []time.Duration
+	poisonSends []time.Duration
+	sound       []*fleetRequest
+	// refusals counts by code the failures of requests that were not sent.
+	refusals map[string]int
+}
+
+type fleetRequest struct {
+	at    time.Duration
+	parts []uint64
+	// begun is true if an answer began at the first attempt.
+	begun bool
+}
+
+type fleetUpstream struct {
+	registrar.Upstream
+	down    bool
+	running map[*fleetAttempt]struct{}
+}
+
+type fleetAttempt struct {
+	entry  int
+	sender *Dispatcher
+	id     string
+	number int
+	begun  bool
+}
+
+type timerEntry struct {
+	at       time.Duration
+	sequence int
+	run      func()
+}
+
+type timers []timerEntry
+
+func (q timers) Len() int { return len(q) }
+
+func (q timers) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].sequence < q[j].sequence
+}
+
+func (q timers) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+func (q *timers) Push(x any) { *q = append(*q, x.(timerEntry)) }
+
+func (q *timers) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+func newFleet(seed uint64) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 24)), requests: map[string]*fleetRequest{}, refusals: map[string]int{}}
+	for i := range f.upstreams {
+		f.upstreams[i] = &fleetUpstream{
+			Upstream: registrar.Upstream{Name: fmt.Sprint("desk-", i), Service: "desk", Address: fmt.Sprint("10.0.0.", i, ":80"), Slots: 96},
+			running:  map[*fleetAttempt]struct{}{},
+		}
+	}
+	for i := range f.entries {
+		f.startEntry(i)
+	}
+	return f
+}
+
+// startEntry replaces an entry by one that knows nothing.
+func (f *fleet) startEntry(i int) {
+	d := New(Settings{Seed: uint64(i), RetryRatio: 0.2, RetryCapacity: 50})
+	d.Step(f.now(), Event{Kind: EventSynced, Synced: true})
+	d.Step(f.now(), Event{Kind: EventConfigured, Table: matcher.New(matcher.Configuration{
+		Version: 1, Routes: routes(), Services: []matcher.Service{{Name: "desk"}},
+		Organisations: []matcher.Organisation{{Name: "guides", Keys: []string{"key"}}},
+	})})
+	d.Step(f.now(), Event{Kind: EventEntryCount, Entries: entryCount})
+	f.entries[i] = d
+	d.Step(f.now(), Event{Kind: EventUpstreams, Upstreams: f.registered()})
+	f.tick(i, d)
+}
+
+func (f *fleet) tick(i int, d *Dispatcher) {
+	if f.entries[i] != d {
+		return
+	}
+	f.execute(i, d, d.Step(f.now(), Event{Kind: EventTick}))
+	f.at(f.elapsed+LoadReportInterval, func() { f.tick(i, d) })
+}
+
+func (f *fleet) now() time.Time { return testTime().Add(f.elapsed) }
+
+func (f *fleet) registered() []registrar.Upstream {
+	var out []registrar.Upstream
+	for _, u := range f.upstreams {
+		out = append(out, u.Upstream)
+	}
+	return out
+}
+
+func (f *fleet) at(at time.Duration, run func()) {
+	f.sequence++
+	heap.Push(&f.timers, timerEntry{at, f.sequence, run})
+}
+
+func (f *fleet) run(until time.Duration) {
+	for len(f.timers) > 0 && f.timers[0].at <= until {
+		next := heap.Pop(&f.timers).(timerEntry)
+		f.elapsed = next.at
+		next.run()
+	}
+}
+
+// firstDocument is the first of the parts that only some sound requests hold.
+const firstDocument = 100
+
+// sendTraffic sends 40 requests a second at random entries. They share a first part and
+// hold one of many documents. The share of them that holds the poison part begins after
+// 2 s and uses the first of documents only.
+func (f *fleet) sendTraffic(until time.Duration, share float64, documents int) {
+	const interval = 25 * ms
+	for i := range int(until / interval) {
+		r := &fleetRequest{at: time.Duration(i) * interval, parts: []uint64{1, uint64(firstDocument + f.random.IntN(40))}}
+		path := fmt.Sprint([]string{"/chat/", "/brief/"}[f.random.IntN(2)], i)
+		id, poison := fmt.Sprint("r", i), r.at > 2*time.Second && f.random.Float64() < share
+		if poison {
+			r.parts = []uint64{1, uint64(firstDocument + f.random.IntN(documents)), poisonPart}
+		} else {
+			f.sound = append(f.sound, r)
+		}
+		f.requests[id] = r
+		entry := f.random.IntN(entryCount)
+		f.at(r.at, func() {
+			q := request(path)
+			q.ID, q.Received, q.Deadline, q.Parts, q.Query.RequestID = id, f.now(), f.now().Add(10*time.Second), r.parts, id
+			d := f.entries[entry]
+			f.execute(entry, d, d.Step(f.now(), Event{Kind: EventArrived, Request: q}))
+		})
+	}
+}
+
+func (f *fleet) execute(entry int, d *Dispatcher, all []Action) {
+	for _, a := range all {
+		switch a.Kind {
+		case ActionSend:
+			f.send(&fleetAttempt{entry, d, a.ID, a.Attempt, false}, a.Upstream)
+		case ActionFail:
+			if a.Summary.Attempts == 0 {
+				f.refusals[a.Failure.Code]++
+			}
+		case ActionSendStrikes:
+			for i := range f.entries {
+				if i != entry {
+					f.at(f.elapsed+2*ms, func() {
+						to := f.entries[i]
+						f.execute(i, to, to.Step(f.now(), Event{Kind: EventStrikesReceived, Strikes: a.Strikes}))
+					})
+				}
+			}
+		}
+	}
+}
+
+// end ends an attempt, unless its entry was replaced.
+func (f *fleet) end(a *fleetAttempt, o AttemptOutcome) {
+	if f.entries[a.entry] != a.sender {
+		return
+	}
+	e := Event{Kind: EventEnded, ID: a.id, Attempt: a.number, Outcome: o, Begun: a.begun}
+	f.execute(a.entry, a.sender, a.sender.Step(f.now(), e))
+}
+
+func (f *fleet) send(a *fleetAttempt, target registrar.Upstream) {
+	u := f.upstreams[slices.IndexFunc(f.upstreams[:], func(u *fleetUpstream) bool { return u.Name == target.Name })]
+	if u.down || u.StartUnixMilli != target.StartUnixMilli {
+		f.at(f.elapsed+ms, func() { f.end(a, OutcomeNotSent) })
+		return
+	}
+	r := f.requests[a.id]
+	poison := slices.Contains(r.parts, poisonPart)
+	if poison {
+		f.poisonSends = append(f.poisonSends, f.elapsed)
+	}
+	u.running[a] = struct{}{}
+	f.at(f.elapsed+50*ms+time.Duration(f.random.IntN(300))*ms, func() { f.begin(u, a, r, poison) })
+}
+
+// begin writes the first event of an answer, or crashes the upstream.
+func (f *fleet) begin(u *fleetUpstream, a *fleetAttempt, r *fleetRequest, poison bool) {
+	if _, ok := u.running[a]; !ok {
+		return
+	}
+	if poison {
+		f.crashes = append(f.crashes, f.elapsed)
+		f.crash(u)
+		return
+	}
+	a.begun = true
+	r.begun = r.begun || a.number == 1
+	f.progress(u, a, 10)
+}
+
+// progress sends the next events of an answer, which ends after the given number of
+// them.
+func (f *fleet) progress(u *fleetUpstream, a *fleetAttempt, left int) {
+	if _, ok := u.running[a]; !ok {
+		return
+	}
+	if left == 0 {
+		delete(u.running, a)
+		f.end(a, OutcomeAnswered)
+		return
+	}
+	if f.entries[a.entry] == a.sender {
+		e := Event{Kind: EventProgress, ID: a.id, Attempt: a.number, First: left == 10, Events: 1, Elapsed: 100 * ms, Begun: true}
+		f.execute(a.entry, a.sender, a.sender.Step(f.now(), e))
+	}
+	f.at(f.elapsed+100*ms, func() { f.progress(u, a, left-1) })
+}
+
+func (f *fleet) forEach(upstreams int, do func(*fleetUpstream)) {
+	for _, i := range f.random.Perm(upstreamCount)[:upstreams] {
+		do(f.upstreams[i])
+	}
+}
+
+// reset ends all attempts on u as if it had crashed, in random order within 10 ms.
+func (f *fleet) reset(u *fleetUpstream) {
+	var all []*fleetAttempt
+	for a := range u.running {
+		all = append(all, a)
+	}
+	slices.SortFunc(all, func(a, b *fleetAttempt) int { return slices.Compare([]byte(a.id), []byte(b.id)) })
+	for _, a := range all {
+		delete(u.running, a)
+		f.at(f.elapsed+time.Duration(f.random.IntN(10))*ms, func() { f.end(a, OutcomeCrashed) })
+	}
+}
+
+// loseAnswer resets one attempt on u.
+func (f *fleet) loseAnswer(u *fleetUpstream) {
+	var lost *fleetAttempt
+	for a := range u.running {
+		if lost == nil || a.id < lost.id {
+			lost = a
+		}
+	}
+	if lost != nil {
+		delete(u.running, lost)
+		f.end(lost, OutcomeCrashed)
+	}
+}
+
+// crash ends all attempts on u, which comes back as another instance after 3 s.
+func (f *fleet) crash(u *fleetUpstream) {
+	if u.down {
+		return
+	}
+	u.down = true
+	f.reset(u)
+	f.at(f.elapsed+3*time.Second, func() {
+		u.down = false
+		u.StartUnixMilli++
+		for _, d := range f.entries {
+			d.Step(f.now(), Event{Kind: EventUpstreams, Upstreams: f.registered()})
+		}
+	})
+}
--- a/internal/process/emulator/objectstore.go
+++ b/internal/process/emulator/objectstore.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -57,14 +56,6 @@
 	Created  int64  `json:"created"`
 }
 
-// storeChange is one change in the history of an [ObjectStore].
-type storeChange struct {
-	revision int64
-	kind     string
-	object   StoreObject
-	deleted  bool
-}
-
 // ObjectStore is a stand-in for the object store of the users' platform, served
 // over HTTP. One goroutine owns the objects and their history. All modes except
 // [StoreServing] inject faults.
@@ -79,16 +70,6 @@
 	done     chan struct{}
 }
 
-// storeState is owned by the goroutine of an [ObjectStore].
-type storeState struct {
-	revision int64
-	// compacted is the revision up to which the history has been dropped.
-	compacted int64
-	objects   map[string]map[string]StoreObject
-	history   []storeChange
-	waiters   []chan struct{}
-}
-
 // NewObjectStore starts a store without objects.
 func NewObjectStore() *ObjectStore {
 	s := &ObjectStore{
@@ -208,9 +189,11 @@
 // discardingWriter is an [http.ResponseWriter] that discards the response.
 type discardingWriter struct{ header http.Header }
 
-func (d discardingWriter) Header() http.Header         { return d.header }
+func (d discardingWriter) Header() http.Header { return d.header }
+
 func (d discardingWriter) Write(b []byte) (int, error) { return len(b), nil }
-func (d discardingWriter) WriteHeader(int)             {}
+
+func (d discardingWriter) WriteHeader(int) {}
 
 // resetConnection closes the connection of a request with a TCP reset.
 func resetConnection(w http.ResponseWriter) {
@@ -343,68 +326,6 @@
 	writeJSON(w, status, result)
 }
 
-// put creates or replaces an object. Writing an unchanged spec creates no
-// revision.
-func (st *storeState) put(kind, name string, spec json.RawMessage) StoreObject {
-	old, exists := st.objects[kind][name]
-	if exists && string(old.Spec) == string(spec) {
-		return old
-	}
-	st.revision++
-	o := StoreObject{Metadata: StoreMetadata{Name: name, Revision: st.revision, Created: st.revision}, Spec: spec}
-	if exists {
-		o.Metadata.Created = old.Metadata.Created
-	}
-	if st.objects[kind] == nil {
-		st.objects[kind] = map[string]StoreObject{}
-	}
-	st.objects[kind][name] = o
-	st.appendChange(kind, o, false)
-	return o
-}
-
-// remove deletes an object and returns it with the revision of the deletion, or a
-// zero object if it doesn't exist.
-func (st *storeState) remove(kind, name string) StoreObject {
-	o, ok := st.objects[kind][name]
-	if !ok {
-		return o
-	}
-	delete(st.objects[kind], name)
-	st.revision++
-	o.Metadata.Revision = st.revision
-	st.appendChange(kind, o, true)
-	return o
-}
-
-func (st *storeState) appendChange(kind string, o StoreObject, deleted bool) {
-	st.history = append(st.history, storeChange{revision: st.revision, kind: kind, object: o, deleted: deleted})
-	st.wakeWaiters()
-}
-
-func (st *storeState) wakeWaiters() {
-	for _, c := range st.waiters {
-		close(c)
-	}
-	st.waiters = nil
-}
-
-// list returns the objects of a kind whose names follow after, sorted by name. It
-// returns at most limit objects, or all if limit is zero.
-func (st *storeState) list(kind, after string, limit int) []StoreObject {
-	var out []StoreObject
-	for _, o := range st.objects[kind] {
-		if o.Metadata.Name > after {
-			out = append(out, o)
-		}
-	}
-	slices.SortFunc(out, func(a, b StoreObject) int { return strings.Compare(a.Metadata.Name, b.Metadata.Name) })
-	if limit > 0 && len(out) > limit {
-		out = out[:limit]
-	}
-	return out
-}
-
 // jsonText returns the JSON text of an object.
 func (o StoreObject) jsonText() string {
 	if o.text != nil {
