--- a/internal/process/detector/detector.go
+++ b/internal/process/detector/detector.go
@@ -8,8 +8,7 @@
 // is suspect. Suspect content may run, but not on the same upstream as other
 // suspect content, so that harmless content is not in flight when poison content
 // crashes the next upstream. Content whose answers had all begun needs a third strike.
-// Once suspect content has been answered in full, its
-// strikes are withdrawn.
+// Once suspect content has been answered in full, its strikes are withdrawn.
 //
 // Content is identified by a fingerprint of organisation and body. The
 // idempotency key is not part of it, since callers repeat a failed request under
