--- a/review/standin/burst.go
+++ b/review/standin/burst.go
@@ -31,7 +31,7 @@
 // playBurst sends prompts of the size that the configuration allows, from the usual
 // number of users and in a burst. The platform ends entries that exceed their memory.
 func playBurst(f *fleet) error {
-	c, _ := events()
+	c := make(chan string, eventsCapacity)
 	config := configuration("streaming", "/chat/")
 	entries, _, err := startFleet(f, config, 2, 4, behaviourStreams, c)
 	if err != nil {
@@ -123,7 +123,7 @@
 
 // residentKB returns the resident memory of a process in KB, zero if it is unknown.
 func residentKB(pid int) int {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid)) //nolint:gosec // the path of a process of this case
 	if err != nil {
 		return 0
 	}
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -15,6 +15,8 @@
 		return playFailedRun
 	case "burst":
 		return playBurst
+	case "idle":
+		return playIdle
 	case "poison":
 		return playPoison
 	case "double-slash":
@@ -39,24 +41,8 @@
 	}
 }
 
-// events returns a channel for the events of runners, and a function that waits for one
-// with a text.
-func events() (chan string, func(text string) bool) {
-	c := make(chan string, 4096)
-	return c, func(text string) bool {
-		timeout := time.After(clientTimeout)
-		for {
-			select {
-			case e := <-c:
-				if strings.Contains(e, text) {
-					return true
-				}
-			case <-timeout:
-				return false
-			}
-		}
-	}
-}
+// eventsCapacity is the number of events of runners that may wait.
+const eventsCapacity = 4096
 
 // startFleet starts a store with a configuration, runners and entries.
 func startFleet(f *fleet, config map[string]any, entries, runners int, behaviour string, c chan string) ([]*entry, []*runner, error) {
@@ -75,28 +61,36 @@
 	return started, all, err
 }
 
+// cutRunners is the number of runners of the service of playCutAnswer, so that a crash
+// ends a quarter of them.
+const cutRunners = 4
+
 // playCutAnswer kills a runner between the two halves of an answer without a length.
 // The client must not get half of the answer as a complete one.
 func playCutAnswer(f *fleet) error {
-	const crashes = 3
-	c, await := events()
-	entries, runners, err := startFleet(f, configuration("non_idempotent", "/holds/"), 2, 1, behaviourUnframed, c)
+	const requests = 6
+	c := make(chan string, eventsCapacity)
+	entries, started, err := startFleet(f, configuration("non_idempotent", "/holds/"), 2, cutRunners, behaviourUnframed, c)
 	if err != nil {
 		return err
 	}
-	current := runners[0]
+	runners := map[string]*runner{}
+	for _, r := range started {
+		runners[r.id] = r
+	}
 	broken := 0
-	for i := range 2 * crashes {
+	for i := range requests {
 		r := request{id: fmt.Sprintf("request-%02d", i), method: "POST", target: "/holds/7", body: []byte(`{"unit":7}`)}
 		got := make(chan answer, 1)
 		go func() { got <- f.send(entries[i%2].clients, r) }()
-		if !await("has sent half of the answer to " + r.id) {
+		by := runnerOf(c, "has sent half of the answer to "+r.id)
+		if by == "" {
 			return fmt.Errorf("no runner has begun to answer %s", r.id)
 		}
 		crash := f.trouble && i%2 == 1
 		if crash {
-			f.record.logf("runner %s is killed", current.id)
-			current.kill()
+			f.record.logf("runner %s is killed", by)
+			runners[by].kill()
 		}
 		a := <-got
 		if a.err == nil && a.status/100 == 2 && a.framed && a.body != wholeBody(r.id) {
@@ -109,11 +103,13 @@
 			}
 			continue
 		}
-		f.removeRunner(current)
-		if current, err = f.startRunner("booking", behaviourUnframed, c); err != nil {
+		f.removeRunner(runners[by])
+		time.Sleep(runnerPause)
+		next, err := f.startRunner("booking", behaviourUnframed, c)
+		if err != nil {
 			return err
 		}
-		time.Sleep(2 * time.Second)
+		runners[next.id] = next
 	}
 	if broken > 0 {
 		return errBroken
@@ -121,6 +117,22 @@
 	return nil
 }
 
+// runnerOf waits for an event of a runner and returns its identity, or an empty string
+// after clientTimeout.
+func runnerOf(c chan string, text string) string {
+	timeout := time.After(clientTimeout)
+	for {
+		select {
+		case e := <-c:
+			if id, event, _ := strings.Cut(e, " "); event == text {
+				return id
+			}
+		case <-timeout:
+			return ""
+		}
+	}
+}
+
 // playFailedRun sends requests that must not run twice to runners that answer some of
 // them with a 503 of their own after they have run them. A client takes a 503 as a
 // promise that the request has not run, and sends it once more.
@@ -130,7 +142,7 @@
 	if f.trouble {
 		behaviour = behaviourFails
 	}
-	c, _ := events()
+	c := make(chan string, eventsCapacity)
 	entries, _, err := startFleet(f, configuration("non_idempotent", "/holds/"), 2, 2, behaviour, c)
 	if err != nil {
 		return err
@@ -185,7 +197,7 @@
 
 // playDoubleSlash sends requests whose path begins with two slashes.
 func playDoubleSlash(f *fleet) error {
-	c, _ := events()
+	c := make(chan string, eventsCapacity)
 	entries, _, err := startFleet(f, configuration("non_idempotent", "/"), 2, 2, behaviourAnswers, c)
 	if err != nil {
 		return err
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -63,7 +63,7 @@
 }
 
 func dial(address string) (*clientConn, error) {
-	conn, err := net.DialTimeout("tcp", address, time.Second)
+	conn, err := net.DialTimeout("tcp", address, time.Second) //nolint:gosec // a loopback address of this case
 	if err != nil {
 		return nil, err
 	}
@@ -73,10 +73,13 @@
 func (c *clientConn) close() { _ = c.conn.Close() }
 
 // exchange sends a request and reads the answer.
-func (c *clientConn) exchange(r request) answer {
-	_ = c.conn.SetDeadline(time.Now().Add(clientTimeout))
+func (c *clientConn) exchange(r request) answer { return c.exchangeWithin(r, clientTimeout) }
+
+// exchangeWithin is like exchange with another time to wait.
+func (c *clientConn) exchangeWithin(r request, patience time.Duration) answer {
+	_ = c.conn.SetDeadline(time.Now().Add(patience))
 	_, err := fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: desk.example\r\nMagnoliafront-Request-Id: %s\r\nMagnoliafront-Deadline-Ms: %d\r\nAuthorization: Bearer key-1\r\nContent-Length: %d\r\n\r\n%s",
-		r.method, r.target, r.id, clientTimeout.Milliseconds(), len(r.body), r.body)
+		r.method, r.target, r.id, patience.Milliseconds(), len(r.body), r.body)
 	if err != nil {
 		return answer{err: err}
 	}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -29,6 +29,8 @@
 type fleet struct {
 	record  *record
 	trouble bool
+	// limit is the number of descriptors of an entry, zero for the usual one.
+	limit int
 
 	mu      sync.Mutex
 	folder  string
@@ -92,7 +94,7 @@
 		f.store.Stop()
 	}
 	if f.folder != "" {
-		_ = os.RemoveAll(f.folder)
+		_ = os.RemoveAll(f.folder) //nolint:gosec // the temporary folder of this case
 	}
 }
 
@@ -177,15 +179,18 @@
 		return err
 	}
 	path := filepath.Join(e.fleet.folder, e.name+".json")
-	if err := os.WriteFile(path, data, 0o600); err != nil {
+	if err := os.WriteFile(path, data, 0o600); err != nil { //nolint:gosec // in the temporary folder of this case
 		return err
 	}
-	log, err := os.OpenFile(filepath.Join(e.fleet.folder, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(filepath.Join(e.fleet.folder, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600) //nolint:gosec // in the temporary folder of this case
 	if err != nil {
 		return err
 	}
 	defer func() { _ = log.Close() }()
 	c := exec.Command(gatewayProgram, gatewayCommand)
+	if e.fleet.limit > 0 {
+		c = limitedCommand(e.fleet.limit, gatewayProgram, gatewayCommand)
+	}
 	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "MAGNOLIAFRONT_SETTINGS=" + path}
 	c.Stdout, c.Stderr = log, log
 	e.process, err = e.fleet.start(e.name, c)
@@ -197,7 +202,7 @@
 
 func (e *entry) awaitReady() error {
 	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		resp, err := http.Get("http://" + e.ready + "/-/ready")
+		resp, err := http.Get("http://" + e.ready + "/-/ready") //nolint:gosec // a loopback address of this case
 		if err != nil {
 			continue
 		}
@@ -228,7 +233,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := exec.Command(self, "runner", id, behaviour) //nolint:gosec // this program itself
+	c := exec.Command(self, "runner", id, behaviour)
 	c.Stderr = os.Stderr
 	out, err := c.StdoutPipe()
 	if err != nil {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,7 +14,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -29,15 +31,12 @@
 const caseTimeout = 100 * time.Second
 
 // errBroken means that the rule of a case was broken.
-var errBroken = errors.New("the rule was broken") //nolint:gochecknoglobals // a sentinel error
+var errBroken = errors.New("the rule was broken")
 
 func main() {
 	if len(os.Args) == 4 && os.Args[1] == "runner" {
-		if err := serveRunner(os.Args[2], os.Args[3]); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(exitFailed)
-		}
-		return
+		fmt.Fprintln(os.Stderr, serveRunner(os.Args[2], os.Args[3]))
+		os.Exit(exitFailed)
 	}
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
@@ -67,6 +66,13 @@
 		os.Exit(exitFailed)
 	})
 	defer watchdog.Stop()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		rec.logf("the case is stopped by signal %v", <-signals)
+		f.stop()
+		os.Exit(exitFailed)
+	}()
 	rec.logf("case %s, with the disruption: %t", name, f.trouble)
 	err = play(f)
 	switch {
--- a/review/standin/poison.go
+++ b/review/standin/poison.go
@@ -25,7 +25,7 @@
 // again at all entries. With the disruption the entries are restarted in turn meanwhile,
 // as for the release of a new version.
 func playPoison(f *fleet) error {
-	c, _ := events()
+	c := make(chan string, eventsCapacity)
 	entries, runners, err := startFleet(f, configuration("non_idempotent", "/holds/"), poisonEntries, poisonRunners, behaviourCrashes, c)
 	if err != nil {
 		return err
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -41,8 +41,8 @@
 	failuresIn = 10
 )
 
-// serveRunner runs a runner until the process is killed. It prints its address and
-// what it does with each request.
+// serveRunner runs a runner until the process is killed or cannot listen. It prints its
+// address and what it does with each request.
 func serveRunner(id, behaviour string) error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
