--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -103,7 +103,7 @@
 			}
 			continue
 		}
-		f.removeRunner(runners[by])
+		f.expire(runners[by])
 		time.Sleep(runnerPause)
 		next, err := f.startRunner("booking", behaviourUnframed, c)
 		if err != nil {
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -262,5 +262,11 @@
 	return r, nil
 }
 
-// removeRunner removes the object of a runner that is gone.
-func (f *fleet) removeRunner(r *runner) { f.store.Delete("servers", r.id) }
+// heartbeatTimeout is the time of three heartbeats, after which the platform removes the
+// object of a silent runner.
+const heartbeatTimeout = 3600 * time.Millisecond
+
+// expire removes the object of a runner that has crashed, after heartbeatTimeout.
+func (f *fleet) expire(r *runner) {
+	time.AfterFunc(heartbeatTimeout, func() { f.store.Delete("servers", r.id) })
+}
--- a/review/standin/poison.go
+++ b/review/standin/poison.go
@@ -88,7 +88,7 @@
 func (p *poisoned) keepRunning(r *runner) {
 	go func() {
 		<-r.exited
-		p.fleet.removeRunner(r)
+		p.fleet.expire(r)
 		time.Sleep(runnerPause)
 		next, err := p.fleet.startRunner("booking", behaviourCrashes, p.events)
 		if err == nil {
