Log connections that are closed before an answer

The log of the entry has no line on such a request, so that it cannot be told whether the request had been read, lay unread in the connection, or came after the close.

Package closer wraps the connection of a caller and counts the bytes that were read since the last answer; package drainer is the duty that owns the open connections of a server. A connection that this entry closes while a request has begun to arrive writes one line: whether the request was being served, how many bytes of it were read, and whether more had arrived. The look at what has arrived moves from carrier to package peeker, since both need it.

No decision changes.

--- a/internal/connection/carrier/request.go
+++ b/internal/connection/carrier/request.go
@@ -45,7 +45,7 @@
 		case err == nil:
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return errors.Wrap(err, "write the request")
-		case a.sent > 0 && c.peek() != noData:
+		case a.sent > 0 && c.hasUnread():
 			return nil
 		}
 	}
--- /dev/null
+++ b/internal/connection/closer/closer.go
@@ -0,0 +1,196 @@
+// Package closer closes the connection of a caller without losing a request.
+//
+// A server that stops closes the connections on which no request is in flight. On
+// HTTP/1.1 it cannot agree on that with the caller, who may send the next request at
+// the same moment. A request that the server has not read may be sent again to another
+// server, since it certainly did not run. One of which the server has read a part must
+// be answered.
+//
+// A [Conn] counts the bytes that were read since the last answer. A draining connection
+// is closed only while there are none, and after one more look at what has arrived. If a
+// request has begun to arrive, the connection stays open until it is answered.
+//
+// # Usage
+//
+//	c := &closer.Conn{Conn: accepted, OnClose: forget}
+//	srv := &http.Server{Handler: h, ConnState: closer.FollowState}
+//	// srv serves c
+//	c.Drain()
+package closer
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"k8s.io/klog/v2"
+
+	"magnoliafront.dev/magnoliafront/internal/connection/peeker"
+)
+
+// phase is what a connection is used for at a moment.
+type phase int
+
+const (
+	// phaseIdle means that no request is being served: the connection is new, or the
+	// last answer has ended.
+	phaseIdle phase = iota
+	// phaseRequest means that the head of a request has been read and nothing of its
+	// answer has been written.
+	phaseRequest
+	// phaseAnswer means that the answer has begun.
+	phaseAnswer
+)
+
+// Conn is the connection of a caller. It knows whether a part of a request that is
+// not being served has been read from it.
+type Conn struct {
+	net.Conn
+	// OnClose is called once, when the connection is closed.
+	OnClose func(*Conn)
+
+	mu    sync.Mutex
+	phase phase
+	// unserved is the number of bytes that were read of a request that is not being
+	// served yet.
+	unserved int
+	// draining is true once the connection is to be closed as soon as it is idle.
+	draining bool
+	// readDeadline is the deadline that the server has set. While the connection is
+	// draining and idle, another is in force.
+	readDeadline time.Time
+	closed       bool
+}
+
+// Read reads from the connection. On a draining connection that is idle, it returns
+// what has already arrived, or [net.ErrClosed] if there is nothing.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isDrained() {
+		if peeker.Peek(c.Conn) != peeker.DataAvailable {
+			return 0, net.ErrClosed
+		}
+		_ = c.Conn.SetReadDeadline(time.Time{})
+		n, err = c.Conn.Read(p)
+	}
+	c.recordRead(n)
+	return n, err
+}
+
+// recordRead counts bytes that belong to the next request: those that were read while
+// the connection was idle, or after the answer had begun, since the body of a request is
+// read before that.
+func (c *Conn) recordRead(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n == 0 || c.phase == phaseRequest {
+		return
+	}
+	c.unserved += n
+	_ = c.applyReadDeadline()
+}
+
+// Write writes to the connection.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	if c.phase == phaseRequest {
+		c.phase = phaseAnswer
+	}
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+// SetReadDeadline sets the deadline of reads. It is in force unless the connection is
+// draining and idle.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	return c.applyReadDeadline()
+}
+
+// Close closes the connection. It logs a request that gets no answer, unless the caller
+// has closed the connection before.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	first, phase, unserved := !c.closed, c.phase, c.unserved
+	c.closed = true
+	c.mu.Unlock()
+	if !first {
+		return c.Conn.Close()
+	}
+	state := peeker.Peek(c.Conn)
+	if state != peeker.Ended && (phase == phaseRequest || unserved > 0 || state == peeker.DataAvailable) {
+		klog.InfoS("connection closed before an answer", "caller", c.RemoteAddr().String(),
+			"serving", phase == phaseRequest, "bytes_read", unserved, "bytes_unread", state == peeker.DataAvailable)
+	}
+	c.OnClose(c)
+	return c.Conn.Close()
+}
+
+// CloseWrite closes the sending side of the connection.
+func (c *Conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// Reset closes the connection in a way that the caller cannot take for the end of an
+// answer.
+func (c *Conn) Reset() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	return c.Close()
+}
+
+// FollowState is the hook of [http.Server] by which a connection knows whether the server
+// is serving a request on it.
+func FollowState(conn net.Conn, s http.ConnState) {
+	if c, ok := conn.(*Conn); ok {
+		c.setState(s)
+	}
+}
+
+func (c *Conn) setState(s http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch s {
+	case http.StateActive:
+		c.phase, c.unserved = phaseRequest, 0
+	case http.StateIdle:
+		c.phase = phaseIdle
+	}
+	_ = c.applyReadDeadline()
+}
+
+// Drain makes the connection close as soon as it is idle.
+func (c *Conn) Drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.draining = true
+	_ = c.applyReadDeadline()
+}
+
+func (c *Conn) isDrained() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.drained()
+}
+
+// drained reports whether the connection is draining and idle. The caller holds the
+// lock.
+func (c *Conn) drained() bool { return c.draining && c.phase == phaseIdle && c.unserved == 0 }
+
+// applyReadDeadline puts the deadline in force that the state asks for: a past one wakes
+// the server from its wait for the next request. The caller holds the lock.
+func (c *Conn) applyReadDeadline() error {
+	if c.drained() {
+		return c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+	return c.Conn.SetReadDeadline(c.readDeadline)
+}
--- /dev/null
+++ b/internal/connection/peeker/peeker.go
@@ -0,0 +1,65 @@
+// Package peeker tells whether a connection has bytes that have not been read,
+// without reading them and without waiting.
+//
+// A connection that was kept open between two messages may have ended, or carry
+// bytes, at any moment. A reader finds out by reading, which takes the bytes and
+// waits if there are none. [Peek] asks the kernel instead.
+//
+// # Usage
+//
+//	if peeker.Peek(conn) == peeker.NoData {
+//		// the connection is open and has nothing to read
+//	}
+package peeker
+
+import (
+	"net"
+	"syscall"
+
+	"github.com/go-faster/errors"
+)
+
+// State is the state of the receive side of a connection.
+type State int
+
+// The states.
+const (
+	// NoData means that the connection is open and there is nothing to read.
+	NoData State = iota
+	// DataAvailable means that there are bytes to read.
+	DataAvailable
+	// Ended means that the peer has closed or reset the connection, or that it is
+	// closed on this side.
+	Ended
+)
+
+// Peek returns the state of the receive side of conn. The state of a connection that
+// is not a socket is not known; it is returned as NoData.
+func Peek(conn net.Conn) State {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return NoData
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return Ended
+	}
+	state := NoData
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case n > 0:
+			state = DataAvailable
+		case err == nil:
+			state = Ended
+		case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
+		default:
+			state = Ended
+		}
+	})
+	if err != nil {
+		return Ended
+	}
+	return state
+}
--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -30,10 +30,13 @@
 	"k8s.io/klog/v2"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/carrier"
+	"magnoliafront.dev/magnoliafront/internal/connection/closer"
 	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
+	"magnoliafront.dev/magnoliafront/internal/process/drainer"
 	"magnoliafront.dev/magnoliafront/internal/process/forwarder"
 	"magnoliafront.dev/magnoliafront/internal/request/admitter"
 	"magnoliafront.dev/magnoliafront/internal/request/relayer"
+	"magnoliafront.dev/magnoliafront/pkg/buffer"
 	"magnoliafront.dev/magnoliafront/pkg/timer"
 )
 
@@ -75,6 +78,7 @@
 // Receiver is the HTTP server for callers and readiness checks.
 type Receiver struct {
 	options         Options
+	connections     *drainer.Drainer
 	callerServer    *http.Server
 	readinessServer *http.Server
 	draining        atomic.Bool
@@ -94,9 +98,10 @@
 		_ = callers.Close()
 		return nil, err
 	}
-	r := &Receiver{options: o, done: make(chan struct{})}
+	r := &Receiver{options: o, connections: drainer.New(), done: make(chan struct{})}
 	r.callerServer = &http.Server{
-		Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleConnTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: http.HandlerFunc(r.serve), ConnState: closer.FollowState,
+		ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleConnTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	routes := mux.NewRouter()
 	routes.HandleFunc(o.ReadyPath, r.serveReadiness).Methods(http.MethodGet)
@@ -104,7 +109,7 @@
 	go func() { _ = r.readinessServer.Serve(readiness) }()
 	go func() {
 		defer close(r.done)
-		_ = r.callerServer.Serve(callers)
+		_ = r.callerServer.Serve(r.connections.Listen(callers))
 	}()
 	return r, nil
 }
@@ -141,12 +146,16 @@
 	}
 	<-r.done
 	_ = r.readinessServer.Close()
+	r.connections.Stop()
 	if err != nil {
 		return &Error{Op: "stop", Kind: ErrorTimeout, Err: err}
 	}
 	return nil
 }
 
+// Stats returns the state of the ring of the connections of callers.
+func (r *Receiver) Stats() buffer.Stats { return r.connections.Stats() }
+
 func (r *Receiver) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if !r.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -197,8 +206,9 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+	if c, ok := conn.(*closer.Conn); ok {
+		_ = c.Reset()
+		return
 	}
 	_ = conn.Close()
 }
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -71,8 +71,8 @@
 		),
 		fx.Invoke(serveGatewayMetrics),
 		fx.Invoke(func(m *meter.Meter, r *recoverer.Recoverer) error { return m.WatchPanics(&r.Panics) }),
-		fx.Invoke(func(m *meter.Meter, f *forwarder.Forwarder, p *peering) error {
-			return m.WatchRings(func() []buffer.Stats { return append(f.Stats(), p.syncer.Stats()...) })
+		fx.Invoke(func(m *meter.Meter, f *forwarder.Forwarder, p *peering, r *receiver.Receiver) error {
+			return m.WatchRings(func() []buffer.Stats { return append(append(f.Stats(), p.syncer.Stats()...), r.Stats()) })
 		}),
 		fx.Invoke(drainGateway),
 	)
