Answer requests that arrive while connections are closed

What callers saw: at a planned stop of an entry the connection of a caller closed without an answer, also when the request had been sent whole and could not be sent again by its caller.

Cause: Shutdown of net/http. It closes a connection as idle until the head of the next request has been parsed, whatever has been read of it; and once it was called, a request that is read whole is dropped without an answer (net/http looks at the state of the server between the reading of a request and its handler). A connection that was accepted just before the stop, or whose head arrives in pieces, therefore loses its request. Both front ends stopped so.

Change: package drainer closes the connections in place of Shutdown. Each is closed only between two requests, while nothing of the next one has been read, and after a last look at what has arrived; a request that has begun to arrive is served, or refused with an answer. Both front ends use it.

What was not read is still closed at the end of the stop: its caller may send it again.

--- a/internal/connection/closer/closer.go
+++ b/internal/connection/closer/closer.go
@@ -19,6 +19,7 @@
 package closer
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -66,12 +67,13 @@
 }
 
 // Read reads from the connection. On a draining connection that is idle, it returns
-// what has already arrived, or [net.ErrClosed] if there is nothing.
+// what has already arrived, or [io.EOF] if there is nothing: at that, net/http closes the
+// connection and writes nothing.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isDrained() {
 		if peeker.Peek(c.Conn) != peeker.DataAvailable {
-			return 0, net.ErrClosed
+			return 0, io.EOF
 		}
 		_ = c.Conn.SetReadDeadline(time.Time{})
 		n, err = c.Conn.Read(p)
--- /dev/null
+++ b/internal/connection/closer/closer_test.go
@@ -0,0 +1,142 @@
+package closer
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"magnoliafront.dev/magnoliafront/internal/connection/peeker"
+)
+
+// waitTimeout bounds each wait of a test. Waits usually end long before.
+const waitTimeout = 20 * time.Second
+
+// newConn returns a connection and its other end.
+func newConn(t *testing.T) (c *Conn, caller net.Conn) {
+	t.Helper()
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	caller, err = net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	accepted, err := l.Accept()
+	is.NoErr(err)
+	c = &Conn{Conn: accepted, OnClose: func(*Conn) {}}
+	t.Cleanup(func() {
+		_ = caller.Close()
+		_ = c.Close()
+	})
+	is.NoErr(c.SetReadDeadline(time.Now().Add(waitTimeout)))
+	return c, caller
+}
+
+func write(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	_, err := conn.Write([]byte(text))
+	is.New(t).NoErr(err)
+}
+
+func assertRead(t *testing.T, c *Conn, want string) {
+	t.Helper()
+	p := make([]byte, 64)
+	n, err := c.Read(p)
+	is := is.New(t)
+	is.NoErr(err)
+	is.Equal(string(p[:n]), want)
+}
+
+func assertReadFails(t *testing.T, c *Conn) {
+	t.Helper()
+	_, err := c.Read(make([]byte, 64))
+	is.New(t).True(err != nil)
+}
+
+// awaitArrival waits until something can be read from c, and leaves it there.
+func awaitArrival(t *testing.T, c *Conn) {
+	t.Helper()
+	for end := time.Now().Add(waitTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if peeker.Peek(c.Conn) == peeker.DataAvailable {
+			return
+		}
+	}
+	t.Fatal("nothing has arrived")
+}
+
+// Bytes that had arrived but were not read when the connection was drained were dropped
+// with it, although the caller had sent a whole request.
+func TestDrainingConnectionDeliversWhatHasArrived(t *testing.T) {
+	t.Run("idle, nothing arrived: the read ends", func(t *testing.T) {
+		c, _ := newConn(t)
+		c.Drain()
+		assertReadFails(t, c)
+	})
+	t.Run("idle, unread bytes: they are delivered, then the rest", func(t *testing.T) {
+		c, caller := newConn(t)
+		write(t, caller, "POST /")
+		awaitArrival(t, c)
+		c.Drain()
+		assertRead(t, c, "POST /")
+		write(t, caller, "hold")
+		assertRead(t, c, "hold")
+	})
+	t.Run("a part was read: the rest is awaited", func(t *testing.T) {
+		c, caller := newConn(t)
+		write(t, caller, "POST /")
+		assertRead(t, c, "POST /")
+		c.Drain()
+		write(t, caller, "hold")
+		assertRead(t, c, "hold")
+	})
+	t.Run("waiting read: it ends", func(t *testing.T) {
+		c, _ := newConn(t)
+		failed := make(chan error)
+		go func() {
+			_, err := c.Read(make([]byte, 1))
+			failed <- err
+		}()
+		c.Drain()
+		is.New(t).True(<-failed != nil)
+	})
+}
+
+// Each state of the connection at its server decides whether a drained connection may
+// end.
+func TestDrainingConnectionEndsOnlyWhenIdle(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		steps func(t *testing.T, c *Conn, caller net.Conn)
+		ends  bool
+	}{
+		{"the body of a request is read", func(t *testing.T, c *Conn, caller net.Conn) {
+			FollowState(c, http.StateActive)
+		}, false},
+		{"the answer has ended", func(t *testing.T, c *Conn, caller net.Conn) {
+			FollowState(c, http.StateActive)
+			write(t, c, "HTTP/1.1 200 OK")
+			FollowState(c, http.StateIdle)
+		}, true},
+		{"the next request began during the answer", func(t *testing.T, c *Conn, caller net.Conn) {
+			FollowState(c, http.StateActive)
+			write(t, c, "HTTP/1.1 200 OK")
+			write(t, caller, "P")
+			assertRead(t, c, "P")
+			FollowState(c, http.StateIdle)
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			conn, caller := newConn(t)
+			c.steps(t, conn, caller)
+			conn.Drain()
+			if c.ends {
+				assertReadFails(t, conn)
+				return
+			}
+			write(t, caller, "more")
+			assertRead(t, conn, "more")
+		})
+	}
+}
--- a/internal/process/drainer/drainer.go
+++ b/internal/process/drainer/drainer.go
@@ -6,24 +6,19 @@
 // A [Drainer] closes a connection only while no request has begun to arrive; see package
 // closer.
 //
-// The goroutine of a drainer owns the set of open connections. It gets the events of the
-// connections over a ring, whose senders block while it is full.
+// One goroutine of a drainer accepts connections. Another owns the set of the open ones;
+// it gets their events over a ring, whose senders block while it is full.
 //
 // # Usage
 //
-//	d := drainer.New()
-//	srv := &http.Server{Handler: h, ConnState: closer.FollowState}
-//	go srv.Serve(d.Listen(listener))
-//	listener.Close()
-//	d.Drain()
-//	<-d.Empty()
-//	d.Stop()
+//	d := drainer.Serve(&http.Server{Handler: h}, listener)
+//	err := d.Stop(ctx)
 package drainer
 
 import (
 	"context"
 	"net"
-	"sync/atomic"
+	"net/http"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/closer"
 	"magnoliafront.dev/magnoliafront/pkg/buffer"
@@ -39,37 +34,80 @@
 	eventOpened eventKind = iota
 	eventClosed
 	eventDrain
-	eventAwaitEmpty
+	eventAwaitIdle
 )
 
 // event is an input of the goroutine. Only the fields of its kind are set.
 type event struct {
 	kind eventKind
 	conn *closer.Conn
-	// empty is closed once no connection is open.
-	empty chan struct{}
+	// idle is closed once no connection is open.
+	idle chan struct{}
 }
 
-// Drainer follows the open connections of a server.
+// Drainer is a running HTTP server and its open connections.
 type Drainer struct {
-	events *buffer.Ring[event, buffer.Block]
-	done   chan struct{}
-	open   atomic.Int64
+	server   *http.Server
+	listener net.Listener
+	events   *buffer.Ring[event, buffer.Block]
+	// accepted is closed when no more connections are accepted, and done when the
+	// goroutine that owns the open connections has ended.
+	accepted chan struct{}
+	done     chan struct{}
 }
 
-// New starts a drainer.
-func New() *Drainer {
+// Serve starts to serve connections that l accepts. It sets the hook ConnState of srv.
+func Serve(srv *http.Server, l net.Listener) *Drainer {
 	d := &Drainer{
-		events: buffer.New[event, buffer.Block]("caller_connections", eventsCapacity),
-		done:   make(chan struct{}),
+		server: srv, listener: l,
+		events:   buffer.New[event, buffer.Block]("caller_connections", eventsCapacity),
+		accepted: make(chan struct{}),
+		done:     make(chan struct{}),
 	}
+	srv.ConnState = closer.FollowState
 	go func() {
 		defer close(d.done)
 		d.run()
 	}()
+	go func() {
+		defer close(d.accepted)
+		_ = srv.Serve(followingListener{Listener: l, drainer: d})
+	}()
 	return d
 }
 
+// Idle returns a channel that is closed as soon as no connection is open.
+func (d *Drainer) Idle() <-chan struct{} {
+	idle := make(chan struct{})
+	if !d.put(event{kind: eventAwaitIdle, idle: idle}) {
+		// The server has stopped.
+		close(idle)
+	}
+	return idle
+}
+
+// Stop stops accepting connections and closes each open one once no request is in flight
+// on it and none has begun to arrive. It waits until all are closed or ctx ends, which
+// cuts off what is left; it then returns the error of ctx.
+func (d *Drainer) Stop(ctx context.Context) error {
+	_ = d.listener.Close()
+	<-d.accepted
+	d.put(event{kind: eventDrain})
+	var err error
+	select {
+	case <-d.Idle():
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	_ = d.server.Close()
+	d.events.Close()
+	<-d.done
+	return err
+}
+
+// Stats returns the state of the ring of events.
+func (d *Drainer) Stats() buffer.Stats { return d.events.Stats() }
+
 // run handles events until the ring is closed.
 func (d *Drainer) run() {
 	open := map[*closer.Conn]struct{}{}
@@ -93,55 +131,29 @@
 			for c := range open {
 				c.Drain()
 			}
-		case eventAwaitEmpty:
-			awaiting = append(awaiting, e.empty)
+		case eventAwaitIdle:
+			awaiting = append(awaiting, e.idle)
 		}
-		d.open.Store(int64(len(open)))
 		if len(open) > 0 {
 			continue
 		}
-		for _, empty := range awaiting {
-			close(empty)
+		for _, idle := range awaiting {
+			close(idle)
 		}
 		awaiting = nil
 	}
 }
 
-// Listen returns a listener whose connections d follows.
-func (d *Drainer) Listen(l net.Listener) net.Listener { return listener{Listener: l, drainer: d} }
-
-// Drain closes the idle connections, and each other one once it is idle.
-func (d *Drainer) Drain() { d.put(event{kind: eventDrain}) }
-
-// Empty returns a channel that is closed as soon as no connection is open.
-func (d *Drainer) Empty() <-chan struct{} {
-	empty := make(chan struct{})
-	d.put(event{kind: eventAwaitEmpty, empty: empty})
-	return empty
-}
-
-// Open returns the number of open connections.
-func (d *Drainer) Open() int { return int(d.open.Load()) }
-
-// Stats returns the state of the ring of events.
-func (d *Drainer) Stats() buffer.Stats { return d.events.Stats() }
-
-// Stop stops the goroutine. Connections that are open stay open.
-func (d *Drainer) Stop() {
-	d.events.Close()
-	<-d.done
-}
-
-func (d *Drainer) put(e event) { d.events.Put(context.Background(), e) }
+func (d *Drainer) put(e event) bool { return d.events.Put(context.Background(), e) }
 
-// listener wraps the connections that it accepts.
-type listener struct {
+// followingListener wraps the connections that it accepts.
+type followingListener struct {
 	net.Listener
 	drainer *Drainer
 }
 
 // Accept waits for the next connection.
-func (l listener) Accept() (net.Conn, error) {
+func (l followingListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/process/drainer/drainer_test.go
@@ -0,0 +1,174 @@
+package drainer
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	requestStart = "POST /hold/1 HTTP/1.1\r\nHost: desk"
+	requestRest  = ".example\r\nContent-Length: 2\r\n\r\nok"
+	// waitTimeout bounds each wait of a test. Waits usually end long before.
+	waitTimeout = 20 * time.Second
+)
+
+// pipeListener accepts the connections that dial makes in memory.
+type pipeListener struct {
+	accepted chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accepted:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (l *pipeListener) dial(t *testing.T) net.Conn {
+	t.Helper()
+	caller, server := net.Pipe()
+	t.Cleanup(func() { _ = caller.Close() })
+	is.New(t).NoErr(caller.SetDeadline(time.Now().Add(waitTimeout)))
+	l.accepted <- server
+	return caller
+}
+
+// serveEmpty starts a server that reads each request, begins an answer without a body, and
+// ends it once release is closed. It does not wait for a nil release.
+func serveEmpty(l net.Listener, release <-chan struct{}) *Drainer {
+	return Serve(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body)
+		w.WriteHeader(http.StatusNoContent)
+		if release != nil {
+			<-release
+		}
+	})}, l)
+}
+
+// startStop stops d in the background and returns once it has begun. The function that
+// it returns waits for the end.
+func startStop(t *testing.T, d *Drainer, l *pipeListener) (wait func()) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	t.Cleanup(cancel)
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.Stop(ctx) }()
+	<-l.closed
+	return func() {
+		t.Helper()
+		is.New(t).NoErr(<-stopped)
+	}
+}
+
+func write(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	_, err := conn.Write([]byte(text))
+	is.New(t).NoErr(err)
+}
+
+func assertAnswered(t *testing.T, conn net.Conn) {
+	t.Helper()
+	is := is.New(t)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err) // the connection ended without an answer
+	_ = resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusNoContent)
+}
+
+func assertClosed(t *testing.T, conn net.Conn) {
+	t.Helper()
+	n, err := conn.Read(make([]byte, 1))
+	is := is.New(t)
+	is.Equal(n, 0)
+	is.True(err != nil)
+}
+
+// A request of which a part has been read when the server closes its connections must be
+// answered. Its caller cannot know that it has not run, and must not send it again if it
+// must not run twice.
+func TestStopAnswersRequestThatHasBegunToArrive(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		prepare func(t *testing.T, conn net.Conn)
+	}{
+		{"first request of a connection", func(*testing.T, net.Conn) {}},
+		{"request on a kept connection", func(t *testing.T, conn net.Conn) {
+			write(t, conn, requestStart+requestRest)
+			assertAnswered(t, conn)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := newPipeListener()
+			d := serveEmpty(l, nil)
+			conn := l.dial(t)
+			c.prepare(t, conn)
+			write(t, conn, requestStart)
+			wait := startStop(t, d, l)
+			write(t, conn, requestRest)
+			assertAnswered(t, conn)
+			assertClosed(t, conn)
+			wait()
+		})
+	}
+}
+
+// A connection on which no request has begun to arrive must not hold up the stop.
+func TestStopClosesIdleConnections(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		prepare func(t *testing.T, conn net.Conn)
+	}{
+		{"new connection", func(*testing.T, net.Conn) {}},
+		{"kept connection", func(t *testing.T, conn net.Conn) {
+			write(t, conn, requestStart+requestRest)
+			assertAnswered(t, conn)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := newPipeListener()
+			d := serveEmpty(l, nil)
+			conn := l.dial(t)
+			c.prepare(t, conn)
+			startStop(t, d, l)()
+			assertClosed(t, conn)
+		})
+	}
+}
+
+// A request whose answer has begun before the stop announces no close. The connection
+// must be closed after the answer, not kept for another request.
+func TestStopWaitsForAnswer(t *testing.T) {
+	l := newPipeListener()
+	release := make(chan struct{})
+	d := serveEmpty(l, release)
+	conn := l.dial(t)
+	write(t, conn, requestStart+requestRest)
+	wait := startStop(t, d, l)
+	close(release)
+	assertAnswered(t, conn)
+	assertClosed(t, conn)
+	wait()
+}
--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -78,13 +78,11 @@
 // Receiver is the HTTP server for callers and readiness checks.
 type Receiver struct {
 	options         Options
-	connections     *drainer.Drainer
-	callerServer    *http.Server
+	callerServer    *drainer.Drainer
 	readinessServer *http.Server
 	draining        atomic.Bool
 	// refusing is true once new requests are refused.
 	refusing atomic.Bool
-	done     chan struct{}
 }
 
 // New listens on both addresses and starts the servers.
@@ -98,20 +96,20 @@
 		_ = callers.Close()
 		return nil, err
 	}
-	r := &Receiver{options: o, connections: drainer.New(), done: make(chan struct{})}
-	r.callerServer = &http.Server{
-		Handler: http.HandlerFunc(r.serve), ConnState: closer.FollowState,
-		ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleConnTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	return serve(o, callers, readiness), nil
+}
+
+// serve starts the servers on two listeners.
+func serve(o Options, callers, readiness net.Listener) *Receiver {
+	r := &Receiver{options: o}
+	r.callerServer = drainer.Serve(&http.Server{
+		Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleConnTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}, callers)
 	routes := mux.NewRouter()
 	routes.HandleFunc(o.ReadyPath, r.serveReadiness).Methods(http.MethodGet)
 	r.readinessServer = &http.Server{Handler: routes, ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleConnTimeout}
 	go func() { _ = r.readinessServer.Serve(readiness) }()
-	go func() {
-		defer close(r.done)
-		_ = r.callerServer.Serve(r.connections.Listen(callers))
-	}()
-	return r, nil
+	return r
 }
 
 func listen(address string) (net.Listener, error) {
@@ -136,17 +134,15 @@
 // Refuse makes the entry refuse new requests. Requests in flight continue.
 func (r *Receiver) Refuse() { r.refusing.Store(true) }
 
-// Stop stops accepting connections, closes idle ones and waits until all requests
-// have been answered or ctx ends. A request that arrives on a connection while it
-// is closed as idle is lost.
+// Idle returns a channel that is closed as soon as no caller has a connection.
+func (r *Receiver) Idle() <-chan struct{} { return r.callerServer.Idle() }
+
+// Stop stops accepting connections and closes each open one once no request is in
+// flight on it and none has begun to arrive. It waits until all are closed or ctx ends,
+// which cuts off what is left.
 func (r *Receiver) Stop(ctx context.Context) error {
-	err := r.callerServer.Shutdown(ctx)
-	if err != nil {
-		_ = r.callerServer.Close()
-	}
-	<-r.done
+	err := r.callerServer.Stop(ctx)
 	_ = r.readinessServer.Close()
-	r.connections.Stop()
 	if err != nil {
 		return &Error{Op: "stop", Kind: ErrorTimeout, Err: err}
 	}
@@ -154,7 +150,7 @@
 }
 
 // Stats returns the state of the ring of the connections of callers.
-func (r *Receiver) Stats() buffer.Stats { return r.connections.Stats() }
+func (r *Receiver) Stats() buffer.Stats { return r.callerServer.Stats() }
 
 func (r *Receiver) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if !r.Ready() {
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -22,6 +22,7 @@
 
 	"github.com/gorilla/mux"
 
+	"magnoliafront.dev/magnoliafront/internal/process/drainer"
 	"magnoliafront.dev/magnoliafront/internal/process/router"
 	"magnoliafront.dev/magnoliafront/internal/request/admitter"
 	"magnoliafront.dev/magnoliafront/internal/request/decoder"
@@ -53,14 +54,13 @@
 // Server accepts the HTTP requests of callers.
 type Server struct {
 	options  Options
-	http     *http.Server
+	http     *drainer.Drainer
 	listener net.Listener
 	// startNanos is the start time in nanoseconds since the Unix epoch. It makes
 	// the request IDs of an entry unique across restarts.
 	startNanos   int64
 	requestCount atomic.Uint64
 	leaving      atomic.Bool
-	done         chan struct{}
 }
 
 // New listens on the address in o and starts to serve requests.
@@ -69,17 +69,13 @@
 	if err != nil {
 		return nil, &Error{Op: "listen on " + o.Listen, Kind: ErrorListen, Err: err}
 	}
-	s := &Server{options: o, listener: l, startNanos: o.Clock.Now().UnixNano(), done: make(chan struct{})}
-	s.http = &http.Server{
+	s := &Server{options: o, listener: l, startNanos: o.Clock.Now().UnixNano()}
+	s.http = drainer.Serve(&http.Server{
 		Handler:           s.closeConnsWhenLeaving(s.routes()),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-	}
-	go func() {
-		defer close(s.done)
-		_ = s.http.Serve(l)
-	}()
+	}, l)
 	return s, nil
 }
 
@@ -100,12 +96,7 @@
 // ends. In the second case it closes the remaining connections and returns an
 // error of kind [ErrorTimeout].
 func (s *Server) Stop(ctx context.Context) error {
-	err := s.http.Shutdown(ctx)
-	if err != nil {
-		_ = s.http.Close()
-	}
-	<-s.done
-	if err != nil {
+	if err := s.http.Stop(ctx); err != nil {
 		return &Error{Op: "stop listening on " + s.Address(), Kind: ErrorTimeout, Err: err}
 	}
 	return nil
