--- /dev/null
+++ b/internal/process/drainer/drainer.go
@@ -0,0 +1,164 @@
+// Package drainer follows the open connections of an HTTP server and closes them when
+// the server stops.
+//
+// Shutdown of [http.Server] loses requests: it closes a connection as idle while the head
+// of the next request is read, and drops a request that it has read after it was called.
+// A [Drainer] closes a connection only while no request has begun to arrive; see package
+// closer.
+//
+// One goroutine of a drainer accepts connections. Another owns the set of the open ones;
+// it gets their events over a ring, whose senders block while it is full.
+//
+// # Usage
+//
+//	d := drainer.Serve(&http.Server{Handler: h}, listener)
+//	err := d.Stop(ctx)
+package drainer
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"magnoliafront.dev/magnoliafront/internal/connection/closer"
+	"magnoliafront.dev/magnoliafront/pkg/buffer"
+)
+
+// eventsCapacity is the capacity of the ring of events. When it is full, connections
+// are accepted and closed more slowly.
+const eventsCapacity = 256
+
+type eventKind int
+
+const (
+	eventOpened eventKind = iota
+	eventClosed
+	eventDrain
+	eventAwaitIdle
+)
+
+// event is an input of the goroutine. Only the fields of its kind are set.
+type event struct {
+	kind eventKind
+	conn *closer.Conn
+	// idle is closed once no connection is open.
+	idle chan struct{}
+}
+
+// Drainer is a running HTTP server and its open connections.
+type Drainer struct {
+	server   *http.Server
+	listener net.Listener
+	events   *buffer.Ring[event, buffer.Block]
+	// accepted is closed when no more connections are accepted, and done when the
+	// goroutine that owns the open connections has ended.
+	accepted chan struct{}
+	done     chan struct{}
+}
+
+// Serve starts to serve connections that l accepts. It sets the hook ConnState of srv.
+func Serve(srv *http.Server, l net.Listener) *Drainer {
+	d := &Drainer{
+		server: srv, listener: l,
+		events:   buffer.New[event, buffer.Block]("caller_connections", eventsCapacity),
+		accepted: make(chan struct{}),
+		done:     make(chan struct{}),
+	}
+	srv.ConnState = closer.FollowState
+	go func() {
+		defer close(d.done)
+		d.run()
+	}()
+	go func() {
+		defer close(d.accepted)
+		_ = srv.Serve(followingListener{Listener: l, drainer: d})
+	}()
+	return d
+}
+
+// Idle returns a channel that is closed as soon as no connection is open.
+func (d *Drainer) Idle() <-chan struct{} {
+	idle := make(chan struct{})
+	if !d.put(event{kind: eventAwaitIdle, idle: idle}) {
+		// The server has stopped.
+		close(idle)
+	}
+	return idle
+}
+
+// Stop stops accepting connections and closes each open one once no request is in flight
+// on it and none has begun to arrive. It waits until all are closed or ctx ends, which
+// cuts off what is left; it then returns the error of ctx.
+func (d *Drainer) Stop(ctx context.Context) error {
+	_ = d.listener.Close()
+	<-d.accepted
+	d.put(event{kind: eventDrain})
+	var err error
+	select {
+	case <-d.Idle():
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	_ = d.server.Close()
+	d.events.Close()
+	<-d.done
+	return err
+}
+
+// Stats returns the state of the ring of events.
+func (d *Drainer) Stats() buffer.Stats { return d.events.Stats() }
+
+// run handles events until the ring is closed.
+func (d *Drainer) run() {
+	open := map[*closer.Conn]struct{}{}
+	var awaiting []chan struct{}
+	draining := false
+	for {
+		e, ok := d.events.Take(context.Background())
+		if !ok {
+			return
+		}
+		switch e.kind {
+		case eventOpened:
+			open[e.conn] = struct{}{}
+			if draining {
+				e.conn.Drain()
+			}
+		case eventClosed:
+			delete(open, e.conn)
+		case eventDrain:
+			draining = true
+			for c := range open {
+				c.Drain()
+			}
+		case eventAwaitIdle:
+			awaiting = append(awaiting, e.idle)
+		}
+		if len(open) > 0 {
+			continue
+		}
+		for _, idle := range awaiting {
+			close(idle)
+		}
+		awaiting = nil
+	}
+}
+
+func (d *Drainer) put(e event) bool { return d.events.Put(context.Background(), e) }
+
+// followingListener wraps the connections that it accepts.
+type followingListener struct {
+	net.Listener
+	drainer *Drainer
+}
+
+// Accept waits for the next connection.
+func (l followingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &closer.Conn{Conn: conn, OnClose: func(c *closer.Conn) { l.drainer.put(event{kind: eventClosed, conn: c}) }}
+	l.drainer.put(event{kind: eventOpened, conn: c})
+	return c, nil
+}
