Accept the connections that wait before the listener closes

What callers could see: a request that was sent whole on a connection that waits to be accepted ended without an answer when the entry closed its listener, since the kernel resets such connections. On an entry that is short of processor time they may wait for a while.

Evidence: TestStopAnswersRequestThatWaitsToBeAccepted fails with the listener closed first ("connection reset by peer", 3 of 3 runs).

Change: a stopping drainer wakes the goroutine that accepts, which goes on until nothing waits (poll of the listening socket), and closes the listener then. What it accepts is served or refused like other requests.

--- a/internal/connection/peeker/peeker.go
+++ b/internal/connection/peeker/peeker.go
@@ -1,5 +1,6 @@
-// Package peeker tells whether a connection has bytes that have not been read,
-// without reading them and without waiting.
+// Package peeker tells whether a connection has bytes that have not been read, or a
+// listener connections that have not been accepted, without taking them and without
+// waiting.
 //
 // A connection that was kept open between two messages may have ended, or carry
 // bytes, at any moment. A reader finds out by reading, which takes the bytes and
@@ -17,6 +18,7 @@
 	"syscall"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 )
 
 // State is the state of the receive side of a connection.
@@ -63,3 +65,23 @@
 	}
 	return state
 }
+
+// HasWaiting reports whether a connection waits at l to be accepted. It returns false if l
+// is not a socket.
+func HasWaiting(l net.Listener) bool {
+	sc, ok := l.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(fds, 0)
+		waiting = err == nil && n > 0 && fds[0].Revents&unix.POLLIN != 0
+	})
+	return err == nil && waiting
+}
--- a/internal/process/drainer/drainer.go
+++ b/internal/process/drainer/drainer.go
@@ -19,8 +19,14 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/closer"
+	"magnoliafront.dev/magnoliafront/internal/connection/peeker"
 	"magnoliafront.dev/magnoliafront/pkg/buffer"
 )
 
@@ -28,6 +34,15 @@
 // are accepted and closed more slowly.
 const eventsCapacity = 256
 
+// acceptTimeout bounds the call that accepts a connection that waits while the server
+// stops.
+const acceptTimeout = 100 * time.Millisecond
+
+// deadliner is implemented by listeners that can bound the wait for a connection.
+type deadliner interface {
+	SetDeadline(time.Time) error
+}
+
 type eventKind int
 
 const (
@@ -54,6 +69,8 @@
 	// goroutine that owns the open connections has ended.
 	accepted chan struct{}
 	done     chan struct{}
+	// stopping is true once only connections that wait already are accepted.
+	stopping atomic.Bool
 }
 
 // Serve starts to serve connections that l accepts. It sets the hook ConnState of srv.
@@ -86,12 +103,17 @@
 	return idle
 }
 
-// Stop stops accepting connections and closes each open one once no request is in flight
-// on it and none has begun to arrive. It waits until all are closed or ctx ends, which
+// Stop accepts the connections that wait, stops accepting, and closes each open connection
+// once no request is in flight on it and none has begun to arrive. It waits until all are closed or ctx ends, which
 // cuts off what is left; it then returns the error of ctx.
 func (d *Drainer) Stop(ctx context.Context) error {
-	_ = d.listener.Close()
-	<-d.accepted
+	d.stopAccepting()
+	select {
+	case <-d.accepted:
+	case <-ctx.Done():
+		_ = d.listener.Close()
+		<-d.accepted
+	}
 	d.put(event{kind: eventDrain})
 	var err error
 	select {
@@ -146,6 +168,17 @@
 
 func (d *Drainer) put(e event) bool { return d.events.Put(context.Background(), e) }
 
+// stopAccepting ends the goroutine that accepts connections after it has accepted those
+// that wait. The kernel would reset them, with the requests that their callers have sent,
+// if the listener were closed at once.
+func (d *Drainer) stopAccepting() {
+	d.stopping.Store(true)
+	if l, ok := d.listener.(deadliner); ok && l.SetDeadline(time.Unix(1, 0)) == nil {
+		return
+	}
+	_ = d.listener.Close()
+}
+
 // followingListener wraps the connections that it accepts.
 type followingListener struct {
 	net.Listener
@@ -154,7 +187,7 @@
 
 // Accept waits for the next connection.
 func (l followingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	conn, err := l.acceptNext()
 	if err != nil {
 		return nil, err
 	}
@@ -162,3 +195,21 @@
 	l.drainer.put(event{kind: eventOpened, conn: c})
 	return c, nil
 }
+
+// acceptNext waits for the next connection. Once the drainer stops, it returns those that
+// wait already, then [net.ErrClosed].
+func (l followingListener) acceptNext() (net.Conn, error) {
+	d := l.drainer
+	for {
+		if d.stopping.Load() && !peeker.HasWaiting(l.Listener) {
+			return nil, net.ErrClosed
+		}
+		conn, err := l.Listener.Accept()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return conn, err
+		}
+		// The deadline of stopAccepting has passed. Another lets the next call take what
+		// waits, and bounds it if the caller has left meanwhile.
+		_ = l.Listener.(deadliner).SetDeadline(time.Now().Add(acceptTimeout))
+	}
+}
--- a/internal/process/drainer/drainer_test.go
+++ b/internal/process/drainer/drainer_test.go
@@ -172,3 +172,41 @@
 	assertClosed(t, conn)
 	wait()
 }
+
+// heldListener accepts connections only once release is closed.
+type heldListener struct {
+	*net.TCPListener
+	release chan struct{}
+}
+
+func (l heldListener) Accept() (net.Conn, error) {
+	<-l.release
+	return l.TCPListener.Accept()
+}
+
+// A connection that waits to be accepted was reset with the request that its caller had
+// sent. An entry that is short of processor time accepts late, so that the request can lie
+// there for seconds.
+func TestStopAnswersRequestThatWaitsToBeAccepted(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l := heldListener{TCPListener: inner.(*net.TCPListener), release: make(chan struct{})}
+	d := serveEmpty(l, nil)
+	conn, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	is.NoErr(conn.SetDeadline(time.Now().Add(waitTimeout)))
+	write(t, conn, requestStart+requestRest)
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	defer cancel()
+	stopped := make(chan error)
+	go func() { stopped <- d.Stop(ctx) }()
+	for !d.stopping.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	close(l.release)
+	assertAnswered(t, conn)
+	assertClosed(t, conn)
+	is.NoErr(<-stopped)
+}
