Close idle connections after 100 Continue at a stop

What callers saw: nothing, but an entry that stopped kept an idle connection open, and waited for it to the end of its grace period, if the last request on it had asked for 100 Continue. The connection was then cut, at the end and not when it was idle, and the log had it as closed before an answer.

Cause: the connection of package closer took the interim response for the beginning of the answer. The body of the request, which is read after it, then counted as a part of the next request, so that the connection was never idle.

Evidence: TestStopClosesIdleConnectionAfterContinue fails before with "context deadline exceeded" from Stop, and the log line "connection closed before an answer" with serving=false and bytes_read=2, the length of the body.

Change: an interim response leaves the connection in the phase of the request.

Result: the test passes, 10 runs with the race detector.

--- a/internal/connection/closer/closer.go
+++ b/internal/connection/closer/closer.go
@@ -19,6 +19,7 @@
 package closer
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -95,10 +96,14 @@
 	_ = c.applyReadDeadline()
 }
 
+// interimPrefix is how an interim response starts, such as 100 Continue. The body of the
+// request and the answer follow it. The server writes it in a call of its own.
+const interimPrefix = "HTTP/1.1 1"
+
 // Write writes to the connection.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	if c.phase == phaseRequest {
+	if c.phase == phaseRequest && !bytes.HasPrefix(p, []byte(interimPrefix)) {
 		c.phase = phaseAnswer
 	}
 	c.mu.Unlock()
--- a/internal/process/drainer/drainer_test.go
+++ b/internal/process/drainer/drainer_test.go
@@ -89,6 +89,15 @@
 	is.New(t).NoErr(err)
 }
 
+func assertRead(t *testing.T, conn net.Conn, want string) {
+	t.Helper()
+	got := make([]byte, len(want))
+	_, err := io.ReadFull(conn, got)
+	is := is.New(t)
+	is.NoErr(err)
+	is.Equal(string(got), want)
+}
+
 func assertAnswered(t *testing.T, conn net.Conn) {
 	t.Helper()
 	is := is.New(t)
@@ -210,3 +219,18 @@
 	assertClosed(t, conn)
 	is.NoErr(<-stopped)
 }
+
+// The body of a request that waits for 100 Continue is read after bytes have been sent. It
+// was taken for a part of the next request, so that the idle connection stayed open until
+// the end of the stop.
+func TestStopClosesIdleConnectionAfterContinue(t *testing.T) {
+	l := newPipeListener()
+	d := serveEmpty(l, nil)
+	conn := l.dial(t)
+	write(t, conn, "POST /hold/1 HTTP/1.1\r\nHost: desk.example\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	assertRead(t, conn, "HTTP/1.1 100 Continue\r\n\r\n")
+	write(t, conn, "ok")
+	assertAnswered(t, conn)
+	startStop(t, d, l)()
+	assertClosed(t, conn)
+}
