Complete pipelined requests whose head has begun at a stop

What callers saw: a caller that sends its next request before it has the answer to the last one got 400 for it, although it was valid, if the entry stopped when only a part of its head had arrived together with the request before.

Cause: those bytes lie in the buffer of net/http when the connection becomes idle. The connection of package closer had counted them as bytes of the request before, took itself for idle and ended the read of the rest with io.EOF, at which net/http answers 400.

The cases of that test now look at the state itself too, since a read also succeeds on a drained connection if its bytes arrive soon enough.

Change: net/http sets the read deadline of an idle connection twice, for the first bytes of a request and for the rest of its head. From the second time on, the connection is not idle. The read of a drained connection now ends with the error of its deadline, at which net/http never writes anything.

A request of which the caller has sent no more than three bytes ahead can still be closed unanswered: net/http waits for four with the first deadline.

--- a/internal/connection/closer/closer.go
+++ b/internal/connection/closer/closer.go
@@ -20,7 +20,6 @@
 
 import (
 	"bytes"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -40,6 +39,9 @@
 	// phaseIdle means that no request is being served: the connection is new, or the
 	// last answer has ended.
 	phaseIdle phase = iota
+	// phaseHead means that the server reads the head of a request whose first bytes it
+	// read together with the request before.
+	phaseHead
 	// phaseRequest means that the head of a request has been read and nothing of its
 	// answer has been written.
 	phaseRequest
@@ -62,19 +64,21 @@
 	// draining is true once the connection is to be closed as soon as it is idle.
 	draining bool
 	// readDeadline is the deadline that the server has set. While the connection is
-	// draining and idle, another is in force.
+	// draining and idle, another is in force. awaited is true once the server has set
+	// one since the connection became idle.
 	readDeadline time.Time
+	awaited      bool
 	closed       bool
 }
 
 // Read reads from the connection. On a draining connection that is idle, it returns
-// what has already arrived, or [io.EOF] if there is nothing: at that, net/http closes the
-// connection and writes nothing.
+// what has already arrived, or an error if there is nothing. It is that of an expired
+// deadline: at any other, net/http may answer 400.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isDrained() {
 		if peeker.Peek(c.Conn) != peeker.DataAvailable {
-			return 0, io.EOF
+			return 0, err
 		}
 		_ = c.Conn.SetReadDeadline(time.Time{})
 		n, err = c.Conn.Read(p)
@@ -112,10 +116,17 @@
 
 // SetReadDeadline sets the deadline of reads. It is in force unless the connection is
 // draining and idle.
+//
+// On an idle connection, net/http sets the deadline for the first bytes of a request, and
+// then that for the rest of its head. The first bytes need not have been read meanwhile.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
+	if c.phase == phaseIdle && c.awaited {
+		c.phase = phaseHead
+	}
+	c.awaited = true
 	return c.applyReadDeadline()
 }
 
@@ -130,7 +141,7 @@
 		return c.Conn.Close()
 	}
 	state := peeker.Peek(c.Conn)
-	if state != peeker.Ended && (phase == phaseRequest || unserved > 0 || state == peeker.DataAvailable) {
+	if state != peeker.Ended && (phase == phaseHead || phase == phaseRequest || unserved > 0 || state == peeker.DataAvailable) {
 		klog.InfoS("connection closed before an answer", "caller", c.RemoteAddr().String(),
 			"serving", phase == phaseRequest, "bytes_read", unserved, "bytes_unread", state == peeker.DataAvailable)
 	}
@@ -170,7 +181,7 @@
 	case http.StateActive:
 		c.phase, c.unserved = phaseRequest, 0
 	case http.StateIdle:
-		c.phase = phaseIdle
+		c.phase, c.awaited = phaseIdle, false
 	}
 	_ = c.applyReadDeadline()
 }
--- a/internal/connection/closer/closer_test.go
+++ b/internal/connection/closer/closer_test.go
@@ -30,10 +30,15 @@
 		_ = caller.Close()
 		_ = c.Close()
 	})
-	is.NoErr(c.SetReadDeadline(time.Now().Add(waitTimeout)))
+	setReadTimeout(t, c)
 	return c, caller
 }
 
+func setReadTimeout(t *testing.T, c *Conn) {
+	t.Helper()
+	is.New(t).NoErr(c.SetReadDeadline(time.Now().Add(waitTimeout)))
+}
+
 func write(t *testing.T, conn net.Conn, text string) {
 	t.Helper()
 	_, err := conn.Write([]byte(text))
@@ -126,11 +131,19 @@
 			assertRead(t, c, "P")
 			FollowState(c, http.StateIdle)
 		}, false},
+		{"the next request began with the last one", func(t *testing.T, c *Conn, caller net.Conn) {
+			FollowState(c, http.StateActive)
+			write(t, c, "HTTP/1.1 200 OK")
+			FollowState(c, http.StateIdle)
+			setReadTimeout(t, c) // for the first bytes, which the server has
+			setReadTimeout(t, c) // for the rest of the head
+		}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			conn, caller := newConn(t)
 			c.steps(t, conn, caller)
 			conn.Drain()
+			is.New(t).Equal(conn.isDrained(), c.ends)
 			if c.ends {
 				assertReadFails(t, conn)
 				return
--- a/internal/process/drainer/drainer_test.go
+++ b/internal/process/drainer/drainer_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 )
 
@@ -18,6 +20,9 @@
 	requestRest  = ".example\r\nContent-Length: 2\r\n\r\nok"
 	// waitTimeout bounds each wait of a test. Waits usually end long before.
 	waitTimeout = 20 * time.Second
+	// quietTime is how long a test watches a connection on which nothing may happen. A
+	// fault that shows later is missed.
+	quietTime = 100 * time.Millisecond
 )
 
 // pipeListener accepts the connections that dial makes in memory.
@@ -107,6 +112,18 @@
 	is.Equal(resp.StatusCode, http.StatusNoContent)
 }
 
+// assertQuiet checks that neither a byte nor the end of the connection arrives for
+// quietTime.
+func assertQuiet(t *testing.T, conn net.Conn) {
+	t.Helper()
+	is := is.New(t)
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(quietTime)))
+	n, err := conn.Read(make([]byte, 1))
+	is.Equal(n, 0)
+	is.True(errors.Is(err, os.ErrDeadlineExceeded))
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(waitTimeout)))
+}
+
 func assertClosed(t *testing.T, conn net.Conn) {
 	t.Helper()
 	n, err := conn.Read(make([]byte, 1))
@@ -144,6 +161,24 @@
 	}
 }
 
+// A part of the next request that was read together with the request before lies in the
+// buffer of net/http. It was answered 400 instead of being completed.
+func TestStopAnswersPipelinedRequestThatHasBegunToArrive(t *testing.T) {
+	l := newPipeListener()
+	release := make(chan struct{})
+	d := serveEmpty(l, release)
+	conn := l.dial(t)
+	write(t, conn, requestStart+requestRest+requestStart)
+	wait := startStop(t, d, l)
+	close(release)
+	assertAnswered(t, conn)
+	assertQuiet(t, conn)
+	write(t, conn, requestRest)
+	assertAnswered(t, conn)
+	assertClosed(t, conn)
+	wait()
+}
+
 // A connection on which no request has begun to arrive must not hold up the stop.
 func TestStopClosesIdleConnections(t *testing.T) {
 	for _, c := range []struct {
