Read what has arrived when an idle connection expires

After a freeze of the process that lasts beyond the idle timeout of a connection (60 s), or beyond that for the first head on a new one (5 s), a request that arrived meanwhile is reset unread.

Cause: the same class as at a stop. The deadline decides, not what has arrived: after the freeze the timer may fire before the socket is looked at, and net/http closes the connection.

Evidence: TestExpiredIdleConnectionDeliversWhatHasArrived fails before in the case of unread bytes, with "i/o timeout" and the log line "connection closed before an answer" with bytes_unread=true.

Change: the last look at what has arrived, which a draining connection takes, is taken at each deadline that passes while the connection is idle. A head of which a part has been read still ends at its deadline, so that a caller cannot hold a connection by sending a byte now and then.

--- a/internal/connection/closer/closer.go
+++ b/internal/connection/closer/closer.go
@@ -71,12 +71,13 @@
 	closed       bool
 }
 
-// Read reads from the connection. On a draining connection that is idle, it returns
-// what has already arrived, or an error if there is nothing. It is that of an expired
-// deadline: at any other, net/http may answer 400.
+// Read reads from the connection. If the deadline passes while it is idle, as on a draining
+// connection or when the process was frozen, it returns what has already arrived, or an
+// error if there is nothing. It is that of the deadline: at any other, net/http may answer
+// 400.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isDrained() {
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isIdle() {
 		if peeker.Peek(c.Conn) != peeker.DataAvailable {
 			return 0, err
 		}
@@ -194,20 +195,20 @@
 	_ = c.applyReadDeadline()
 }
 
-func (c *Conn) isDrained() bool {
+func (c *Conn) isIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.drained()
+	return c.idle()
 }
 
-// drained reports whether the connection is draining and idle. The caller holds the
-// lock.
-func (c *Conn) drained() bool { return c.draining && c.phase == phaseIdle && c.unserved == 0 }
+// idle reports whether nothing of a request has been read that is not answered. The caller
+// holds the lock.
+func (c *Conn) idle() bool { return c.phase == phaseIdle && c.unserved == 0 }
 
 // applyReadDeadline puts the deadline in force that the state asks for: a past one wakes
 // the server from its wait for the next request. The caller holds the lock.
 func (c *Conn) applyReadDeadline() error {
-	if c.drained() {
+	if c.draining && c.idle() {
 		return c.Conn.SetReadDeadline(time.Unix(1, 0))
 	}
 	return c.Conn.SetReadDeadline(c.readDeadline)
--- a/internal/connection/closer/closer_test.go
+++ b/internal/connection/closer/closer_test.go
@@ -39,6 +39,13 @@
 	is.New(t).NoErr(c.SetReadDeadline(time.Now().Add(waitTimeout)))
 }
 
+// expireIdle lets the answer on c end and sets an idle timeout that has passed.
+func expireIdle(t *testing.T, c *Conn) {
+	t.Helper()
+	FollowState(c, http.StateIdle)
+	is.New(t).NoErr(c.SetReadDeadline(time.Unix(1, 0)))
+}
+
 func write(t *testing.T, conn net.Conn, text string) {
 	t.Helper()
 	_, err := conn.Write([]byte(text))
@@ -108,6 +115,32 @@
 	})
 }
 
+// A process that was frozen past the idle timeout of a connection closed it, although a
+// request had arrived meanwhile.
+func TestExpiredIdleConnectionDeliversWhatHasArrived(t *testing.T) {
+	t.Run("nothing arrived: the read ends", func(t *testing.T) {
+		c, _ := newConn(t)
+		expireIdle(t, c)
+		assertReadFails(t, c)
+	})
+	t.Run("unread bytes: they are delivered", func(t *testing.T) {
+		c, caller := newConn(t)
+		write(t, caller, "POST /")
+		awaitArrival(t, c)
+		expireIdle(t, c)
+		assertRead(t, c, "POST /")
+	})
+	t.Run("a part was read before: the read ends", func(t *testing.T) {
+		c, caller := newConn(t)
+		write(t, caller, "POST /")
+		assertRead(t, c, "POST /")
+		write(t, caller, "hold")
+		awaitArrival(t, c)
+		expireIdle(t, c)
+		assertReadFails(t, c)
+	})
+}
+
 // Each state of the connection at its server decides whether a drained connection may
 // end.
 func TestDrainingConnectionEndsOnlyWhenIdle(t *testing.T) {
@@ -143,7 +176,7 @@
 			conn, caller := newConn(t)
 			c.steps(t, conn, caller)
 			conn.Drain()
-			is.New(t).Equal(conn.isDrained(), c.ends)
+			is.New(t).Equal(conn.isIdle(), c.ends)
 			if c.ends {
 				assertReadFails(t, conn)
 				return
