End the wait for idle connections with the server

What callers saw: nothing; no caller of Idle waits beyond Stop today.

Cause: the goroutine of the drainer ended without closing the channels of Idle. If a connection was still open by its count, because a handler had taken it over or because its close was reported after the ring of events was closed, the channel stayed open for ever.

Evidence: TestIdleEndsWithStop fails before: the channel is still open when the test gives up.

Change: the channels are closed when the goroutine ends.

--- a/internal/process/drainer/drainer.go
+++ b/internal/process/drainer/drainer.go
@@ -93,7 +93,8 @@
 	return d
 }
 
-// Idle returns a channel that is closed as soon as no connection is open.
+// Idle returns a channel that is closed as soon as no connection is open, and at the end of
+// Stop.
 func (d *Drainer) Idle() <-chan struct{} {
 	idle := make(chan struct{})
 	if !d.put(event{kind: eventAwaitIdle, idle: idle}) {
@@ -104,8 +105,8 @@
 }
 
 // Stop accepts the connections that wait, stops accepting, and closes each open connection
-// once no request is in flight on it and none has begun to arrive. It waits until all are closed or ctx ends, which
-// cuts off what is left; it then returns the error of ctx.
+// once no request is in flight on it and none has begun to arrive. It waits until all are
+// closed or ctx ends, which cuts off what is left; it then returns the error of ctx.
 func (d *Drainer) Stop(ctx context.Context) error {
 	d.stopAccepting()
 	select {
@@ -138,6 +139,7 @@
 	for {
 		e, ok := d.events.Take(context.Background())
 		if !ok {
+			closeAll(awaiting)
 			return
 		}
 		switch e.kind {
@@ -159,13 +161,17 @@
 		if len(open) > 0 {
 			continue
 		}
-		for _, idle := range awaiting {
-			close(idle)
-		}
+		closeAll(awaiting)
 		awaiting = nil
 	}
 }
 
+func closeAll(channels []chan struct{}) {
+	for _, c := range channels {
+		close(c)
+	}
+}
+
 func (d *Drainer) put(e event) bool { return d.events.Put(context.Background(), e) }
 
 // stopAccepting ends the goroutine that accepts connections after it has accepted those
--- a/internal/process/drainer/drainer_test.go
+++ b/internal/process/drainer/drainer_test.go
@@ -217,6 +217,32 @@
 	wait()
 }
 
+// Whoever waited for Idle waited for ever if the drainer stopped while a connection was open
+// whose close it doesn't see, such as one that a handler has taken over.
+func TestIdleEndsWithStop(t *testing.T) {
+	l := newPipeListener()
+	taken := make(chan net.Conn)
+	d := Serve(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			taken <- conn
+		}
+	})}, l)
+	write(t, l.dial(t), requestStart+requestRest)
+	conn := <-taken
+	defer func() { _ = conn.Close() }()
+	idle := d.Idle()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	is := is.New(t)
+	is.True(errors.Is(d.Stop(ctx), context.Canceled))
+	select {
+	case <-idle:
+	case <-time.After(waitTimeout):
+		is.Fail() // the channel stayed open
+	}
+}
+
 // heldListener accepts connections only once release is closed.
 type heldListener struct {
 	*net.TCPListener
