Keep the framing of buffered answers that end with their connection

Callers saw: an upstream that answers with neither a length nor chunks fails in the midst of its answer; the caller gets a 200 with the upstream's signature, a part of the body and a Content-Length that fits. Nothing tells that a part is missing.

Cause: the end of the connection is all that the upstream says about the end of such an answer. The carrier buffers a short one, and the relayer set Content-Length to what had arrived. Streams and long answers kept their framing. Failures (5xx) without a length took the same path.

Change: Reply.CloseDelimited holds for a complete answer too. It is written without a length, and the close of the connection ends it, on HTTP/1.0 and 1.1. An answer that ends with a clean close still arrives.

--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -241,7 +241,9 @@
 	if len(body) > maxBufferedBytes {
 		return c.relayOversized(a, resp, body)
 	}
-	reply := relayer.Reply{Kind: relayer.KindComplete, Status: resp.StatusCode, Header: resp.Header, Bytes: body}
+	reply := relayer.Reply{
+		Kind: relayer.KindComplete, Status: resp.StatusCode, Header: resp.Header, CloseDelimited: isCloseDelimited(resp), Bytes: body,
+	}
 	r := a.newReport(OutcomeAnswered, nil)
 	r.Status = resp.StatusCode
 	r.Elapsed = c.options.Clock.Now().Sub(a.start)
--- a/internal/connection/carrier/fuzz_test.go
+++ b/internal/connection/carrier/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -14,10 +15,10 @@
 	"magnoliafront.dev/magnoliafront/pkg/timer"
 )
 
-// bytesConn is a connection whose peer has sent bytes and closed its side.
+// bytesConn is a connection whose peer has sent bytes and ended the connection.
 type bytesConn struct {
 	net.Conn
-	received *bytes.Reader
+	received io.Reader
 }
 
 func (c bytesConn) Read(b []byte) (int, error)     { return c.received.Read(b) }
@@ -61,7 +62,14 @@
 // of an answer and closes the connection.
 func readAnswer(t *testing.T, answer []byte, change func(*Call)) (Report, []relayer.Reply) {
 	t.Helper()
-	conn := &limitedConn{Conn: bytesConn{received: bytes.NewReader(answer)}}
+	return readAnswerFrom(t, bytes.NewReader(answer), change)
+}
+
+// readAnswerFrom is like readAnswer for an upstream whose bytes are read from a reader.
+// Its error is that of the connection.
+func readAnswerFrom(t *testing.T, received io.Reader, change func(*Call)) (Report, []relayer.Reply) {
+	t.Helper()
+	conn := &limitedConn{Conn: bytesConn{received: received}}
 	c := &Conn{options: Options{Clock: timer.System{}, Report: func(Report) {}}, conn: conn, received: conn, reader: bufio.NewReaderSize(conn, readBufferBytes)}
 	head, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://desk.example/x", nil)
 	is.New(t).NoErr(err)
--- /dev/null
+++ b/internal/request/relayer/framing_test.go
@@ -0,0 +1,84 @@
+package relayer
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"magnoliafront.dev/magnoliafront/internal/request/admitter"
+)
+
+// relayTo returns the answer that a caller gets for the replies to a request over a
+// socket. Its body ends with that of the connection.
+func relayTo(t *testing.T, method, protocol string, replies ...Reply) *http.Response {
+	t.Helper()
+	is := is.New(t)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		ring := NewRing()
+		for _, r := range replies {
+			ring.Put(t.Context(), r)
+		}
+		ring.Close()
+		if Relay(req.Context(), w, ring, func(http.ResponseWriter, *admitter.Failure) {}) != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	t.Cleanup(s.Close)
+	conn, err := net.Dial("tcp", s.Listener.Addr().String())
+	is.NoErr(err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = fmt.Fprintf(conn, "%s / %s\r\nHost: desk.example\r\n\r\n", method, protocol)
+	is.NoErr(err)
+	q, err := http.NewRequestWithContext(t.Context(), method, "/", nil)
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), q)
+	is.NoErr(err)
+	return resp
+}
+
+// assertEndsWithConnection checks that an answer has a body and that only the end of its
+// connection marks its end.
+func assertEndsWithConnection(t *testing.T, resp *http.Response, body string) {
+	t.Helper()
+	is := is.New(t)
+	is.Equal(resp.Header.Get("Content-Length"), "")
+	is.Equal(len(resp.TransferEncoding), 0)
+	is.True(resp.Close)
+	data, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	is.Equal(string(data), body)
+}
+
+// Half of an answer that its upstream would have ended with the connection got a
+// Content-Length that fits, so that the caller took it for the whole.
+func TestCloseDelimitedAnswerGetsNoOtherFraming(t *testing.T) {
+	complete := func(status int, body string) []Reply {
+		return []Reply{{Kind: KindComplete, Status: status, CloseDelimited: true, Bytes: []byte(body)}}
+	}
+	for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		for _, c := range []struct {
+			name    string
+			replies []Reply
+			body    string
+		}{
+			{"whole", complete(http.StatusOK, "half"), "half"},
+			{"without a body", complete(http.StatusOK, ""), ""},
+			{"failure", complete(http.StatusInternalServerError, "half"), "half"},
+			{"in parts", []Reply{{Kind: KindHead, Status: http.StatusOK, CloseDelimited: true}, {Kind: KindBody, Bytes: []byte("half")}, {Kind: KindEnd}}, "half"},
+			{"in no parts", []Reply{{Kind: KindHead, Status: http.StatusOK, CloseDelimited: true}, {Kind: KindEnd}}, ""},
+		} {
+			t.Run(protocol+" "+c.name, func(t *testing.T) {
+				resp := relayTo(t, http.MethodPost, protocol, c.replies...)
+				is.New(t).Equal(resp.StatusCode, c.replies[0].Status)
+				assertEndsWithConnection(t, resp, c.body)
+			})
+		}
+	}
+}
--- a/internal/request/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -8,6 +8,10 @@
 // server aborts the connection, so that the caller can tell that the response is
 // incomplete.
 //
+// The framing of a response says no more about its end than the upstream did. If only
+// the end of the connection marked the end of the response, it does so for the caller
+// as well, since the upstream may have failed in the midst of it.
+//
 // # Usage
 //
 //	replies := relayer.NewRing()
@@ -55,9 +59,9 @@
 	Kind   Kind
 	Status int
 	Header http.Header
-	// CloseDelimited is true for the head of a response whose end is marked only by
-	// the close of the connection. It is relayed with the same framing, since it is
-	// unknown whether the response was complete when the connection closed.
+	// CloseDelimited is true for the head, or the whole, of a response whose end is
+	// marked only by the close of the connection. It is relayed with the same framing,
+	// since it is unknown whether the response was complete when the connection closed.
 	CloseDelimited bool
 	Bytes          []byte
 	Failure        *admitter.Failure
@@ -110,11 +114,12 @@
 	}
 }
 
-// writeComplete writes a complete response. It sets Content-Length unless the
-// body is empty and the upstream set it, as in the response to a HEAD request.
+// writeComplete writes a complete response. It sets Content-Length unless the response
+// is close-delimited, or the body is empty and the upstream set it, as in the response to
+// a HEAD request.
 func writeComplete(w http.ResponseWriter, r Reply) error {
 	to := copyHeader(w, r)
-	if len(r.Bytes) > 0 || to.Get("Content-Length") == "" {
+	if !r.CloseDelimited && (len(r.Bytes) > 0 || to.Get("Content-Length") == "") {
 		to.Set("Content-Length", strconv.Itoa(len(r.Bytes)))
 	}
 	w.WriteHeader(r.Status)
@@ -123,11 +128,7 @@
 
 // writeHead writes the status and headers of a streamed response.
 func writeHead(w http.ResponseWriter, r Reply) {
-	to := copyHeader(w, r)
-	if r.CloseDelimited {
-		// net/http then marks the end of the response by closing the connection.
-		to.Set("Transfer-Encoding", "identity")
-	}
+	copyHeader(w, r)
 	w.WriteHeader(r.Status)
 }
 
@@ -143,6 +144,10 @@
 			to[name] = nil
 		}
 	}
+	if r.CloseDelimited {
+		// net/http then marks the end of the response by closing the connection.
+		to.Set("Transfer-Encoding", "identity")
+	}
 	return to
 }
 
