Cut a framed stream whose last answer ends with its connection

Callers saw: a resumable stream with chunks breaks off, another upstream goes on with it in an answer that has neither a length nor chunks and fails between two events. The stream ended as whole, with events missing (two crashes).

Cause: the caller has the framing of the first answer. The relayer wrote its end mark for the end of any answer that went on with it, although only the end of a connection had marked that. The protocol has no event that ends a stream.

Change: the carrier says for the end of an answer as well whether it was close-delimited. Relay sends what it has and reports such an end of a framed answer as broken, on which the connection is cut; callers may go on from the last event. An answer whose head was close-delimited ends with the connection as before.

--- a/internal/connection/carrier/cut_test.go
+++ b/internal/connection/carrier/cut_test.go
@@ -212,3 +212,25 @@
 	}
 	return a.method
 }
+
+// A stream whose first answer had a length or chunks was ended as whole by an answer that
+// ends with its connection: the caller could not tell that events are missing. The end of
+// each answer says whether only the connection marked it.
+func TestCutContinuationIsNotRelayedAsWhole(t *testing.T) {
+	for _, a := range framedAnswers(streamHead, streamText) {
+		t.Run(a.name, func(t *testing.T) {
+			forEachCut(t, a, func(t *testing.T, k int, end connectionEnd, received io.Reader) {
+				r, replies := readAnswerFrom(t, received, resume)
+				is := is.New(t)
+				is.True(strings.HasPrefix(a.body, newRelayedAnswer(replies).body))
+				for _, reply := range replies {
+					if reply.Kind == relayer.KindEnd {
+						is.Equal(r.Outcome, OutcomeAnswered)
+						is.Equal(reply.CloseDelimited, a.closeDelimited)
+						is.True(a.closeDelimited && end == endClosed || k == len(a.head)+len(a.framedBody))
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -285,7 +285,7 @@
 func (c *Conn) relayEnd(a *attempt, resp *http.Response) Report {
 	r := a.newReport(OutcomeAnswered, nil)
 	r.Status = resp.StatusCode
-	if !a.relay(relayer.Reply{Kind: relayer.KindEnd}) {
+	if !a.relay(relayer.Reply{Kind: relayer.KindEnd, CloseDelimited: isCloseDelimited(resp)}) {
 		r.Outcome = OutcomeCancelled
 	}
 	c.setReusable(a, &r, resp, nil)
--- a/internal/process/starter/gateway_cut_test.go
+++ b/internal/process/starter/gateway_cut_test.go
@@ -22,6 +22,8 @@
 	cutStreamEvents = 3
 	// cutCallers is the number of callers that send requests at once.
 	cutCallers = 4
+	// longestCutAnswer is more bytes than any answer of these tests has.
+	longestCutAnswer = 400
 )
 
 // The framings of the answers of a cuttingUpstream.
@@ -29,8 +31,8 @@
 	framingLength   = "length"
 	framingChunked  = "chunked"
 	framingUnframed = "unframed"
-	// framingResumedUnframed is chunked, but unframed in an answer that goes on with a
-	// stream.
+	// framingResumedUnframed is chunked and ends within the second event. The answer that
+	// goes on with the stream is unframed and ends after the number of bytes.
 	framingResumedUnframed = "resumed-unframed"
 )
 
@@ -70,7 +72,9 @@
 	path := strings.Split(req.URL.Path, "/")
 	framing, end := path[len(path)-3], path[len(path)-1]
 	text := cutAnswer(req, framing)
-	if k, err := strconv.Atoi(path[len(path)-2]); err == nil && k < len(text) {
+	if framing == framingResumedUnframed && req.Header.Get("Last-Event-Id") == "" {
+		text = text[:strings.Index(text, "id: 2")+1]
+	} else if k, err := strconv.Atoi(path[len(path)-2]); err == nil && k < len(text) {
 		text = text[:k]
 	}
 	if tcp, ok := conn.(*net.TCPConn); ok && end == "reset" {
@@ -108,13 +112,12 @@
 	return body
 }
 
-// assertNoCutAnswerLooksWhole sends requests whose answers end after each byte, and checks
-// that no caller can take a part for the whole.
-func assertNoCutAnswerLooksWhole(t *testing.T, g *gateway, prefix, framing string) {
+// assertNoCutAnswerLooksWhole sends requests whose answers end after a number of bytes from
+// first to last, and checks that no caller can take a part for the whole.
+func assertNoCutAnswerLooksWhole(t *testing.T, g *gateway, prefix, framing string, first, last int) {
 	t.Helper()
-	const longest = 400
-	cuts := make(chan int, longest)
-	for k := range longest {
+	cuts := make(chan int, last-first+1)
+	for k := first; k <= last; k++ {
 		cuts <- k
 	}
 	close(cuts)
@@ -122,21 +125,19 @@
 	for range cutCallers {
 		wg.Go(func() {
 			for k := range cuts {
-				end := [...]string{"closed", "reset"}[k%2]
-				path := fmt.Sprintf("%s%s/%d/%s", prefix, framing, k, end)
-				id := fmt.Sprintf("%s-%s-%03d", strings.Trim(strings.ReplaceAll(prefix, "/", "-"), "-"), framing, k)
-				if fault := g.findCutAnswerThatLooksWhole(path, id); fault != "" {
+				path := fmt.Sprintf("%s%s/%d/%s", prefix, framing, k, [...]string{"closed", "reset"}[(k-first)%2])
+				if fault := g.findCutAnswerThatLooksWhole(path, cutRequestID(prefix, framing, k)); fault != "" {
 					t.Errorf("%s: %s", path, fault)
 				}
 			}
 		})
 	}
 	wg.Wait()
-	// An answer that is not cut arrives.
-	id := "whole-" + framing
-	a := g.call(http.MethodPost, fmt.Sprintf("%s%s/%d/closed", prefix, framing, longest), id, id, nil)
-	assertStatus(t, a, http.StatusOK)
-	is.New(t).Equal(a.body, cutBody(prefix, id, ""))
+}
+
+// cutRequestID returns the identity of a request. Its length does not depend on k.
+func cutRequestID(prefix, framing string, k int) string {
+	return fmt.Sprintf("%s-%s-%03d", strings.Trim(strings.ReplaceAll(prefix, "/", "-"), "-"), framing, k)
 }
 
 // findCutAnswerThatLooksWhole sends a request and returns what is wrong with the answer.
@@ -190,8 +191,29 @@
 	for _, framing := range []string{framingLength, framingChunked, framingUnframed} {
 		for _, prefix := range []string{"/hold/", "/check/", "/stream/chat/", "/stream/brief/"} {
 			t.Run(prefix+framing, func(t *testing.T) {
-				assertNoCutAnswerLooksWhole(t, g, prefix, framing)
+				assertNoCutAnswerLooksWhole(t, g, prefix, framing, 0, longestCutAnswer)
+				id := cutRequestID(prefix, framing, 0)
+				a := g.call(http.MethodPost, fmt.Sprintf("%s%s/%d/closed", prefix, framing, longestCutAnswer), id, id, nil)
+				assertStatus(t, a, http.StatusOK)
+				is.New(t).Equal(a.body, cutBody(prefix, id, ""))
 			})
 		}
 	}
 }
+
+// An answer without framing that went on with a framed stream ended it as whole, whatever
+// had ended the connection. The caller missed events and could not tell.
+func TestGatewayUnframedContinuationDoesNotEndFramedStream(t *testing.T) {
+	r := newGatewayFixture(t, 0)
+	r.startCuttingUpstream("i-a")
+	r.startCuttingUpstream("i-b")
+	g := r.startReadyEntry()
+	const prefix = "/stream/chat/"
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, prefix, nil)
+	is.New(t).NoErr(err)
+	req.Header.Set("Magnoliafront-Request-Id", cutRequestID(prefix, framingResumedUnframed, 0))
+	req.Header.Set("Last-Event-Id", "1")
+	// The budget of a service allows about 50 requests to be sent again.
+	boundary := strings.Index(cutAnswer(req, framingResumedUnframed), "id: 3")
+	assertNoCutAnswerLooksWhole(t, g, prefix, framingResumedUnframed, boundary-12, boundary+12)
+}
--- a/internal/request/relayer/framing_test.go
+++ b/internal/request/relayer/framing_test.go
@@ -82,3 +82,21 @@
 		}
 	}
 }
+
+// An answer without framing that went on with a framed stream ended it as whole. The
+// caller must see that the end is not known.
+func TestCloseDelimitedEndDoesNotEndFramedAnswer(t *testing.T) {
+	part, end := Reply{Kind: KindBody, Bytes: []byte("id: 1\n\n")}, Reply{Kind: KindEnd, CloseDelimited: true}
+	t.Run("framed head", func(t *testing.T) {
+		resp := relayTo(t, http.MethodPost, "HTTP/1.1", Reply{Kind: KindHead, Status: http.StatusOK}, part, end)
+		is := is.New(t)
+		data, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		is.True(err != nil)
+		is.Equal(string(data), "id: 1\n\n")
+	})
+	t.Run("close-delimited head", func(t *testing.T) {
+		resp := relayTo(t, http.MethodPost, "HTTP/1.1", Reply{Kind: KindHead, Status: http.StatusOK, CloseDelimited: true}, part, end)
+		assertEndsWithConnection(t, resp, "id: 1\n\n")
+	})
+}
--- a/internal/request/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -46,7 +46,8 @@
 	KindHead
 	// KindBody carries a part of the body of a streamed response.
 	KindBody
-	// KindEnd marks the end of a streamed response that is complete.
+	// KindEnd marks the end of a streamed response that is complete as far as its
+	// framing says.
 	KindEnd
 	// KindFailed ends a request that failed before any part of a response was
 	// relayed.
@@ -59,9 +60,10 @@
 	Kind   Kind
 	Status int
 	Header http.Header
-	// CloseDelimited is true for the head, or the whole, of a response whose end is
-	// marked only by the close of the connection. It is relayed with the same framing,
+	// CloseDelimited is true for the head, the end or the whole of a response whose end
+	// is marked only by the close of the connection. It is relayed with the same framing,
 	// since it is unknown whether the response was complete when the connection closed.
+	// Head and end differ if a stream was continued by another response.
 	CloseDelimited bool
 	Bytes          []byte
 	Failure        *admitter.Failure
@@ -78,7 +80,7 @@
 // [*Error].
 func Relay(ctx context.Context, w http.ResponseWriter, replies *Ring, fail func(http.ResponseWriter, *admitter.Failure)) error {
 	controller := http.NewResponseController(w)
-	for begun := false; ; {
+	for begun, framed := false, false; ; {
 		r, ok := replies.Take(ctx)
 		if !ok && ctx.Err() == nil {
 			return &Error{Op: "take a reply", Kind: ErrorBroken, Err: errors.New("the response ended prematurely")}
@@ -94,6 +96,7 @@
 		case KindComplete:
 			return writeComplete(w, r)
 		case KindHead:
+			framed = !r.CloseDelimited
 			writeHead(w, r)
 		case KindBody:
 			if err := writeBody(w, r.Bytes); err != nil {
@@ -106,6 +109,11 @@
 				return &Error{Op: "flush", Kind: ErrorCaller, Err: err}
 			}
 		case KindEnd:
+			if framed && r.CloseDelimited {
+				// The events that the caller is to go on from may not have been sent.
+				_ = controller.Flush()
+				return &Error{Op: "end", Kind: ErrorBroken, Err: errors.New("only the close of a connection marks the end of the framed response")}
+			}
 			return nil
 		case KindFailed:
 			fail(w, r.Failure)
