Cut an unframed answer whose reset a write has reported

Callers saw: an upstream answers with neither a length nor chunks before it has read a long request, and is lost; its part of an answer, or of a stream, ends like a whole one. The rule is that such an answer is not complete if it is reset on the way.

Cause: the kernel reports a reset once. A blocked write of the request got it, and the read that followed found the bytes that had arrived and an orderly end.

Change: the receive side of a connection remembers the error of a failed write and returns it in place of the end. EPIPE is left out: with it the upstream had closed its side before the reset, so that what arrived did end in an orderly way. Answers with a length or chunks that arrived whole are still relayed, and refusals still count.

--- a/internal/connection/carrier/limit.go
+++ b/internal/connection/carrier/limit.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"io"
 	"net"
 	"os"
 
@@ -25,6 +26,9 @@
 	// the read is repeated, so that the parsers above do not see the timeout, after
 	// which they could not continue.
 	onTimeout func() bool
+	// writeErr is the error with which the connection ended during a write. The kernel
+	// reports it only once, so that a read after it would find an orderly end.
+	writeErr error
 }
 
 // limit starts to limit the bytes that are read, and unlimit ends it.
@@ -48,6 +52,9 @@
 func (c *limitedConn) read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
+		if errors.Is(err, io.EOF) && c.writeErr != nil {
+			err = c.writeErr
+		}
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.onTimeout == nil || !c.onTimeout() {
 			return n, err
 		}
--- a/internal/connection/carrier/request.go
+++ b/internal/connection/carrier/request.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -44,6 +45,10 @@
 		switch {
 		case err == nil:
 		case !errors.Is(err, os.ErrDeadlineExceeded):
+			if !errors.Is(err, syscall.EPIPE) {
+				// EPIPE means that the upstream had closed its side before.
+				c.received.writeErr = err
+			}
 			return errors.Wrap(err, "write the request")
 		case a.sent > 0 && c.hasUnread():
 			return nil
