State no length for answers to HEAD that have none

Callers saw: Content-Length: 0 in the answer to a HEAD request whose upstream stated no length, for example because it answers GET in chunks. That is a statement on the body which the upstream did not make.

Cause: the relayer set the length of the empty body that it had.

Change: it sets a length only for a body that is there. For an empty one net/http adds zero where a body could have been, and nothing for HEAD, 204 and 304.

Evidence: TestBodilessAnswerGetsNoLength failed before for HEAD without a length and passes.

--- a/internal/request/relayer/framing_test.go
+++ b/internal/request/relayer/framing_test.go
@@ -100,3 +100,29 @@
 		assertEndsWithConnection(t, resp, "id: 1\n\n")
 	})
 }
+
+// An answer to a HEAD request that stated no length got a Content-Length of zero, which
+// says that the answer to a GET request would have no body.
+func TestBodilessAnswerGetsNoLength(t *testing.T) {
+	for _, c := range []struct {
+		name, method string
+		reply        Reply
+		length       string
+	}{
+		{"HEAD without a length", http.MethodHead, Reply{Status: http.StatusOK}, ""},
+		{"HEAD that ends with its connection", http.MethodHead, Reply{Status: http.StatusOK, CloseDelimited: true}, ""},
+		{"HEAD with a length", http.MethodHead, Reply{Status: http.StatusOK, Header: http.Header{"Content-Length": {"12"}}}, "12"},
+		{"status 204", http.MethodGet, Reply{Status: http.StatusNoContent}, ""},
+		{"empty body", http.MethodGet, Reply{Status: http.StatusOK}, "0"},
+		{"empty body with a length", http.MethodGet, Reply{Status: http.StatusOK, Header: http.Header{"Content-Length": {"0"}}}, "0"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			resp := relayTo(t, c.method, "HTTP/1.1", c.reply)
+			is := is.New(t)
+			is.NoErr(resp.Body.Close())
+			is.Equal(resp.StatusCode, c.reply.Status)
+			is.Equal(resp.Header.Get("Content-Length"), c.length)
+			is.Equal(len(resp.TransferEncoding), 0)
+		})
+	}
+}
--- a/internal/request/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -123,11 +123,11 @@
 }
 
 // writeComplete writes a complete response. It sets Content-Length unless the response
-// is close-delimited, or the body is empty and the upstream set it, as in the response to
-// a HEAD request.
+// is close-delimited. For an empty body, net/http sets it where the response could have
+// had one; the response to a HEAD request keeps what the upstream stated.
 func writeComplete(w http.ResponseWriter, r Reply) error {
 	to := copyHeader(w, r)
-	if !r.CloseDelimited && (len(r.Bytes) > 0 || to.Get("Content-Length") == "") {
+	if !r.CloseDelimited && len(r.Bytes) > 0 {
 		to.Set("Content-Length", strconv.Itoa(len(r.Bytes)))
 	}
 	w.WriteHeader(r.Status)
