Keep the framing of services' responses that end with their connection

Callers of the product's own front end saw the same as those of the gateway: a plain service answers with neither a length nor chunks and fails in the midst of it; the caller gets the part with a Content-Length that fits.

Cause: the reader takes the end of the connection for that of the response, as HTTP has it, and the responder set the length of what had arrived.

Change: the reader says in messenger.Response whether the response was close-delimited (JSON field close_delimited, absent otherwise, so that old and new binaries interoperate; it is kept with a stored answer). The responder then lets the close of the connection end it. Chat completions are not concerned: they end with [DONE].

--- a/internal/connection/messenger/message.go
+++ b/internal/connection/messenger/message.go
@@ -179,6 +179,9 @@
 	Status int                 `json:"status"`
 	Header map[string][]string `json:"header,omitempty"`
 	Body   []byte              `json:"body,omitempty"`
+	// CloseDelimited is true if only the close of the connection marked the end of the
+	// response, so that it is unknown whether it was complete.
+	CloseDelimited bool `json:"close_delimited,omitempty"`
 }
 
 // Cancel asks an agent to abort one attempt.
--- a/internal/connection/reader/reader.go
+++ b/internal/connection/reader/reader.go
@@ -389,10 +389,18 @@
 	if len(data) > maxResponseBytes {
 		return &Error{Op: "read", Kind: ErrorMalformed, Err: errors.Errorf("response over %d bytes", maxResponseBytes)}
 	}
-	r.emitEvent(Event{Kind: EventResponse, Response: &messenger.Response{Status: resp.StatusCode, Header: resp.Header, Body: data}})
+	r.emitEvent(Event{Kind: EventResponse, Response: &messenger.Response{
+		Status: resp.StatusCode, Header: resp.Header, Body: data, CloseDelimited: isCloseDelimited(resp),
+	}})
 	return nil
 }
 
+// isCloseDelimited reports whether the end of a response is marked only by the end of the
+// connection. A compressed response that net/http has decompressed marks its own end.
+func isCloseDelimited(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed
+}
+
 // sendOnce sends req without retries. The error has the kind [ErrorUnreachable]
 // if no connection was established, so that no byte was sent. Redirects are
 // returned to the caller, since following one would be a second call.
--- a/internal/request/responder/responder.go
+++ b/internal/request/responder/responder.go
@@ -189,7 +189,8 @@
 }
 
 // WriteResponse writes the response of a plain service without its hop-by-hop
-// header fields.
+// header fields. If only the close of a connection marked the end of the response, it
+// does so for the caller as well.
 func WriteResponse(ctx context.Context, w http.ResponseWriter, replies *Ring) error {
 	r, ok, err := firstReply(ctx, w, replies)
 	if !ok {
@@ -201,7 +202,11 @@
 		}
 	}
 	w.Header().Set(OutcomeHeader, string(admitter.OutcomeRan))
-	w.Header().Set("Content-Length", strconv.Itoa(len(r.Response.Body)))
+	if r.Response.CloseDelimited {
+		endWithConnection(w.Header())
+	} else {
+		w.Header().Set("Content-Length", strconv.Itoa(len(r.Response.Body)))
+	}
 	w.WriteHeader(r.Response.Status)
 	if _, err := w.Write(r.Response.Body); err != nil {
 		return &Error{Op: "write", Kind: ErrorDisconnected, Err: err}
@@ -209,6 +214,9 @@
 	return nil
 }
 
+// endWithConnection makes net/http mark the end of a response by closing the connection.
+func endWithConnection(h http.Header) { h.Set("Transfer-Encoding", "identity") }
+
 // WriteModels writes the list of models in the format of OpenAI.
 func WriteModels(ctx context.Context, w http.ResponseWriter, replies *Ring) error {
 	r, ok, err := firstReply(ctx, w, replies)
--- a/internal/request/responder/responder_test.go
+++ b/internal/request/responder/responder_test.go
@@ -1,6 +1,10 @@
 package responder
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -29,6 +33,48 @@
 	})
 }
 
+// writtenResponse returns what a caller gets for a response of a service.
+func writtenResponse(t *testing.T, method, protocol string, r messenger.Response) *http.Response {
+	t.Helper()
+	is := is.New(t)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		replies := NewRing()
+		replies.Put(q.Context(), Reply{Kind: KindResponse, Response: &r})
+		_ = WriteResponse(q.Context(), w, replies)
+	}))
+	t.Cleanup(s.Close)
+	conn, err := net.Dial("tcp", s.Listener.Addr().String())
+	is.NoErr(err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = fmt.Fprintf(conn, "%s / %s\r\nHost: desk.example\r\n\r\n", method, protocol)
+	is.NoErr(err)
+	q, err := http.NewRequestWithContext(t.Context(), method, "/", nil)
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), q)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+// The first part of a response that its service would have ended with the connection got a
+// Content-Length that fits, so that the caller took it for the whole.
+func TestWriteResponseKeepsCloseDelimitedFraming(t *testing.T) {
+	for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		for _, body := range []string{"half", ""} {
+			t.Run(fmt.Sprint(protocol, " with ", len(body), " bytes"), func(t *testing.T) {
+				resp := writtenResponse(t, http.MethodGet, protocol, messenger.Response{Status: http.StatusOK, Body: []byte(body), CloseDelimited: true})
+				is := is.New(t)
+				data, err := io.ReadAll(resp.Body)
+				is.NoErr(err)
+				is.Equal(string(data), body)
+				is.Equal(len(resp.TransferEncoding), 0)
+				is.True(resp.Close)
+				assertHeader(t, resp.Header, map[string]string{"Content-Length": ""})
+			})
+		}
+	}
+}
+
 // A failure must carry its outcome and the time until a retry, rounded up to
 // whole seconds.
 func TestWriteFailureSetsOutcomeAndRetryAfter(t *testing.T) {
