State no length for services' responses to HEAD

Callers of the product's own front end got Content-Length: 0 for each HEAD request to a plain service, whatever the service had stated.

Cause: the responder set the length of the empty body, and drops the length that the service states.

Change: it sets a length only for a body that is there; net/http adds zero for an empty one, but not for HEAD.

Evidence: TestWriteResponseStatesNoLengthForHEAD failed before and passes.

--- a/internal/request/responder/responder.go
+++ b/internal/request/responder/responder.go
@@ -190,7 +190,8 @@
 
 // WriteResponse writes the response of a plain service without its hop-by-hop
 // header fields. If only the close of a connection marked the end of the response, it
-// does so for the caller as well.
+// does so for the caller as well. For an empty body, net/http states the length unless
+// the request was HEAD.
 func WriteResponse(ctx context.Context, w http.ResponseWriter, replies *Ring) error {
 	r, ok, err := firstReply(ctx, w, replies)
 	if !ok {
@@ -202,9 +203,10 @@
 		}
 	}
 	w.Header().Set(OutcomeHeader, string(admitter.OutcomeRan))
-	if r.Response.CloseDelimited {
+	switch {
+	case r.Response.CloseDelimited:
 		endWithConnection(w.Header())
-	} else {
+	case len(r.Response.Body) > 0:
 		w.Header().Set("Content-Length", strconv.Itoa(len(r.Response.Body)))
 	}
 	w.WriteHeader(r.Response.Status)
--- a/internal/request/responder/responder_test.go
+++ b/internal/request/responder/responder_test.go
@@ -75,6 +75,20 @@
 	}
 }
 
+// A response to a HEAD request got a Content-Length of zero, which says that the response
+// to a GET request would have no body.
+func TestWriteResponseStatesNoLengthForHEAD(t *testing.T) {
+	for _, c := range []struct {
+		method string
+		length string
+	}{{http.MethodHead, ""}, {http.MethodGet, "0"}} {
+		t.Run(c.method, func(t *testing.T) {
+			resp := writtenResponse(t, c.method, "HTTP/1.1", messenger.Response{Status: http.StatusOK})
+			assertHeader(t, resp.Header, map[string]string{"Content-Length": c.length})
+		})
+	}
+}
+
 // A failure must carry its outcome and the time until a retry, rounded up to
 // whole seconds.
 func TestWriteFailureSetsOutcomeAndRetryAfter(t *testing.T) {
