--- a/internal/request/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -8,6 +8,10 @@
 // server aborts the connection, so that the caller can tell that the response is
 // incomplete.
 //
+// The framing of a response says no more about its end than the upstream did. If only
+// the end of the connection marked the end of the response, it does so for the caller
+// as well, since the upstream may have failed in the midst of it.
+//
 // # Usage
 //
 //	replies := relayer.NewRing()
@@ -42,7 +46,8 @@
 	KindHead
 	// KindBody carries a part of the body of a streamed response.
 	KindBody
-	// KindEnd marks the end of a streamed response that is complete.
+	// KindEnd marks the end of a streamed response that is complete as far as its
+	// framing says.
 	KindEnd
 	// KindFailed ends a request that failed before any part of a response was
 	// relayed.
@@ -55,9 +60,10 @@
 	Kind   Kind
 	Status int
 	Header http.Header
-	// CloseDelimited is true for the head of a response whose end is marked only by
-	// the close of the connection. It is relayed with the same framing, since it is
-	// unknown whether the response was complete when the connection closed.
+	// CloseDelimited is true for the head, the end or the whole of a response whose end
+	// is marked only by the close of the connection. It is relayed with the same framing,
+	// since it is unknown whether the response was complete when the connection closed.
+	// Head and end differ if a stream was continued by another response.
 	CloseDelimited bool
 	Bytes          []byte
 	Failure        *admitter.Failure
@@ -74,7 +80,7 @@
 // [*Error].
 func Relay(ctx context.Context, w http.ResponseWriter, replies *Ring, fail func(http.ResponseWriter, *admitter.Failure)) error {
 	controller := http.NewResponseController(w)
-	for begun := false; ; {
+	for begun, framed := false, false; ; {
 		r, ok := replies.Take(ctx)
 		if !ok && ctx.Err() == nil {
 			return &Error{Op: "take a reply", Kind: ErrorBroken, Err: errors.New("the response ended prematurely")}
@@ -90,6 +96,7 @@
 		case KindComplete:
 			return writeComplete(w, r)
 		case KindHead:
+			framed = !r.CloseDelimited
 			writeHead(w, r)
 		case KindBody:
 			if err := writeBody(w, r.Bytes); err != nil {
@@ -102,6 +109,11 @@
 				return &Error{Op: "flush", Kind: ErrorCaller, Err: err}
 			}
 		case KindEnd:
+			if framed && r.CloseDelimited {
+				// The events that the caller is to go on from may not have been sent.
+				_ = controller.Flush()
+				return &Error{Op: "end", Kind: ErrorBroken, Err: errors.New("only the close of a connection marks the end of the framed response")}
+			}
 			return nil
 		case KindFailed:
 			fail(w, r.Failure)
@@ -110,11 +122,12 @@
 	}
 }
 
-// writeComplete writes a complete response. It sets Content-Length unless the
-// body is empty and the upstream set it, as in the response to a HEAD request.
+// writeComplete writes a complete response. It sets Content-Length unless the response
+// is close-delimited. For an empty body, net/http sets it where the response could have
+// had one; the response to a HEAD request keeps what the upstream stated.
 func writeComplete(w http.ResponseWriter, r Reply) error {
 	to := copyHeader(w, r)
-	if len(r.Bytes) > 0 || to.Get("Content-Length") == "" {
+	if !r.CloseDelimited && len(r.Bytes) > 0 {
 		to.Set("Content-Length", strconv.Itoa(len(r.Bytes)))
 	}
 	w.WriteHeader(r.Status)
@@ -123,11 +136,7 @@
 
 // writeHead writes the status and headers of a streamed response.
 func writeHead(w http.ResponseWriter, r Reply) {
-	to := copyHeader(w, r)
-	if r.CloseDelimited {
-		// net/http then marks the end of the response by closing the connection.
-		to.Set("Transfer-Encoding", "identity")
-	}
+	copyHeader(w, r)
 	w.WriteHeader(r.Status)
 }
 
@@ -143,6 +152,10 @@
 			to[name] = nil
 		}
 	}
+	if r.CloseDelimited {
+		// net/http then marks the end of the response by closing the connection.
+		to.Set("Transfer-Encoding", "identity")
+	}
 	return to
 }
 
