Stop gracefully after a signal during the start

What callers could see: an entry that gets a SIGTERM before its start has ended cuts off the requests of its first callers, and exits with code 1.

Cause: the context that the signal cancels was passed to the start of the process. The constructors listen already; the start then fails with "context canceled", and no stop hook runs.

Change: the start is not cancelled by the signal; the stop follows it at once.

--- a/cmd/magnoliafront/main.go
+++ b/cmd/magnoliafront/main.go
@@ -202,7 +202,9 @@
 	if err := app.Err(); err != nil {
 		return err
 	}
-	if err := app.Start(ctx); err != nil {
+	// A signal during the start must not skip the graceful stop: callers may have
+	// connected already.
+	if err := app.Start(context.WithoutCancel(ctx)); err != nil {
 		return err
 	}
 	fmt.Println(ready())
