Read what an upstream has sent when its deadline passes

After a freeze of an entry, or when it is short of processor time, requests whose answer had arrived meanwhile are sent again to another upstream, or end as if their time had run out.

Cause: the class of the lost requests at a stop: a timer decides and not what has arrived. When the process runs again, the deadline of a read may take effect before the socket is looked at.

Evidence: TestLateReadReturnsWhatHasArrived fails before in each case in which something has arrived.

Change: at a deadline, the connection takes a last look at what has arrived. At most 64 KiB are read so after the last progress, and no progress after the deadline of the call extends it, so that bytes without end still end the call.

Result: the tests of carrier and forwarder pass with the race detector.

--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -176,9 +176,12 @@
 // setReadDeadline sets the deadline for the next read from the deadline and the
 // idle timeout of the call.
 func (c *Conn) setReadDeadline(a *attempt) error {
-	until := a.call.Deadline
+	until, now := a.call.Deadline, c.options.Clock.Now()
 	if a.call.IdleTimeout > 0 {
-		until = earlier(until, c.options.Clock.Now().Add(a.call.IdleTimeout))
+		until = earlier(until, now.Add(a.call.IdleTimeout))
+	}
+	if now.Before(a.call.Deadline) {
+		c.received.lateBytes = maxLateBytes
 	}
 	if err := c.conn.SetReadDeadline(until); err != nil {
 		return errors.Wrap(err, "set the read deadline")
--- /dev/null
+++ b/internal/connection/carrier/late_test.go
@@ -0,0 +1,86 @@
+package carrier
+
+import (
+	"io"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"magnoliafront.dev/magnoliafront/internal/connection/peeker"
+)
+
+// newLateConn returns a connection whose deadline has passed after sent, and the end of the
+// connection if closed is true, had arrived. It counts the calls of onTimeout.
+func newLateConn(t *testing.T, sent string, closed bool) (c *limitedConn, timeouts *int) {
+	t.Helper()
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	upstream, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	conn, err := l.Accept()
+	is.NoErr(err)
+	t.Cleanup(func() {
+		_ = upstream.Close()
+		_ = conn.Close()
+	})
+	_, err = upstream.Write([]byte(sent))
+	is.NoErr(err)
+	if closed {
+		_ = upstream.Close()
+	}
+	for (sent != "" || closed) && peeker.Peek(conn) == peeker.NoData {
+		time.Sleep(time.Millisecond)
+	}
+	is.NoErr(conn.SetReadDeadline(time.Unix(1, 0)))
+	timeouts = new(int)
+	onTimeout := func() bool {
+		*timeouts++
+		return false
+	}
+	return &limitedConn{Conn: conn, lateBytes: 4, onTimeout: onTimeout}, timeouts
+}
+
+// readAll reads until the first error.
+func readAll(c *limitedConn) (string, error) {
+	var read strings.Builder
+	for b := make([]byte, 16); ; {
+		n, err := c.Read(b)
+		read.Write(b[:n])
+		if err != nil {
+			return read.String(), err
+		}
+	}
+}
+
+// An answer that had arrived when its deadline passed, as after a freeze of the process,
+// was given up, and its request was sent again.
+func TestLateReadReturnsWhatHasArrived(t *testing.T) {
+	for _, c := range []struct {
+		name, sent string
+		closed     bool
+		want       string
+		err        error
+		timeouts   int
+	}{
+		{"nothing has arrived", "", false, "", os.ErrDeadlineExceeded, 1},
+		{"an answer has arrived", "ok", false, "ok", os.ErrDeadlineExceeded, 1},
+		{"the end of the connection has arrived", "", true, "", io.EOF, 0},
+		{"more than the limit has arrived", "endless", false, "endl", os.ErrDeadlineExceeded, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			conn, timeouts := newLateConn(t, c.sent, c.closed)
+			read, err := readAll(conn)
+			is := is.New(t)
+			is.Equal(read, c.want)
+			is.True(errors.Is(err, c.err))
+			is.Equal(*timeouts, c.timeouts)
+		})
+	}
+}
--- a/internal/connection/carrier/limit.go
+++ b/internal/connection/carrier/limit.go
@@ -4,14 +4,21 @@
 	"io"
 	"net"
 	"os"
+	"time"
 
 	"github.com/go-faster/errors"
+
+	"magnoliafront.dev/magnoliafront/internal/connection/peeker"
 )
 
 // maxHeadBytes is the maximum size of the head of a response, with all informational
 // responses before it.
 const maxHeadBytes = 64 << 10
 
+// maxLateBytes is the maximum number of bytes that are read after a deadline, since they
+// had arrived before. It is about what the kernel holds for a connection.
+const maxLateBytes = 64 << 10
+
 // errHeadTooLarge ends the read of a head that exceeds maxHeadBytes.
 var errHeadTooLarge = errors.Errorf("the head of the answer exceeds %d bytes", maxHeadBytes)
 
@@ -22,7 +29,9 @@
 	net.Conn
 	limited   bool
 	remaining int
-	// onTimeout is called when a read has reached its deadline. If it returns true,
+	// lateBytes is the number of bytes that may still be read after the deadline.
+	lateBytes int
+	// onTimeout is called when a read has reached its deadline and nothing has arrived. If it returns true,
 	// the read is repeated, so that the parsers above do not see the timeout, after
 	// which they could not continue.
 	onTimeout func() bool
@@ -48,10 +57,14 @@
 	return n, err
 }
 
-// read reads from the connection until onTimeout ends it.
+// read reads from the connection until onTimeout ends it. After a freeze of the process,
+// deadlines have passed although the upstream has sent what was awaited.
 func (c *limitedConn) read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			n, err = c.readLate(b)
+		}
 		if errors.Is(err, io.EOF) && c.writeErr != nil {
 			err = c.writeErr
 		}
@@ -60,3 +73,16 @@
 		}
 	}
 }
+
+// readLate reads what has arrived although the deadline has passed: bytes, or the end of
+// the connection.
+func (c *limitedConn) readLate(b []byte) (int, error) {
+	if c.lateBytes <= 0 || peeker.Peek(c.Conn) == peeker.NoData {
+		return 0, os.ErrDeadlineExceeded
+	}
+	_ = c.SetReadDeadline(time.Time{})
+	n, err := c.Conn.Read(b[:min(len(b), c.lateBytes)])
+	c.lateBytes -= n
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+	return n, err
+}
