Do not log callers that have got their answer as unanswered

What operators saw: "connection closed before an answer" with bytes_unread=true for a caller that had got 413, since net/http closes half a second after it, while the rest of the body still arrives.

Cause: the line looked only at what had arrived, not at whether the server had ended its side of the connection.

Evidence: a stress of package drainer with bodies over the limit wrote such lines half a second after the others. TestUnansweredRequestIsTold fails before in the case of the rest of a body.

Change: a connection whose sending side is closed has no unanswered request.

--- a/internal/connection/closer/closer.go
+++ b/internal/connection/closer/closer.go
@@ -47,6 +47,9 @@
 	phaseRequest
 	// phaseAnswer means that the answer has begun.
 	phaseAnswer
+	// phaseEnded means that the server has sent its last byte. What arrives after that
+	// is the rest of a body that was too large, or a request that cannot be answered.
+	phaseEnded
 )
 
 // Conn is the connection of a caller. It knows whether a part of a request that is
@@ -142,7 +145,7 @@
 		return c.Conn.Close()
 	}
 	state := peeker.Peek(c.Conn)
-	if state != peeker.Ended && (phase == phaseHead || phase == phaseRequest || unserved > 0 || state == peeker.DataAvailable) {
+	if hasUnanswered(phase, unserved, state) {
 		klog.InfoS("connection closed before an answer", "caller", c.RemoteAddr().String(),
 			"serving", phase == phaseRequest, "bytes_read", unserved, "bytes_unread", state == peeker.DataAvailable)
 	}
@@ -150,8 +153,20 @@
 	return c.Conn.Close()
 }
 
+// hasUnanswered reports whether a connection that is closed has at least a part of a request
+// without an answer, and its caller waits for one.
+func hasUnanswered(p phase, unserved int, s peeker.State) bool {
+	if p == phaseEnded || s == peeker.Ended {
+		return false
+	}
+	return p == phaseHead || p == phaseRequest || unserved > 0 || s == peeker.DataAvailable
+}
+
 // CloseWrite closes the sending side of the connection.
 func (c *Conn) CloseWrite() error {
+	c.mu.Lock()
+	c.phase = phaseEnded
+	c.mu.Unlock()
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return w.CloseWrite()
 	}
--- a/internal/connection/closer/closer_test.go
+++ b/internal/connection/closer/closer_test.go
@@ -186,3 +186,34 @@
 		})
 	}
 }
+
+// The log line of a connection that is closed before an answer also told of callers that
+// had got one, while they still sent a body that was too large.
+func TestUnansweredRequestIsTold(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		steps      func(t *testing.T, c *Conn, caller net.Conn)
+		unanswered bool
+	}{
+		{"a request is served", func(t *testing.T, c *Conn, caller net.Conn) {
+			FollowState(c, http.StateActive)
+		}, true},
+		{"a request has arrived", func(t *testing.T, c *Conn, caller net.Conn) {
+			write(t, caller, "POST /")
+			awaitArrival(t, c)
+		}, true},
+		{"the answer has ended, the rest of the body arrives", func(t *testing.T, c *Conn, caller net.Conn) {
+			FollowState(c, http.StateActive)
+			write(t, c, "HTTP/1.1 413 Request Entity Too Large")
+			is.New(t).NoErr(c.CloseWrite())
+			write(t, caller, "more")
+			awaitArrival(t, c)
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			conn, caller := newConn(t)
+			c.steps(t, conn, caller)
+			is.New(t).Equal(hasUnanswered(conn.phase, conn.unserved, peeker.Peek(conn.Conn)), c.unanswered)
+		})
+	}
+}
