--- a/internal/connection/carrier/limit.go
+++ b/internal/connection/carrier/limit.go
@@ -31,9 +31,9 @@
 	remaining int
 	// lateBytes is the number of bytes that may still be read after the deadline.
 	lateBytes int
-	// onTimeout is called when a read has reached its deadline and nothing has arrived. If it returns true,
-	// the read is repeated, so that the parsers above do not see the timeout, after
-	// which they could not continue.
+	// onTimeout is called when a read has reached its deadline and nothing has arrived.
+	// If it returns true, the read is repeated, so that the parsers above do not see the
+	// timeout, after which they could not continue.
 	onTimeout func() bool
 	// writeErr is the error with which the connection ended during a write. The kernel
 	// reports it only once, so that a read after it would find an orderly end.
