Answer requests that end inside the entry without a reply

Callers saw their connection close without an answer when a request ended inside the entry and nothing of an answer had been written: after a panic in the forwarder or the dispatcher, the ring of its replies is closed empty.

Relay now returns an error of the kind ErrorNoReply, and the receiver answers 502 `interrupted` with the outcome unknown, since a part of the request may have been sent. A response that has begun is cut off as before.

--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -261,8 +261,7 @@
 	return true
 }
 
-// abort ends a request after a panic. The caller sees its connection close, since a
-// part of the request may have been sent.
+// abort ends a request after a panic, without a reply.
 func (f *Forwarder) abort(t *inFlightRequest) {
 	if t == nil {
 		return
@@ -377,8 +376,7 @@
 	}
 }
 
-// stop aborts all requests, which closes the connections to their callers, and
-// closes all idle connections to upstreams.
+// stop ends all requests without a reply and closes all idle connections to upstreams.
 func (f *Forwarder) stop() {
 	for _, a := range f.inFlight {
 		a.cancelCalls()
--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -189,7 +189,12 @@
 		r.options.Codec.WriteFailure(w, admitter.OverloadedFailure())
 		return
 	}
-	if err := relayer.Relay(req.Context(), w, j.Replies, r.options.Codec.WriteFailure); err != nil {
+	err := relayer.Relay(req.Context(), w, j.Replies, r.options.Codec.WriteFailure)
+	switch {
+	case relayer.IsKind(err, relayer.ErrorNoReply):
+		klog.InfoS("request ended without a reply", "request", request.ID, "stopping", r.refusing.Load())
+		r.options.Codec.WriteFailure(w, interruptedFailure())
+	case err != nil:
 		klog.InfoS("answer cut off", "request", request.ID, "stopping", r.refusing.Load(), "err", err)
 		cutOff(w, req)
 	}
@@ -213,6 +218,15 @@
 	_ = conn.Close()
 }
 
+// interruptedFailure returns the failure of a request that ended inside the entry
+// without a reply. A part of it may have been sent.
+func interruptedFailure() *admitter.Failure {
+	return &admitter.Failure{
+		Status: http.StatusBadGateway, Code: "interrupted", Message: "the entry has given the request up",
+		Outcome: admitter.OutcomeUnknown,
+	}
+}
+
 // stoppingFailure returns the failure of a request that arrives when the remaining
 // time is too short to finish it.
 func stoppingFailure() *admitter.Failure {
--- a/internal/request/relayer/error.go
+++ b/internal/request/relayer/error.go
@@ -17,6 +17,9 @@
 	// written in part. The connection must be aborted, so that the caller can tell
 	// that the response is incomplete.
 	ErrorBroken
+	// ErrorNoReply means that the ring was closed before the first reply. Nothing has
+	// been written, so the caller can still get a failure.
+	ErrorNoReply
 )
 
 // Error describes a response that could not be relayed completely.
--- a/internal/request/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -6,7 +6,8 @@
 // the body that hold whole events, and an end. If the ring is closed before the
 // end, the response is incomplete. [Relay] then returns an error on which the
 // server aborts the connection, so that the caller can tell that the response is
-// incomplete.
+// incomplete. If not even the head has been written, the error is of the kind
+// [ErrorNoReply] and the server writes a failure instead.
 //
 // # Usage
 //
@@ -76,6 +77,9 @@
 	controller := http.NewResponseController(w)
 	for begun := false; ; {
 		r, ok := replies.Take(ctx)
+		if !ok && ctx.Err() == nil && !begun {
+			return &Error{Op: "take a reply", Kind: ErrorNoReply, Err: errors.New("the request ended without a reply")}
+		}
 		if !ok && ctx.Err() == nil {
 			return &Error{Op: "take a reply", Kind: ErrorBroken, Err: errors.New("the response ended prematurely")}
 		}
--- a/internal/request/relayer/relayer_test.go
+++ b/internal/request/relayer/relayer_test.go
@@ -10,6 +10,31 @@
 	"magnoliafront.dev/magnoliafront/internal/request/admitter"
 )
 
+// A request that ended without any reply closed the connection of its caller, who could
+// have got a failure: nothing had been written.
+func TestRingClosedBeforeFirstReplyLeavesAnswerToServer(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		replies []Reply
+		kind    ErrorKind
+	}{
+		{"no reply", nil, ErrorNoReply},
+		{"head", []Reply{{Kind: KindHead, Status: http.StatusOK, Header: http.Header{}}}, ErrorBroken},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			replies := NewRing()
+			for _, r := range c.replies {
+				replies.Put(t.Context(), r)
+			}
+			replies.Close()
+			err := Relay(t.Context(), httptest.NewRecorder(), replies, func(http.ResponseWriter, *admitter.Failure) {
+				t.Fatal("Relay knows no failure")
+			})
+			is.New(t).True(IsKind(err, c.kind))
+		})
+	}
+}
+
 // A reply that is a whole answer by itself must not be written into one that has begun:
 // the caller would find its text in the stream, and the stream would look complete.
 func TestWholeAnswerIsNotWrittenIntoAnother(t *testing.T) {
