Answer requests without an answer before the exit

In a planned stop, requests that were still in flight 0.7 s before the end of the grace period were cut off: receiver.Stop closed all connections, also those on which no byte of an answer had been written, and the upstreams worked on. Callers with a request that must not be repeated learned nothing at all, and the entry's log had only `answer cut off`.

Cause: no part of the entry that decides knew when the process exits. The exit deadline was a context of receiver.Stop alone.

drainGateway now tells the forwarder at the SIGTERM when the process exits (dispatcher.Stop). 0.2 s before it, the dispatcher ends all requests whose answer has not begun: 504 with the outcome unknown, as the attempt in flight may have been run; the calls to the upstreams are cancelled. The margin is twice the time that an upstream has after a deadline to say so. Streams that have begun go on to the exit. Each request has its `request ended` line, with outcome=stopping. Jobs that the forwarder has not started when it is stopped are refused with 503. The exit deadline follows the injected clock.

--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -21,6 +21,8 @@
 // dispatcher derives the total load of an upstream from these reports and sheds
 // deferrable requests that no upstream could begin in time.
 //
+// An entry that stops answers all requests before it exits; see [Stop].
+//
 // # Usage
 //
 //	d := dispatcher.New(dispatcher.Settings{AvailabilityZone: "stowe", Seed: 1})
@@ -73,6 +75,10 @@
 	// trial is the ID of the last request that was sent on trial.
 	trial    string
 	exchange loadExchange
+	// stop is set once the entry stops, and finalAnswersGiven is true once the requests
+	// without an answer have got a final one.
+	stop              Stop
+	finalAnswersGiven bool
 }
 
 // service holds the load balancer, the retry budget and the upstreams of one
@@ -140,6 +146,10 @@
 		d.synced = e.Synced
 	case EventHeldBack:
 		return d.holdBack(now, e)
+	case EventStopping:
+		d.stop = e.Stop
+	case EventFinalAnswers:
+		return d.giveFinalAnswers(now)
 	}
 	return nil
 }
--- a/internal/process/dispatcher/event.go
+++ b/internal/process/dispatcher/event.go
@@ -70,6 +70,10 @@
 	// EventHeldBack means that Upstream wants no requests from this entry for
 	// RetryAfter, as it said in the answer to request ID.
 	EventHeldBack
+	// EventStopping means that the entry has begun to stop, as Stop says.
+	EventStopping
+	// EventFinalAnswers is due at [Dispatcher.FinalAnswersAt].
+	EventFinalAnswers
 )
 
 // AttemptOutcome is the way in which an attempt ended.
@@ -135,6 +139,8 @@
 	// EventRetryBudget.
 	RetryRatio    float64
 	RetryCapacity float64
+	// Stop is set for EventStopping.
+	Stop Stop
 }
 
 // ActionKind is the kind of an [Action].
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -81,7 +81,7 @@
 	t.call = carrier.Call{
 		Request: a.ID, Attempt: a.Attempt, Context: ctx,
 		Head: f.options.Codec.Encode(t.job, a, a.Deadline.Sub(now)), Body: t.job.Body,
-		DialTimeout: a.DialTimeout, Deadline: a.Deadline.Add(deadlineGrace), IdleTimeout: a.IdleTimeout,
+		DialTimeout: a.DialTimeout, Deadline: a.Deadline.Add(dispatcher.DeadlineGrace), IdleTimeout: a.IdleTimeout,
 		ReportSent: t.suspended != nil,
 		Stream:     a.Stream, Begun: a.Begun, LastEvent: a.LastEvent,
 		Classify:     f.options.Codec.ClassifyResponse(a.ID), //nolint:bodyclose // the function reads only the head
@@ -94,10 +94,6 @@
 	f.startCall(now, t)
 }
 
-// deadlineGrace is the time after the deadline of an attempt within which the
-// upstream may still answer that the deadline has passed.
-const deadlineGrace = 100 * time.Millisecond
-
 // startCall sends the call of an attempt on an idle or a new connection.
 func (f *Forwarder) startCall(now time.Time, t *inFlightRequest) {
 	c := t.pool.get(now)
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -31,6 +31,7 @@
 	"magnoliafront.dev/magnoliafront/internal/process/recoverer"
 	"magnoliafront.dev/magnoliafront/internal/process/registrar"
 	"magnoliafront.dev/magnoliafront/internal/request/relayer"
+	"magnoliafront.dev/magnoliafront/internal/request/retrier"
 	"magnoliafront.dev/magnoliafront/internal/version/matcher"
 	"magnoliafront.dev/magnoliafront/pkg/buffer"
 	"magnoliafront.dev/magnoliafront/pkg/timer"
@@ -143,6 +144,7 @@
 	eventSynced
 	eventRetryBudget
 	eventLoadReceived
+	eventStopping
 )
 
 // event is an input of the goroutine other than a job. Only the fields of its kind
@@ -162,6 +164,7 @@
 	loadReport    dispatcher.LoadReport
 	retryRatio    float64
 	retryCapacity float64
+	stop          dispatcher.Stop
 }
 
 // New starts a forwarder.
@@ -219,6 +222,10 @@
 	f.put(event{kind: eventLoadReceived, entry: entry, loadReport: r})
 }
 
+// BeginStop announces that the entry stops: requests without an answer get one before
+// the exit.
+func (f *Forwarder) BeginStop(s dispatcher.Stop) { f.put(event{kind: eventStopping, stop: s}) }
+
 // State returns the current snapshot.
 func (f *Forwarder) State() State { return *f.state.Load() }
 
@@ -243,9 +250,7 @@
 	defer stop()
 	select {
 	case e := <-f.events.C():
-		if err := f.options.Recoverer.Run("forwarder event", func() { f.handleEvent(e) }); err != nil && e.kind == eventReport {
-			f.abort(f.inFlight[e.report.Request])
-		}
+		f.runEvent(e)
 	case j := <-f.jobs.C():
 		if err := f.options.Recoverer.Run("forwarder job", func() { f.handleJob(j) }); err != nil {
 			j.Replies.Close()
@@ -261,6 +266,13 @@
 	return true
 }
 
+// runEvent handles an event. A panic ends the request of a report.
+func (f *Forwarder) runEvent(e event) {
+	if err := f.options.Recoverer.Run("forwarder event", func() { f.handleEvent(e) }); err != nil && e.kind == eventReport {
+		f.abort(f.inFlight[e.report.Request])
+	}
+}
+
 // abort ends a request after a panic, without a reply.
 func (f *Forwarder) abort(t *inFlightRequest) {
 	if t == nil {
@@ -274,13 +286,16 @@
 	delete(f.inFlight, t.job.Request.ID)
 }
 
-// nextTimer returns a channel that receives at the next expiry or load report, and
-// a function that releases the timer.
+// nextTimer returns a channel that receives at the next expiry, load report or final
+// answers, and a function that releases the timer.
 func (f *Forwarder) nextTimer() (<-chan time.Time, func()) {
 	next := f.nextLoadReport
 	if at := f.registrar.NextChange(); !at.IsZero() && at.Before(next) {
 		next = at
 	}
+	if at := f.dispatcher.FinalAnswersAt(); !at.IsZero() && at.Before(next) {
+		next = at
+	}
 	for _, p := range f.pools {
 		if at := p.nextExpiry(); !at.IsZero() && at.Before(next) {
 			next = at
@@ -289,8 +304,8 @@
 	return f.options.Clock.After(max(0, next.Sub(f.options.Clock.Now())))
 }
 
-// handleTimer sends a due load report, closes expired connections and updates the
-// upstreams if registrations have expired.
+// handleTimer sends a due load report, closes expired connections, updates the
+// upstreams if registrations have expired, and gives due final answers.
 func (f *Forwarder) handleTimer() {
 	now := f.options.Clock.Now()
 	if !now.Before(f.nextLoadReport) {
@@ -304,6 +319,20 @@
 	if next := f.registrar.NextChange(); !next.IsZero() && !now.Before(next) {
 		f.updateUpstreams(now)
 	}
+	if at := f.dispatcher.FinalAnswersAt(); !at.IsZero() && !now.Before(at) {
+		f.giveFinalAnswers(now)
+	}
+}
+
+// giveFinalAnswers answers the requests without an answer before the exit.
+func (f *Forwarder) giveFinalAnswers(now time.Time) {
+	// Reports that wait may say that an answer has begun.
+	for range f.events.Stats().Depth {
+		if e, ok := f.events.TryTake(); ok {
+			f.runEvent(e)
+		}
+	}
+	f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventFinalAnswers})
 }
 
 func (f *Forwarder) handleEvent(e event) {
@@ -333,6 +362,8 @@
 	case eventLoadReceived:
 		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventLoadReceived, Entry: e.entry, Report: e.loadReport})
 		f.publishSharedRuns()
+	case eventStopping:
+		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventStopping, Stop: e.stop})
 	case eventRetryBudget:
 		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventRetryBudget, RetryRatio: e.retryRatio, RetryCapacity: e.retryCapacity})
 	}
@@ -376,8 +407,13 @@
 	}
 }
 
-// stop ends all requests without a reply and closes all idle connections to upstreams.
+// stop refuses the requests that have not been started, ends those in flight without a
+// reply and closes all idle connections to upstreams.
 func (f *Forwarder) stop() {
+	for j, ok := f.jobs.TryTake(); ok; j, ok = f.jobs.TryTake() {
+		failure := retrier.Decide(retrier.RequestState{}, retrier.CauseStopping).Failure
+		j.Replies.Put(j.Context, relayer.Reply{Kind: relayer.KindFailed, Failure: failure})
+	}
 	for _, a := range f.inFlight {
 		a.cancelCalls()
 		a.job.Replies.Close()
--- /dev/null
+++ b/internal/process/forwarder/stop_test.go
@@ -0,0 +1,116 @@
+package forwarder_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
+	"magnoliafront.dev/magnoliafront/internal/process/forwarder"
+	"magnoliafront.dev/magnoliafront/internal/process/registrar"
+	"magnoliafront.dev/magnoliafront/internal/request/relayer"
+	"magnoliafront.dev/magnoliafront/internal/version/matcher"
+	"magnoliafront.dev/magnoliafront/pkg/timer"
+)
+
+// newStoppableForwarder returns a forwarder with one upstream that serves connections
+// with serve, and a route whose requests must not run twice.
+func newStoppableForwarder(t *testing.T, clock timer.Clock, c forwarder.Codec, serve func(net.Conn)) *forwarder.Forwarder {
+	t.Helper()
+	f := forwarder.New(forwarder.Options{Clock: clock, Codec: c})
+	t.Cleanup(f.Stop)
+	f.HandleRegistrarEvent(registrar.Event{Kind: registrar.EventListed, Upstreams: []registrar.Upstream{
+		{Name: "desk-1", Service: "desk", Address: listenUpstream(t, serve)},
+	}})
+	f.Configure(matcher.New(matcher.Configuration{Version: 1, Routes: []matcher.Route{{
+		Name: "all", Host: "h", PathPrefix: "/", Public: true, Kind: matcher.NonIdempotent, MaxAttempts: 1, Timeout: time.Minute,
+		WeightedServices: []matcher.WeightedService{{Service: "desk", Weight: 1}},
+	}}, Services: []matcher.Service{{Name: "desk"}}}))
+	awaitVersion(f, 1)
+	return f
+}
+
+// awaitVersion waits until the configuration with the given version is in force.
+func awaitVersion(f *forwarder.Forwarder, version int64) {
+	for s := f.State(); s.Table == nil || s.Table.Configuration.Version < version; s = f.State() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// assertFailure checks that the next reply is a failure with the given status.
+func assertFailure(ctx context.Context, t *testing.T, replies *relayer.Ring, status int) {
+	t.Helper()
+	reply, ok := replies.Take(ctx)
+	is := is.New(t)
+	is.True(ok)
+	is.Equal(reply.Kind, relayer.KindFailed)
+	is.Equal(reply.Failure.Status, status)
+}
+
+// At the exit of an entry, requests in flight ended without a reply while their upstreams
+// still worked on them.
+func TestRequestInFlightIsAnsweredBeforeExit(t *testing.T) {
+	clock := timer.NewManual(time.Now())
+	reached, disconnected := make(chan struct{}), make(chan struct{})
+	f := newStoppableForwarder(t, clock, faultyCodec{}, func(conn net.Conn) {
+		close(reached)
+		staySilent(conn)
+		close(disconnected)
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	replies := submit(ctx, t, f, "r1", time.Minute)
+	<-reached
+	f.BeginStop(dispatcher.Stop{NoticeEnd: clock.Now().Add(time.Second), ExitDeadline: clock.Now().Add(2 * time.Second)})
+	// An event after BeginStop is in force, so BeginStop is too.
+	f.Configure(matcher.New(matcher.Configuration{Version: 2}))
+	awaitVersion(f, 2)
+	clock.Advance(1900 * time.Millisecond)
+	assertFailure(ctx, t, replies, http.StatusGatewayTimeout)
+	<-disconnected
+}
+
+// blockingCodec blocks the goroutine of the forwarder in its first call of Encode until
+// release is closed.
+type blockingCodec struct {
+	faultyCodec
+	blocked chan struct{}
+	release chan struct{}
+}
+
+func (c blockingCodec) Encode(j forwarder.Job, a dispatcher.Action, remaining time.Duration) *http.Request {
+	select {
+	case c.blocked <- struct{}{}:
+		<-c.release
+	case <-c.release:
+	}
+	return c.faultyCodec.Encode(j, a, remaining)
+}
+
+// Requests that waited in the ring of jobs when the forwarder stopped had no end.
+func TestRequestsInRingEndAtStop(t *testing.T) {
+	c := blockingCodec{blocked: make(chan struct{}), release: make(chan struct{})}
+	f := newStoppableForwarder(t, timer.System{}, c, staySilent)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	submit(ctx, t, f, "r1", time.Minute)
+	<-c.blocked
+	replies := submit(ctx, t, f, "r2", time.Minute)
+	go f.Stop()
+	for f.Submit(ctx, forwarder.Job{Context: ctx, Replies: relayer.NewRing()}) {
+		time.Sleep(time.Millisecond)
+	}
+	close(c.release)
+	reply, ok := replies.Take(ctx)
+	is := is.New(t)
+	is.NoErr(ctx.Err())
+	// The forwarder may have taken the job before it saw that it must stop.
+	if ok {
+		is.Equal(reply.Kind, relayer.KindFailed)
+		is.Equal(reply.Failure.Status, http.StatusServiceUnavailable)
+	}
+}
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -209,13 +209,14 @@
 // drainGateway registers the first step of a graceful stop: the entry becomes
 // unready, but still accepts requests during the notice period, while the load
 // balancer detects that it leaves. Then it refuses new requests and finishes those
-// in flight, as far as the grace period allows.
-func drainGateway(lc fx.Lifecycle, s loader.Gateway, c timer.Clock, r *receiver.Receiver, p *peering) {
+// in flight. The forwarder answers those that have not ended within the grace period.
+func drainGateway(lc fx.Lifecycle, s loader.Gateway, c timer.Clock, f *forwarder.Forwarder, r *receiver.Receiver, p *peering) {
 	lc.Append(fx.StopHook(func(ctx context.Context) error {
 		now := c.Now()
 		exitDeadline, noticeEnd := now.Add(s.GracePeriodDuration()-gracePeriodMargin), now.Add(s.NoticePeriodDuration())
 		klog.InfoS("stopping", "identity", s.Identity, "grace", s.GracePeriodDuration())
 		r.Drain()
+		f.BeginStop(dispatcher.Stop{NoticeEnd: noticeEnd, ExitDeadline: exitDeadline})
 		withdrawCtx, cancel := context.WithTimeout(ctx, withdrawTimeout)
 		if err := p.syncer.DeleteOwnEntry(withdrawCtx); err != nil {
 			klog.InfoS("entry not withdrawn", "identity", s.Identity, "err", err)
@@ -224,7 +225,7 @@
 		sleep(ctx, c, noticeEnd.Sub(c.Now()))
 		r.Refuse()
 		sleep(ctx, c, refusalPeriod)
-		finishCtx, cancel := context.WithTimeout(ctx, max(0, exitDeadline.Sub(c.Now())))
+		finishCtx, cancel := withDeadline(ctx, c, exitDeadline)
 		defer cancel()
 		err := r.Stop(finishCtx)
 		klog.InfoS("stopped", "identity", s.Identity, "err", err)
@@ -232,6 +233,16 @@
 	}))
 }
 
+// withDeadline returns a copy of ctx that is cancelled at the deadline on the clock c.
+func withDeadline(ctx context.Context, c timer.Clock, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		sleep(ctx, c, deadline.Sub(c.Now()))
+	}()
+	return ctx, cancel
+}
+
 // sleep waits for d or until ctx is done.
 func sleep(ctx context.Context, c timer.Clock, d time.Duration) {
 	wake, stop := c.After(max(0, d))
--- a/internal/process/starter/gateway_fixture_test.go
+++ b/internal/process/starter/gateway_fixture_test.go
@@ -19,6 +19,7 @@
 	"magnoliafront.dev/magnoliafront/internal/process/emulator"
 	"magnoliafront.dev/magnoliafront/internal/process/forwarder"
 	"magnoliafront.dev/magnoliafront/internal/process/loader"
+	"magnoliafront.dev/magnoliafront/pkg/timer"
 )
 
 // gatewayFixture runs a store, runners, which stand in for the upstreams, and
@@ -29,8 +30,11 @@
 	storeURL             string
 	runners              []*emulator.Runner
 	configurationVersion int
-	// noticePeriod is the notice period of the entries that are started next.
+	// noticePeriod and gracePeriod are the periods of the entries that are started
+	// next, and clock is their clock.
 	noticePeriod string
+	gracePeriod  string
+	clock        timer.Clock
 }
 
 // waitTimeout bounds each wait of a test. Waits usually end long before.
@@ -38,7 +42,7 @@
 
 func newGatewayFixture(t *testing.T, runners int) *gatewayFixture {
 	t.Helper()
-	r := &gatewayFixture{t: t, store: emulator.NewObjectStore(), noticePeriod: "50ms"}
+	r := &gatewayFixture{t: t, store: emulator.NewObjectStore(), noticePeriod: "50ms", gracePeriod: "8s", clock: timer.System{}}
 	r.storeURL = r.serveStore(r.store).URL
 	t.Cleanup(r.store.Stop)
 	for i := range runners {
@@ -110,12 +114,13 @@
 			Identity: name, AvailabilityZone: "z", PeerListen: g.peerAddress, Platform: url,
 			SharedSecret: "secret of the test", Peers: peers,
 		},
-		Listen: g.callerAddress, ReadyListen: g.readyAddress, GracePeriod: "8s", NoticePeriod: r.noticePeriod, LeavingLimit: "2s", RetryShare: 0.2, RetrySlack: 50,
+		Listen: g.callerAddress, ReadyListen: g.readyAddress, GracePeriod: r.gracePeriod, NoticePeriod: r.noticePeriod, LeavingLimit: "2s", RetryShare: 0.2, RetrySlack: 50,
 	}
 	is.NoErr(s.Check())
 	path := filepath.Join(r.t.TempDir(), "settings.json")
 	is.NoErr(os.WriteFile(path, []byte("{}"), 0o600))
-	g.app = fx.New(Gateway(s, SettingsFile{Path: path}), fx.Populate(&g.forwarder, &g.peering))
+	g.app = fx.New(Gateway(s, SettingsFile{Path: path}), fx.Populate(&g.forwarder, &g.peering),
+		fx.Decorate(func(timer.Clock) timer.Clock { return r.clock }))
 	is.NoErr(g.app.Err())
 	is.NoErr(g.app.Start(context.Background()))
 	r.t.Cleanup(func() { _ = g.app.Stop(context.Background()) })
--- a/internal/request/retrier/retrier.go
+++ b/internal/request/retrier/retrier.go
@@ -33,6 +33,9 @@
 	MaxLosses = 3
 )
 
+// CodeStopping is the code of a request that ends because this process stops.
+const CodeStopping = "stopping"
+
 // RequestState is the state of a request that the decision depends on.
 type RequestState struct {
 	Repeatable bool
@@ -79,6 +82,8 @@
 	CauseFailed
 	// CauseExpired means that the deadline of the request has passed.
 	CauseExpired
+	// CauseStopping means that this process is about to exit.
+	CauseStopping
 )
 
 // Decision is the result of [Decide]: another attempt or a failure.
@@ -109,6 +114,10 @@
 		return fail(http.StatusServiceUnavailable, "expired", "no upstream could begin the request in time", outcome)
 	case c == CauseExpired:
 		return fail(http.StatusGatewayTimeout, "expired", "the upstream did not answer in time", outcome)
+	case c == CauseStopping && outcome == admitter.OutcomeNotRun:
+		return fail(http.StatusServiceUnavailable, CodeStopping, "this process stops before an upstream has begun the request", outcome)
+	case c == CauseStopping:
+		return fail(http.StatusGatewayTimeout, CodeStopping, "this process stops before the upstream has answered", outcome)
 	case c == CauseFailed && (!s.Repeatable || s.possibleRuns() >= s.maxRuns()):
 		return forwardUpstreamError("the upstream failed the request")
 	case c == CauseLost && !s.Repeatable:
--- a/internal/request/retrier/retrier_test.go
+++ b/internal/request/retrier/retrier_test.go
@@ -26,6 +26,8 @@
 		{"lost and repeatable: retried", RequestState{Repeatable: true, Lost: 1}, CauseLost, "", ""},
 		{"lost and not repeatable: unknown", RequestState{Lost: 1}, CauseLost, "upstream_lost", admitter.OutcomeUnknown},
 		{"maximum of losses: unknown", RequestState{Repeatable: true, Lost: MaxLosses}, CauseLost, "upstreams_lost", admitter.OutcomeUnknown},
+		{"refused before this process exits: not run", RequestState{Refused: 2}, CauseStopping, CodeStopping, admitter.OutcomeNotRun},
+		{"in flight when this process exits: unknown", RequestState{Lost: 1}, CauseStopping, CodeStopping, admitter.OutcomeUnknown},
 		{"quarantined content: unknown", RequestState{Repeatable: true, Lost: 2, Quarantined: true}, CauseLost, "quarantined", admitter.OutcomeUnknown},
 	} {
 		t.Run(c.name, func(t *testing.T) {
