Take only requests that end before the exit of a stopping entry

In a planned stop an entry took every request of the notice period (2.7 s), however long its caller would wait and its route usually ran, and sent requests again and resumed streams until the last moment. What had not ended 0.7 s before the end of the grace period was cut off, requests that must not be repeated included. After the notice period it refused everything, also calls that would have ended seconds before the exit, and closed with that connections that callers kept using.

Cause: the decision to take a request knew neither the time of the exit nor that of the request; a fixed time after the signal stood for both.

The dispatcher now decides, from the exit deadline that it is given:

- A new request is taken if its own end, the deadline of the caller or the timeout of the route, passes before the final answers of the stop.
In the notice period it is also taken if the mean run of its route ends before them.
The mean is what package separator learns already; it now learns it for calls too, which count in no other decision.
A call whose route has no run yet is expected to meet its latency target; a stream without one is not taken.
The mean and not a longer time, because a refusal costs the caller one of few attempts, and the next one may come to this entry again until the load balancer has noticed.
After the notice period only what is certain is taken, as such requests have no excuse.
- Another attempt (retry, resumption, attempt beside a silent one) starts under the same condition, certain or expected.
Otherwise the request ends as retrier decides: 503 if it has not run, else 502 or the error of the upstream; a silent attempt goes on.
- A refusal is 503 with the code stopping and a short Retry-After, as before.

Receiver.Refuse is gone, so that another front end has the same rule.

Evidence: with the two conditions disabled, five cases of TestStoppingEntryTakesOnlyRequestsThatEndBeforeExit and six of TestStoppingEntryStartsOnlyAttemptsThatEndBeforeExit fail.

--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -21,7 +21,8 @@
 // dispatcher derives the total load of an upstream from these reports and sheds
 // deferrable requests that no upstream could begin in time.
 //
-// An entry that stops answers all requests before it exits; see [Stop].
+// An entry that stops takes, and sends again, only requests that will end before it
+// exits, and answers all others before that; see [Stop].
 //
 // # Usage
 //
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -97,6 +97,9 @@
 		f.configurationVersion = d.table.Configuration.Version
 	}
 	f.summary.Version = f.configurationVersion
+	if end := r.Received.Add(a.Route.Timeout); a.Route.Timeout > 0 && (f.deadline.IsZero() || end.Before(f.deadline)) {
+		f.deadline = end
+	}
 	if failure != nil && !d.synced && failure.Status != http.StatusServiceUnavailable {
 		// A newer configuration may permit the request.
 		failure = unavailable("not_in_step", "the configuration may be out of date")
@@ -110,13 +113,13 @@
 	if failure == nil {
 		failure = d.quarantine(now, f)
 	}
+	if stopping := d.refuseWhileStopping(now, f); stopping != nil && (failure == nil || !now.Before(d.stop.NoticeEnd)) {
+		failure = stopping
+	}
 	if failure != nil {
 		return []Action{d.failAction(now, f, failure)}
 	}
 	f.state = retrier.RequestState{Repeatable: a.Route.Repeatable(), MaxRuns: max(1, a.Route.MaxAttempts)}
-	if end := r.Received.Add(a.Route.Timeout); a.Route.Timeout > 0 && (f.deadline.IsZero() || end.Before(f.deadline)) {
-		f.deadline = end
-	}
 	d.inFlight[r.ID] = f
 	s := d.service(a.Service.Name)
 	s.budget.RequestAdmitted()
--- a/internal/process/dispatcher/outcome.go
+++ b/internal/process/dispatcher/outcome.go
@@ -64,6 +64,9 @@
 		if f.notSent >= maxNotSent {
 			return d.retryOrFail(now, f, retrier.CauseNoUpstream, out)
 		}
+		if !d.mayContinue(now, f) {
+			return d.retryOrFail(now, f, retrier.CauseStopping, out)
+		}
 		return append(out, d.send(now, f)...)
 	case OutcomeExpired:
 		f.state.Lost++
@@ -126,6 +129,7 @@
 // attempt goes on. The actions are appended to before.
 func (d *Dispatcher) retryOrFail(now time.Time, f *inFlightRequest, c retrier.Cause, before []Action) []Action {
 	f.state.Quarantined = d.verdict(now, f) == detector.Quarantined
+	f.state.Stopping = !d.mayContinue(now, f)
 	if f.begun {
 		// The number of delivered tokens is not known here. Any number above zero
 		// means that the answer has begun.
@@ -163,8 +167,11 @@
 	}
 	if answer.Status == http.StatusServiceUnavailable {
 		answer.RetryAfter = d.retryAfter(now, f)
-		if answer.Code == codeQuarantined {
+		switch answer.Code {
+		case codeQuarantined:
 			answer.RetryAfter = max(answer.RetryAfter, d.detector.QuarantineLeft(now, f.request.Parts))
+		case retrier.CodeStopping:
+			answer.RetryAfter = stoppingRetryAfter
 		}
 	}
 	return Action{
--- a/internal/process/dispatcher/stop_test.go
+++ b/internal/process/dispatcher/stop_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"magnoliafront.dev/magnoliafront/internal/request/admitter"
+	"magnoliafront.dev/magnoliafront/internal/request/retrier"
 	"magnoliafront.dev/magnoliafront/internal/version/matcher"
 )
 
@@ -38,6 +39,18 @@
 	return d
 }
 
+// learnRun lets a request for path end run before testTime, after it has run for run.
+func learnRun(t *testing.T, d *Dispatcher, path string, run time.Duration) {
+	t.Helper()
+	sent := testTime().Add(-time.Minute)
+	r := Request{
+		ID: "learned", Received: sent, Deadline: sent.Add(15 * time.Second), Digest: path,
+		Query: matcher.Query{Host: "h", Path: path, APIKey: "key", RequestID: "learned"},
+	}
+	assertSent(t, d.Step(sent, Event{Kind: EventArrived, Request: r}), 1)
+	assertKind(t, d.Step(sent.Add(run), Event{Kind: EventEnded, ID: "learned", Attempt: 1, Outcome: OutcomeAnswered}), ActionFinish)
+}
+
 // arriveAfter sends r1, whose caller waits for the given time, to d after testTime.
 func arriveAfter(d *Dispatcher, after, wait time.Duration, path string) []Action {
 	r := request(path)
@@ -46,6 +59,114 @@
 	return d.Step(r.Received, Event{Kind: EventArrived, Request: r})
 }
 
+// assertRefusedByStop checks that the last action refuses a request that has not run.
+func assertRefusedByStop(t *testing.T, all []Action) {
+	t.Helper()
+	assertFailed(t, all, http.StatusServiceUnavailable, false)
+	f := all[len(all)-1].Failure
+	is := is.New(t)
+	is.Equal(f.Code, retrier.CodeStopping)
+	is.Equal(f.RetryAfter, stoppingRetryAfter)
+}
+
+// A stopping entry took every request in the notice period, however long its caller would
+// wait and its route usually ran, and cut off at the exit what had not ended. Later it
+// refused every request, also those that would have ended in time.
+func TestStoppingEntryTakesOnlyRequestsThatEndBeforeExit(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		path        string
+		run         time.Duration
+		after, wait time.Duration
+		taken       bool
+	}{
+		{"deadline before the exit, in the notice period", "/brief/1", 0, time.Second, 6 * time.Second, true},
+		{"deadline before the exit, after the notice period", "/hold/1", 0, 5 * time.Second, 2 * time.Second, true},
+		{"deadline just before the exit", "/hold/1", 0, 5 * time.Second, 2200 * ms, false},
+		{"deadline after the exit, short run, in the notice period", "/chat/1", time.Second, 2600 * ms, 12 * time.Second, true},
+		{"deadline after the exit, short run, after the notice period", "/chat/1", time.Second, 2700 * ms, 12 * time.Second, false},
+		{"run that ends after the exit", "/brief/1", 5 * time.Second, 2500 * ms, 15 * time.Second, false},
+		{"run that ends just before the exit", "/brief/1", 4500 * ms, 2500 * ms, 15 * time.Second, true},
+		{"stream without a known run", "/brief/1", 0, time.Second, 15 * time.Second, false},
+		{"call without a known run", "/hold/1", 0, 2 * time.Second, 15 * time.Second, true},
+		{"call that runs long", "/hold/1", 6 * time.Second, 2 * time.Second, 15 * time.Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := newPatientDispatcher()
+			if c.run > 0 {
+				learnRun(t, d, c.path, c.run)
+			}
+			d.Step(testTime(), Event{Kind: EventStopping, Stop: testStop()})
+			all := arriveAfter(d, c.after, c.wait, c.path)
+			if c.taken {
+				assertSent(t, all, 1)
+				return
+			}
+			assertRefusedByStop(t, all)
+			assertIdle(t, d)
+		})
+	}
+	t.Run("entry that does not stop", func(t *testing.T) {
+		assertSent(t, arriveAfter(newPatientDispatcher(), 0, 15*time.Second, "/brief/1"), 1)
+	})
+	t.Run("unknown route in the notice period", func(t *testing.T) {
+		d := newPatientDispatcher()
+		d.Step(testTime(), Event{Kind: EventStopping, Stop: testStop()})
+		assertFailed(t, arriveAfter(d, time.Second, 15*time.Second, "/none/1"), http.StatusNotFound, false)
+	})
+}
+
+// A stopping entry sent requests again, and resumed streams, that could not end before
+// the exit. They were cut off there.
+func TestStoppingEntryStartsOnlyAttemptsThatEndBeforeExit(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		path  string
+		after time.Duration
+		event Event
+		// status is zero if there is another attempt.
+		status int
+	}{
+		{"refused hold in time", "/hold/1", 5 * time.Second, Event{Outcome: OutcomeRefused}, 0},
+		{"refused hold too late", "/hold/1", 6500 * ms, Event{Outcome: OutcomeRefused}, http.StatusServiceUnavailable},
+		{"hold that was not sent, too late", "/hold/1", 6500 * ms, Event{Outcome: OutcomeNotSent}, http.StatusServiceUnavailable},
+		{"lost check in time", "/check/1", 5 * time.Second, Event{Outcome: OutcomeLost}, 0},
+		{"lost check too late", "/check/1", 6500 * ms, Event{Outcome: OutcomeLost}, http.StatusBadGateway},
+		{"lost hold too late", "/hold/1", 6500 * ms, Event{Outcome: OutcomeLost}, http.StatusBadGateway},
+		{"lost stream in time", "/chat/1", 5 * time.Second, Event{Outcome: OutcomeLost, Begun: true, LastEvent: "7"}, 0},
+		{"lost stream too late", "/chat/1", 6500 * ms, Event{Outcome: OutcomeLost, Begun: true, LastEvent: "7"}, http.StatusBadGateway},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := newPatientDispatcher()
+			learnRun(t, d, c.path, time.Second)
+			assertSent(t, arriveAfter(d, 0, 15*time.Second, c.path), 1)
+			d.Step(testTime(), Event{Kind: EventStopping, Stop: testStop()})
+			c.event.Kind, c.event.ID, c.event.Attempt = EventEnded, "r1", 1
+			all := d.Step(testTime().Add(c.after), c.event)
+			if c.status == 0 {
+				assertSent(t, all, 2)
+				return
+			}
+			assertFailed(t, all, c.status, c.event.Begun)
+			assertIdle(t, d)
+		})
+	}
+	t.Run("failed check too late gets the error of the upstream", func(t *testing.T) {
+		d := newPatientDispatcher()
+		arriveAfter(d, 0, 15*time.Second, "/check/1")
+		d.Step(testTime(), Event{Kind: EventStopping, Stop: testStop()})
+		late := testTime().Add(7050 * ms)
+		assertKind(t, d.Step(late, Event{Kind: EventEnded, ID: "r1", Attempt: 1, Outcome: OutcomeFailed}), ActionForwardError)
+	})
+	t.Run("silent stream too late goes on", func(t *testing.T) {
+		d := newPatientDispatcher()
+		arriveAfter(d, 0, 15*time.Second, "/chat/1")
+		d.Step(testTime(), Event{Kind: EventStopping, Stop: testStop()})
+		late := testTime().Add(6500 * ms)
+		assertKind(t, d.Step(late, Event{Kind: EventSilent, ID: "r1", Attempt: 1, Begun: true, LastEvent: "7"}), ActionResume)
+	})
+}
+
 // At the exit of an entry the callers of requests without an answer saw their connection
 // close, also those of requests that must not be repeated.
 func TestRequestsWithoutAnswerGetOneBeforeExit(t *testing.T) {
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -222,8 +222,8 @@
 	f.put(event{kind: eventLoadReceived, entry: entry, loadReport: r})
 }
 
-// BeginStop announces that the entry stops: requests without an answer get one before
-// the exit.
+// BeginStop announces that the entry stops: from then on, requests that would not end
+// before the exit are refused, and those without an answer get one before it.
 func (f *Forwarder) BeginStop(s dispatcher.Stop) { f.put(event{kind: eventStopping, stop: s}) }
 
 // State returns the current snapshot.
--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -13,7 +13,6 @@
 //
 //	r, err := receiver.New(receiver.Options{Listen: "10.0.0.5:8080", Codec: codec, Forwarder: f, Clock: c})
 //	r.Drain()
-//	r.Refuse()
 //	err = r.Stop(ctx)
 package receiver
 
@@ -82,9 +81,7 @@
 	callerServer    *http.Server
 	readinessServer *http.Server
 	draining        atomic.Bool
-	// refusing is true once new requests are refused.
-	refusing atomic.Bool
-	done     chan struct{}
+	done            chan struct{}
 }
 
 // New listens on both addresses and starts the servers.
@@ -133,9 +130,6 @@
 // Drain makes the entry not ready. New requests are still served.
 func (r *Receiver) Drain() { r.draining.Store(true) }
 
-// Refuse makes the entry refuse new requests. Requests in flight continue.
-func (r *Receiver) Refuse() { r.refusing.Store(true) }
-
 // Stop stops accepting connections, closes idle ones and waits until all requests
 // have been answered or ctx ends. A request that arrives on a connection while it
 // is closed as idle is lost.
@@ -170,9 +164,6 @@
 		w.Header().Set("Connection", "close")
 	}
 	body, failure := r.readBody(w, req, now)
-	if failure == nil && r.refusing.Load() {
-		failure = stoppingFailure()
-	}
 	if failure != nil {
 		r.options.Codec.WriteFailure(w, failure)
 		return
@@ -192,10 +183,10 @@
 	err := relayer.Relay(req.Context(), w, j.Replies, r.options.Codec.WriteFailure)
 	switch {
 	case relayer.IsKind(err, relayer.ErrorNoReply):
-		klog.InfoS("request ended without a reply", "request", request.ID, "stopping", r.refusing.Load())
+		klog.InfoS("request ended without a reply", "request", request.ID, "stopping", r.draining.Load())
 		r.options.Codec.WriteFailure(w, interruptedFailure())
 	case err != nil:
-		klog.InfoS("answer cut off", "request", request.ID, "stopping", r.refusing.Load(), "err", err)
+		klog.InfoS("answer cut off", "request", request.ID, "stopping", r.draining.Load(), "err", err)
 		cutOff(w, req)
 	}
 }
@@ -227,19 +218,6 @@
 	}
 }
 
-// stoppingFailure returns the failure of a request that arrives when the remaining
-// time is too short to finish it.
-func stoppingFailure() *admitter.Failure {
-	return &admitter.Failure{
-		Status: http.StatusServiceUnavailable, Code: "stopping", Message: "this entry is stopping; another one will serve the request",
-		Outcome: admitter.OutcomeNotRun, RetryAfter: stoppingRetryAfter,
-	}
-}
-
-// stoppingRetryAfter is the Retry-After time while the entry stops. It is short
-// since another entry serves the retry.
-const stoppingRetryAfter = 50 * time.Millisecond
-
 // readBody reads the body of a request and returns a failure if it is too large or
 // incomplete.
 func (r *Receiver) readBody(w http.ResponseWriter, req *http.Request, now time.Time) ([]byte, *admitter.Failure) {
--- a/internal/process/separator/separator.go
+++ b/internal/process/separator/separator.go
@@ -135,7 +135,7 @@
 func (s *Separator) Step(now time.Time, e Event) {
 	k := s.kinds[e.Request]
 	if k == nil {
-		if e.Kind != EventArrived {
+		if e.Kind != EventArrived && e.Kind != EventEnded {
 			return
 		}
 		k = s.add(now, e.Request)
@@ -236,6 +236,15 @@
 	return out
 }
 
+// MeanRun returns the mean time until the answers of a kind of request were complete, or
+// zero if none has been.
+func (s *Separator) MeanRun(request string) time.Duration {
+	if k := s.kinds[request]; k != nil {
+		return k.profile.Run
+	}
+	return 0
+}
+
 // PrefillPerToken returns the time in which an engine prefills a prompt token.
 func (s *Separator) PrefillPerToken() time.Duration {
 	return time.Duration(s.prefill.secondsPerToken() * float64(time.Second))
--- a/internal/process/separator/separator_test.go
+++ b/internal/process/separator/separator_test.go
@@ -55,6 +55,20 @@
 	return now
 }
 
+// The run time of calls, which have no prompt, was not known. They must not change the
+// decision on the kinds that have one.
+func TestMeanRunIsLearnedFromCalls(t *testing.T) {
+	var s Separator
+	is := is.New(t)
+	is.Equal(s.MeanRun("hold"), time.Duration(0))
+	s.Step(start(), Event{Kind: EventEnded, Request: "hold", Elapsed: 100 * ms})
+	is.Equal(s.MeanRun("hold"), 100*ms)
+	s.Step(start(), Event{Kind: EventEnded, Request: "hold", Elapsed: 300 * ms})
+	is.Equal(s.MeanRun("hold"), 110*ms)
+	is.True(!s.IsSeparated("hold"))
+	is.Equal(len(s.profiles(start(), 1)), 0)
+}
+
 func chat() traffic {
 	return traffic{name: "chat", perSecond: 20, promptTokens: 800, gapTarget: 150 * ms, latencyTarget: 300 * ms, run: 2500 * ms}
 }
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -35,8 +35,8 @@
 	// gracePeriodMargin is how long before the end of the grace period a process
 	// exits by itself.
 	gracePeriodMargin = 700 * time.Millisecond
-	// refusalPeriod is how long a stopping process refuses new requests with an
-	// answer before it closes its connections.
+	// refusalPeriod is how long after the notice period a stopping process still answers
+	// new requests before it closes its idle connections.
 	refusalPeriod = 500 * time.Millisecond
 	// withdrawTimeout bounds the call that deletes a leaving entry from the store. It
 	// also bounds the reading of request headers at the metrics endpoint.
@@ -208,8 +208,8 @@
 
 // drainGateway registers the first step of a graceful stop: the entry becomes
 // unready, but still accepts requests during the notice period, while the load
-// balancer detects that it leaves. Then it refuses new requests and finishes those
-// in flight. The forwarder answers those that have not ended within the grace period.
+// balancer detects that it leaves. The forwarder refuses requests that would not end
+// within the grace period, and answers those that have not ended before it.
 func drainGateway(lc fx.Lifecycle, s loader.Gateway, c timer.Clock, f *forwarder.Forwarder, r *receiver.Receiver, p *peering) {
 	lc.Append(fx.StopHook(func(ctx context.Context) error {
 		now := c.Now()
@@ -223,7 +223,6 @@
 		}
 		cancel()
 		sleep(ctx, c, noticeEnd.Sub(c.Now()))
-		r.Refuse()
 		sleep(ctx, c, refusalPeriod)
 		finishCtx, cancel := withDeadline(ctx, c, exitDeadline)
 		defer cancel()
--- a/internal/process/starter/gateway_test.go
+++ b/internal/process/starter/gateway_test.go
@@ -408,8 +408,9 @@
 	is.New(t).NoErr(<-stopped)
 }
 
-// A request that arrives after the notice period must be refused, because an entry
-// that accepts it cannot always finish it. In the replay fresh-cafb of
+// A request that arrives after the notice period must be refused unless its deadline
+// shows that it ends before the exit, because an entry that accepts it cannot always
+// finish it. In the replay fresh-cafb of
 // rempah-router-grown, a request arrived 3.02 s after SIGTERM and was cut off
 // 4.3 s later.
 func TestGatewayRefusesRequestsAfterNoticePeriod(t *testing.T) {
--- a/internal/request/retrier/retrier.go
+++ b/internal/request/retrier/retrier.go
@@ -52,6 +52,9 @@
 	MaxRuns int
 	// Quarantined is true if the content of the request has crashed upstreams.
 	Quarantined bool
+	// Stopping is true if this process stops and another attempt is not expected to end
+	// before it exits.
+	Stopping bool
 }
 
 // Cause is the reason why an attempt ended.
@@ -110,15 +113,9 @@
 	switch {
 	case s.Quarantined:
 		return fail(http.StatusUnprocessableEntity, "quarantined", "upstreams crashed while they ran this content", outcome)
-	case c == CauseExpired && outcome == admitter.OutcomeNotRun:
-		return fail(http.StatusServiceUnavailable, "expired", "no upstream could begin the request in time", outcome)
-	case c == CauseExpired:
-		return fail(http.StatusGatewayTimeout, "expired", "the upstream did not answer in time", outcome)
-	case c == CauseStopping && outcome == admitter.OutcomeNotRun:
-		return fail(http.StatusServiceUnavailable, CodeStopping, "this process stops before an upstream has begun the request", outcome)
-	case c == CauseStopping:
-		return fail(http.StatusGatewayTimeout, CodeStopping, "this process stops before the upstream has answered", outcome)
-	case c == CauseFailed && (!s.Repeatable || s.possibleRuns() >= s.maxRuns()):
+	case c == CauseExpired || c == CauseStopping:
+		return decideTimeUp(c, outcome)
+	case c == CauseFailed && (!s.Repeatable || s.Stopping || s.possibleRuns() >= s.maxRuns()):
 		return forwardUpstreamError("the upstream failed the request")
 	case c == CauseLost && !s.Repeatable:
 		return fail(http.StatusBadGateway, "upstream_lost", "the upstream was lost while the request may have been running", outcome)
@@ -128,10 +125,25 @@
 		return fail(http.StatusServiceUnavailable, "no_upstream", "no upstream is available", outcome)
 	case c == CauseNoUpstream, s.Refused >= MaxRefusals:
 		return fail(http.StatusServiceUnavailable, "overloaded", "the upstreams cannot meet the target of the class", outcome)
+	case s.Stopping:
+		return fail(http.StatusServiceUnavailable, CodeStopping, "this process stops too soon for another attempt", outcome)
 	}
 	return Decision{}
 }
 
+// decideTimeUp returns the failure of a request whose time has ended, either its own or
+// that of this process.
+func decideTimeUp(c Cause, o admitter.Outcome) Decision {
+	code := "expired"
+	if c == CauseStopping {
+		code = CodeStopping
+	}
+	if o == admitter.OutcomeNotRun {
+		return fail(http.StatusServiceUnavailable, code, "no upstream could begin the request in time", o)
+	}
+	return fail(http.StatusGatewayTimeout, code, "the upstream did not answer in time", o)
+}
+
 // decideClaimFailure returns the failure of a request whose idempotency key
 // could not be claimed.
 func decideClaimFailure(c Cause) Decision {
