--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -13,7 +13,6 @@
 //
 //	r, err := receiver.New(receiver.Options{Listen: "10.0.0.5:8080", Codec: codec, Forwarder: f, Clock: c})
 //	r.Drain()
-//	r.Refuse()
 //	err = r.Stop(ctx)
 package receiver
 
@@ -81,8 +80,6 @@
 	callerServer    *drainer.Drainer
 	readinessServer *http.Server
 	draining        atomic.Bool
-	// refusing is true once new requests are refused.
-	refusing atomic.Bool
 }
 
 // New listens on both addresses and starts the servers.
@@ -131,12 +128,6 @@
 // Drain makes the entry not ready. New requests are still served.
 func (r *Receiver) Drain() { r.draining.Store(true) }
 
-// Refuse makes the entry refuse new requests. Requests in flight continue.
-func (r *Receiver) Refuse() { r.refusing.Store(true) }
-
-// Idle returns a channel that is closed as soon as no caller has a connection.
-func (r *Receiver) Idle() <-chan struct{} { return r.callerServer.Idle() }
-
 // Stop stops accepting connections and closes each open one once no request is in
 // flight on it and none has begun to arrive. It waits until all are closed or ctx ends,
 // which cuts off what is left.
@@ -166,9 +157,6 @@
 		w.Header().Set("Connection", "close")
 	}
 	body, failure := r.readBody(w, req, now)
-	if failure == nil && r.refusing.Load() {
-		failure = stoppingFailure()
-	}
 	if failure != nil {
 		r.options.Codec.WriteFailure(w, failure)
 		return
@@ -185,8 +173,13 @@
 		r.options.Codec.WriteFailure(w, admitter.OverloadedFailure())
 		return
 	}
-	if err := relayer.Relay(req.Context(), w, j.Replies, r.options.Codec.WriteFailure); err != nil {
-		klog.InfoS("answer cut off", "request", request.ID, "stopping", r.refusing.Load(), "err", err)
+	err := relayer.Relay(req.Context(), w, j.Replies, r.options.Codec.WriteFailure)
+	switch {
+	case relayer.IsKind(err, relayer.ErrorNoReply):
+		klog.InfoS("request ended without a reply", "request", request.ID, "stopping", r.draining.Load())
+		r.options.Codec.WriteFailure(w, interruptedFailure())
+	case err != nil:
+		klog.InfoS("answer cut off", "request", request.ID, "stopping", r.draining.Load(), "err", err)
 		cutOff(w, req)
 	}
 }
@@ -209,19 +202,15 @@
 	_ = conn.Close()
 }
 
-// stoppingFailure returns the failure of a request that arrives when the remaining
-// time is too short to finish it.
-func stoppingFailure() *admitter.Failure {
+// interruptedFailure returns the failure of a request that ended inside the entry
+// without a reply. A part of it may have been sent.
+func interruptedFailure() *admitter.Failure {
 	return &admitter.Failure{
-		Status: http.StatusServiceUnavailable, Code: "stopping", Message: "this entry is stopping; another one will serve the request",
-		Outcome: admitter.OutcomeNotRun, RetryAfter: stoppingRetryAfter,
+		Status: http.StatusBadGateway, Code: "interrupted", Message: "the entry has given the request up",
+		Outcome: admitter.OutcomeUnknown,
 	}
 }
 
-// stoppingRetryAfter is the Retry-After time while the entry stops. It is short
-// since another entry serves the retry.
-const stoppingRetryAfter = 50 * time.Millisecond
-
 // readBody reads the body of a request and returns a failure if it is too large or
 // incomplete.
 func (r *Receiver) readBody(w http.ResponseWriter, req *http.Request, now time.Time) ([]byte, *admitter.Failure) {
