Log the end of the grace period as the deadline that it is

The line "stopped" said "context canceled" for an entry that reached its exit deadline, since that deadline follows the injected clock. The cause of the cancellation is now logged in its place. No decision changes.

--- a/internal/process/drainer/drainer.go
+++ b/internal/process/drainer/drainer.go
@@ -106,7 +106,7 @@
 
 // Stop accepts the connections that wait, stops accepting, and closes each open connection
 // once no request is in flight on it and none has begun to arrive. It waits until all are
-// closed or ctx ends, which cuts off what is left; it then returns the error of ctx.
+// closed or ctx ends, which cuts off what is left; it then returns the cause of that end.
 func (d *Drainer) Stop(ctx context.Context) error {
 	d.stopAccepting()
 	select {
@@ -120,7 +120,7 @@
 	select {
 	case <-d.Idle():
 	case <-ctx.Done():
-		err = ctx.Err()
+		err = context.Cause(ctx)
 	}
 	_ = d.server.Close()
 	d.events.Close()
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -232,14 +232,15 @@
 	}))
 }
 
-// withDeadline returns a copy of ctx that is cancelled at the deadline on the clock c.
+// withDeadline returns a copy of ctx that is cancelled at the deadline on the clock c,
+// with [context.DeadlineExceeded] as its cause.
 func withDeadline(ctx context.Context, c timer.Clock, deadline time.Time) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
 	go func() {
-		defer cancel()
 		sleep(ctx, c, deadline.Sub(c.Now()))
+		cancel(context.DeadlineExceeded)
 	}()
-	return ctx, cancel
+	return ctx, func() { cancel(context.Canceled) }
 }
 
 // sleep waits for d or until ctx is done.
