--- a/internal/process/drainer/drainer_test.go
+++ b/internal/process/drainer/drainer_test.go
@@ -132,35 +132,40 @@
 	is.True(err != nil)
 }
 
-// A request of which a part has been read when the server closes its connections must be
-// answered. Its caller cannot know that it has not run, and must not send it again if it
-// must not run twice.
-func TestStopAnswersRequestThatHasBegunToArrive(t *testing.T) {
+// onEachConnection runs a test on a new connection and on one that has carried a request.
+func onEachConnection(t *testing.T, test func(*testing.T, *Drainer, *pipeListener, net.Conn)) {
+	t.Helper()
 	for _, c := range []struct {
-		name    string
-		prepare func(t *testing.T, conn net.Conn)
-	}{
-		{"first request of a connection", func(*testing.T, net.Conn) {}},
-		{"request on a kept connection", func(t *testing.T, conn net.Conn) {
-			write(t, conn, requestStart+requestRest)
-			assertAnswered(t, conn)
-		}},
-	} {
+		name string
+		kept bool
+	}{{"new connection", false}, {"kept connection", true}} {
 		t.Run(c.name, func(t *testing.T) {
 			l := newPipeListener()
 			d := serveEmpty(l, nil)
 			conn := l.dial(t)
-			c.prepare(t, conn)
-			write(t, conn, requestStart)
-			wait := startStop(t, d, l)
-			write(t, conn, requestRest)
-			assertAnswered(t, conn)
-			assertClosed(t, conn)
-			wait()
+			if c.kept {
+				write(t, conn, requestStart+requestRest)
+				assertAnswered(t, conn)
+			}
+			test(t, d, l, conn)
 		})
 	}
 }
 
+// A request of which a part has been read when the server closes its connections must be
+// answered. Its caller cannot know that it has not run, and must not send it again if it
+// must not run twice.
+func TestStopAnswersRequestThatHasBegunToArrive(t *testing.T) {
+	onEachConnection(t, func(t *testing.T, d *Drainer, l *pipeListener, conn net.Conn) {
+		write(t, conn, requestStart)
+		wait := startStop(t, d, l)
+		write(t, conn, requestRest)
+		assertAnswered(t, conn)
+		assertClosed(t, conn)
+		wait()
+	})
+}
+
 // A part of the next request that was read together with the request before lies in the
 // buffer of net/http. It was answered 400 instead of being completed.
 func TestStopAnswersPipelinedRequestThatHasBegunToArrive(t *testing.T) {
@@ -181,25 +186,10 @@
 
 // A connection on which no request has begun to arrive must not hold up the stop.
 func TestStopClosesIdleConnections(t *testing.T) {
-	for _, c := range []struct {
-		name    string
-		prepare func(t *testing.T, conn net.Conn)
-	}{
-		{"new connection", func(*testing.T, net.Conn) {}},
-		{"kept connection", func(t *testing.T, conn net.Conn) {
-			write(t, conn, requestStart+requestRest)
-			assertAnswered(t, conn)
-		}},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			l := newPipeListener()
-			d := serveEmpty(l, nil)
-			conn := l.dial(t)
-			c.prepare(t, conn)
-			startStop(t, d, l)()
-			assertClosed(t, conn)
-		})
-	}
+	onEachConnection(t, func(t *testing.T, d *Drainer, l *pipeListener, conn net.Conn) {
+		startStop(t, d, l)()
+		assertClosed(t, conn)
+	})
 }
 
 // A request whose answer has begun before the stop announces no close. The connection
