Stop entries under load with requests that arrive in pieces

What callers saw: at a planned stop, connections that ended without an answer to a request that the entry had read.

Why the soak did not find it: it takes a request without an answer for sound if no upstream ran it; its callers rarely send at the moment at which connections are closed; and its requests arrive in one piece.

Change: TestPlannedStopAnswersEachRequestItRead stops and starts real entries in turn, beside changes of the configuration, reloads and draining runners. Callers with an HTTP/1.1 writer of their own send in pieces on kept, unused and new connections. Two witnesses show that an entry had read what it left without an answer. The verdict does not depend on time.

--- a/internal/process/soaker/soak_test.go
+++ b/internal/process/soaker/soak_test.go
@@ -53,22 +53,35 @@
 // Under random faults and maintenance operations, the guarantees of the system must hold for
 // each request.
 func TestSoakKeepsGuaranteesUnderRandomFaults(t *testing.T) {
+	binary := buildProgram(t)
+	length := time.Duration(envInt("MAGNOLIAFRONT_SOAK_SECONDS", 10)) * time.Second
+	for _, seed := range selectSeeds(defaultSeeds) {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSoak(t, binary, uint64(seed), length) })
+	}
+}
+
+// buildProgram builds the program and returns the path of its binary.
+func buildProgram(t *testing.T) string {
+	t.Helper()
 	binary := filepath.Join(t.TempDir(), "magnoliafront")
 	out, err := exec.Command("go", "build", "-o", binary, "magnoliafront.dev/magnoliafront/cmd/magnoliafront").CombinedOutput()
 	if err != nil {
 		t.Fatalf("build %s: %v\n%s", binary, err, out)
 	}
-	seeds := defaultSeeds
-	if first := envInt("MAGNOLIAFRONT_SOAK_SEED", 0); first > 0 {
-		seeds = nil
-		for i := range envInt("MAGNOLIAFRONT_SOAK_SEEDS", 1) {
-			seeds = append(seeds, first+i)
-		}
+	return binary
+}
+
+// selectSeeds returns the seeds that the environment selects, or else defaults.
+func selectSeeds(defaults []int) []int {
+	first := envInt("MAGNOLIAFRONT_SOAK_SEED", 0)
+	if first <= 0 {
+		return defaults
 	}
-	length := time.Duration(envInt("MAGNOLIAFRONT_SOAK_SECONDS", 10)) * time.Second
-	for _, seed := range seeds {
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSoak(t, binary, uint64(seed), length) })
+	var seeds []int
+	for i := range envInt("MAGNOLIAFRONT_SOAK_SEEDS", 1) {
+		seeds = append(seeds, first+i)
 	}
+	return seeds
 }
 
 // envInt returns the integer in an environment variable, or fallback if it is not
--- a/internal/process/soaker/soaker.go
+++ b/internal/process/soaker/soaker.go
@@ -8,8 +8,12 @@
 // incorrectly. The test checks the guarantees of the system against the requests
 // and responses that callers and runners have recorded.
 //
+// A second test stops entries in turn while callers write their requests in pieces. It
+// also checks how each connection ended and what the logs of the entries say.
+//
 // # Usage
 //
 //	MAGNOLIAFRONT_SOAK_SEED=1 MAGNOLIAFRONT_SOAK_SEEDS=50 MAGNOLIAFRONT_SOAK_SECONDS=15 go test -timeout 60m -run TestSoak ./internal/process/soaker
 //	MAGNOLIAFRONT_SOAK_SEED=17 go test -run TestSoak ./internal/process/soaker
+//	MAGNOLIAFRONT_SOAK_SEED=1 MAGNOLIAFRONT_SOAK_SEEDS=20 go test -timeout 60m -run TestPlannedStop ./internal/process/soaker
 package soaker
