Name the target and header of requests that no caller sent

The message had nothing else by which to trace it.

Change: the check names the target, the header and the runner of each such request. It is as strict as before.

--- a/internal/process/soaker/soak_test.go
+++ b/internal/process/soaker/soak_test.go
@@ -209,9 +209,11 @@
 		sent[r.id] = true
 		checkRequest(t, f, r, executed[r.id])
 	}
-	for id := range arrived {
-		if !sent[id] {
-			t.Errorf("request %s ran although no caller sent it", id)
+	for _, runner := range f.runners {
+		for _, run := range runner.Requests() {
+			if !sent[run.ID] {
+				t.Errorf("request %q to %s reached %s although no caller sent it, with header %v", run.ID, run.Target, runner.ID, run.Header)
+			}
 		}
 	}
 	checkRetryBudget(t, f, requests, arrived)
