Stop an entry under load while it starts

What callers saw: an entry that got its SIGTERM while it started exited at once and left the requests that it had accepted meanwhile without an answer.

Change: TestStopDuringStartAnswersEachRequestItRead sends SIGTERM to a real entry at a random time of its start, while callers connect as soon as it listens. The checks are those of the other planned stops. The log is no witness here, since the process exits without closing its connections; the callers' side is.

--- a/internal/process/soaker/piece_caller_test.go
+++ b/internal/process/soaker/piece_caller_test.go
@@ -25,6 +25,8 @@
 	maxPieces = 5
 	// bodySize is the size of the body of a request in bytes.
 	bodySize = 2000
+	// redialInterval is the maximum pause before a caller opens a new connection.
+	redialInterval = 2 * time.Millisecond
 	// crossingTime is the maximum time between the last write and the end of the
 	// connection for which the two count as simultaneous. It only splits the counts
 	// of a report.
@@ -143,6 +145,18 @@
 	c.close()
 }
 
+// runOnNewConnections sends requests to e until ctx is done, each on a connection of its
+// own, which it tries to open until the entry accepts it.
+func (c *pieceCaller) runOnNewConnections(ctx context.Context, e *entry) {
+	for ctx.Err() == nil {
+		if c.connect(e) {
+			c.send()
+			c.close()
+		}
+		c.sleepUpTo(redialInterval)
+	}
+}
+
 func (c *pieceCaller) sleepUpTo(d time.Duration) {
 	time.Sleep(time.Duration(c.random.Int64N(int64(d))))
 }
--- a/internal/process/soaker/planned_stop_test.go
+++ b/internal/process/soaker/planned_stop_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -30,13 +31,22 @@
 	// request.
 	steadyMaxPause = 10 * time.Millisecond
 	stopMaxPause   = 200 * time.Millisecond
+	// stopDuringStartCount is the number of stops during a start in one run.
+	stopDuringStartCount = 8
+	// minStartTime and maxStartTime bound the time from the start of a process to its
+	// SIGTERM. An entry begins to listen between them.
+	minStartTime = 5 * time.Millisecond
+	maxStartTime = 45 * time.Millisecond
 	// streamEventInterval is the time between two events of a stream.
 	streamEventInterval = 20 * time.Millisecond
 )
 
-// plannedStopSeeds are the seeds that run unless the environment selects others. They have
-// failed before.
-var plannedStopSeeds = []int{1}
+// plannedStopSeeds and stopDuringStartSeeds are the seeds that run unless the environment
+// selects others. Both have failed before.
+var (
+	plannedStopSeeds     = []int{1}
+	stopDuringStartSeeds = []int{4}
+)
 
 // Guards against requests that a stopping entry has read, in part or whole, and leaves
 // without an answer: callers cannot know whether these have run.
@@ -54,6 +64,22 @@
 	}
 }
 
+// Guards against an entry that is stopped while it starts, exits at once and leaves the
+// requests that it has accepted meanwhile without an answer.
+func TestStopDuringStartAnswersEachRequestItRead(t *testing.T) {
+	binary := buildProgram(t)
+	startBusyProcesses(t, envInt("MAGNOLIAFRONT_SOAK_BUSY", 0))
+	for _, seed := range selectSeeds(stopDuringStartSeeds) {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			f := newFleet(t, binary)
+			requests, idleEndings := runStopsDuringStart(f, uint64(seed))
+			terminateAll(f)
+			logEndings(t, requests, idleEndings)
+			checkPlannedStops(t, f, requests)
+		})
+	}
+}
+
 // checkPlannedStops checks at the callers, the upstreams and the entries that each request
 // of which a part was read has a complete answer.
 func checkPlannedStops(t *testing.T, f *fleet, requests []pieceRequest) {
@@ -120,6 +146,33 @@
 	return requests, idleEndings
 }
 
+// runStopsDuringStart starts one entry several times and sends it SIGTERM at a random
+// time of its start, while callers open connections to it as soon as it listens.
+func runStopsDuringStart(f *fleet, seed uint64) (requests []pieceRequest, idleEndings int) {
+	e := f.entries[0]
+	assertEventually(f.t, e.name+" ready", e.isReady)
+	ctx, stop := context.WithCancel(context.Background())
+	var callers []*pieceCaller
+	var load sync.WaitGroup
+	defer load.Wait()
+	defer stop()
+	for i := range steadyCallerCount {
+		c := newPieceCaller(f, seed, "start", i, steadyMaxPause)
+		callers = append(callers, c)
+		load.Go(func() { c.runOnNewConnections(ctx, e) })
+	}
+	random := rand.New(rand.NewPCG(seed, 2))
+	e.restart(syscall.SIGTERM)
+	for range stopDuringStartCount {
+		time.Sleep(minStartTime + time.Duration(random.Int64N(int64(maxStartTime-minStartTime))))
+		e.restart(syscall.SIGTERM)
+	}
+	assertEventually(f.t, e.name+" ready again", e.isReady)
+	stop()
+	load.Wait()
+	return gatherRequests(callers)
+}
+
 // maintainUntil starts maintenance operations other than restarts until done is closed,
 // and waits for their end.
 func (j *faultInjector) maintainUntil(done <-chan struct{}) {
