Test the exit of an entry without depending on speed

TestGatewayAnswersRequestsBeforeExit failed once in three runs under -race beside other load, and again beside six busy processes: `condition "in flight" does not hold after 20s`. The log of a failed run has `outcome=not_sent err="connect: dial tcp ...: i/o timeout"`: the carrier computes the deadline of a dial from the injected clock, and the paced clock falls behind the clock of the operating system, so that the deadline had passed before the dial. A paced clock does not fit an entry that calls its upstreams.

The entry now runs on the clock of the operating system until its request is in flight. Then the clock stops and the test advances it: to a time between the final answers and the exit, where it stays until the caller has its answer, and on to the exit.

--- a/internal/process/starter/clock_test.go
+++ b/internal/process/starter/clock_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,3 +47,47 @@
 	})
 	return clock
 }
+
+// stoppableClock is the clock of the operating system until it is stopped. Then it is a
+// manual clock. Unlike a paced clock, it does not fall behind before that, so that
+// deadlines of network connections can be computed from it.
+type stoppableClock struct {
+	manual atomic.Pointer[timer.Manual]
+}
+
+// stop stops the clock and returns the manual clock in its place.
+func (c *stoppableClock) stop() *timer.Manual {
+	m := timer.NewManual(time.Now())
+	c.manual.Store(m)
+	return m
+}
+
+func (c *stoppableClock) current() timer.Clock {
+	if m := c.manual.Load(); m != nil {
+		return m
+	}
+	return timer.System{}
+}
+
+// Now implements [timer.Clock].
+func (c *stoppableClock) Now() time.Time { return c.current().Now() }
+
+// After implements [timer.Clock]. A timer that was started before the clock was stopped
+// fires nevertheless.
+func (c *stoppableClock) After(d time.Duration) (<-chan time.Time, func()) {
+	return c.current().After(d)
+}
+
+// advanceUntil advances a manual clock until done receives a value, which it returns.
+func advanceUntil[T any](m *timer.Manual, done <-chan T) T {
+	ticks := time.NewTicker(pacedClockStep)
+	defer ticks.Stop()
+	for {
+		select {
+		case v := <-done:
+			return v
+		case <-ticks.C:
+			m.Advance(pacedClockStep)
+		}
+	}
+}
--- a/internal/process/starter/gateway_fixture_test.go
+++ b/internal/process/starter/gateway_fixture_test.go
@@ -174,12 +174,7 @@
 	g.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+g.callerAddress+path, strings.NewReader(body))
-	is.New(g.t).NoErr(err)
-	req.Host = "desk.example"
-	req.Header.Set("Authorization", "Bearer key")
-	req.Header.Set("Magnoliafront-Request-Id", id)
-	req.Header.Set("Magnoliafront-Deadline-Ms", "10000")
+	req := g.newRequest(ctx, method, path, id, body)
 	if change != nil {
 		change(req)
 	}
@@ -192,6 +187,18 @@
 	return answer{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
 }
 
+// newRequest returns a request with the headers of a caller.
+func (g *gateway) newRequest(ctx context.Context, method, path, id, body string) *http.Request {
+	g.t.Helper()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+g.callerAddress+path, strings.NewReader(body))
+	is.New(g.t).NoErr(err)
+	req.Host = "desk.example"
+	req.Header.Set("Authorization", "Bearer key")
+	req.Header.Set("Magnoliafront-Request-Id", id)
+	req.Header.Set("Magnoliafront-Deadline-Ms", "10000")
+	return req
+}
+
 // setBehaviour sets the behaviour of all runners.
 func (r *gatewayFixture) setBehaviour(b emulator.RunnerBehaviour) {
 	for _, run := range r.runners {
