--- a/internal/request/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -82,15 +82,9 @@
 func Relay(ctx context.Context, w http.ResponseWriter, replies *Ring, fail func(http.ResponseWriter, *admitter.Failure)) error {
 	controller := http.NewResponseController(w)
 	for begun, framed := false, false; ; {
-		r, ok := replies.Take(ctx)
-		if !ok && ctx.Err() == nil && !begun {
-			return &Error{Op: "take a reply", Kind: ErrorNoReply, Err: errors.New("the request ended without a reply")}
-		}
-		if !ok && ctx.Err() == nil {
-			return &Error{Op: "take a reply", Kind: ErrorBroken, Err: errors.New("the response ended prematurely")}
-		}
-		if !ok {
-			return &Error{Op: "take a reply", Kind: ErrorCaller, Err: ctx.Err()}
+		r, err := takeReply(ctx, replies, begun)
+		if err != nil {
+			return err
 		}
 		if begun && r.Kind != KindBody && r.Kind != KindEnd {
 			return &Error{Op: "write", Kind: ErrorBroken, Err: errors.New("another response follows the beginning of one")}
@@ -126,6 +120,20 @@
 	}
 }
 
+// takeReply takes the next reply of a response that has begun, or has not.
+func takeReply(ctx context.Context, replies *Ring, begun bool) (Reply, error) {
+	r, ok := replies.Take(ctx)
+	switch {
+	case ok:
+		return r, nil
+	case ctx.Err() != nil:
+		return r, &Error{Op: "take a reply", Kind: ErrorCaller, Err: ctx.Err()}
+	case !begun:
+		return r, &Error{Op: "take a reply", Kind: ErrorNoReply, Err: errors.New("the request ended without a reply")}
+	}
+	return r, &Error{Op: "take a reply", Kind: ErrorBroken, Err: errors.New("the response ended prematurely")}
+}
+
 // writeComplete writes a complete response. It sets Content-Length unless the response
 // is close-delimited. For an empty body, net/http sets it where the response could have
 // had one; the response to a HEAD request keeps what the upstream stated.
