Answer requests without a reply in the product's own front end

What callers saw: a request that ended inside the entry without any reply, at its exit or after a panic, had its connection closed, although nothing of an answer had been written.

Cause: the closed ring of replies was treated like an answer that cannot be written to its end.

Evidence: TestRequestWithoutReplyGetsFailure fails before in its four cases.

Change: as long as nothing has been written, the caller gets 502 `interrupted` with the outcome unknown. The failure is the one of the gateway and moves to package admitter.

--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -177,7 +177,7 @@
 	switch {
 	case relayer.IsKind(err, relayer.ErrorNoReply):
 		klog.InfoS("request ended without a reply", "request", request.ID, "stopping", r.draining.Load())
-		r.options.Codec.WriteFailure(w, interruptedFailure())
+		r.options.Codec.WriteFailure(w, admitter.InterruptedFailure())
 	case err != nil:
 		klog.InfoS("answer cut off", "request", request.ID, "stopping", r.draining.Load(), "err", err)
 		cutOff(w, req)
@@ -202,15 +202,6 @@
 	_ = conn.Close()
 }
 
-// interruptedFailure returns the failure of a request that ended inside the entry
-// without a reply. A part of it may have been sent.
-func interruptedFailure() *admitter.Failure {
-	return &admitter.Failure{
-		Status: http.StatusBadGateway, Code: "interrupted", Message: "the entry has given the request up",
-		Outcome: admitter.OutcomeUnknown,
-	}
-}
-
 // readBody reads the body of a request and returns a failure if it is too large or
 // incomplete.
 func (r *Receiver) readBody(w http.ResponseWriter, req *http.Request, now time.Time) ([]byte, *admitter.Failure) {
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -150,6 +150,15 @@
 	return notRunFailure(http.StatusServiceUnavailable, "entry_overloaded", "the entry has no room for another request")
 }
 
+// InterruptedFailure returns the failure of a request that ended inside the entry without
+// a reply. A part of it may have been sent.
+func InterruptedFailure() *Failure {
+	return &Failure{
+		Status: http.StatusBadGateway, Code: "interrupted", Message: "the entry has given the request up",
+		Outcome: OutcomeUnknown,
+	}
+}
+
 // RejectedFailure returns the failure of a request that an engine rejected as
 // invalid. It is not retried, since every other engine would reject it too.
 func RejectedFailure(status int, message string) *Failure {
--- a/internal/request/responder/responder.go
+++ b/internal/request/responder/responder.go
@@ -158,7 +158,7 @@
 	for {
 		r, err := nextReply(ctx, replies)
 		if err != nil {
-			return err
+			return failUnanswered(w, err)
 		}
 		setReplayedOutcome(w, r)
 		switch r.Kind {
@@ -333,7 +333,7 @@
 func firstReply(ctx context.Context, w http.ResponseWriter, replies *Ring) (Reply, bool, error) {
 	r, err := nextReply(ctx, replies)
 	if err != nil {
-		return r, false, err
+		return r, false, failUnanswered(w, err)
 	}
 	if r.Kind == KindFailed {
 		WriteFailure(w, r.Failure)
@@ -342,6 +342,17 @@
 	return r, true, nil
 }
 
+// failUnanswered answers a request that ended without a reply before anything was written.
+// It returns err if the caller has disconnected.
+func failUnanswered(w http.ResponseWriter, err error) error {
+	var e *Error
+	if !errors.As(err, &e) || e.Kind != ErrorOverrun {
+		return err
+	}
+	WriteFailure(w, admitter.InterruptedFailure())
+	return nil
+}
+
 // isDroppedField reports whether a header field of a service's response is not
 // forwarded: it is a hop-by-hop field (RFC 9110, section 7.6.1), or
 // Content-Length, which the responder sets itself.
--- a/internal/request/responder/responder_test.go
+++ b/internal/request/responder/responder_test.go
@@ -104,3 +104,31 @@
 		is.New(t).Equal(h.Get(name), value) // value of the header field
 	}
 }
+
+// A request that ended inside the entry without a reply, at its exit for example, closed the
+// connection of its caller, who could have got a failure: nothing had been written.
+func TestRequestWithoutReplyGetsFailure(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		write func(http.ResponseWriter, *Ring) error
+	}{
+		{"response of a service", func(w http.ResponseWriter, r *Ring) error { return WriteResponse(t.Context(), w, r) }},
+		{"completion", func(w http.ResponseWriter, r *Ring) error {
+			return WriteCompletion(t.Context(), w, CompletionMetadata{}, r)
+		}},
+		{"stream", func(w http.ResponseWriter, r *Ring) error {
+			return StreamCompletion(t.Context(), w, CompletionMetadata{}, r)
+		}},
+		{"models", func(w http.ResponseWriter, r *Ring) error { return WriteModels(t.Context(), w, r) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			replies := NewRing()
+			replies.Close()
+			w := httptest.NewRecorder()
+			is := is.New(t)
+			is.NoErr(c.write(w, replies))
+			is.Equal(w.Code, http.StatusBadGateway)
+			assertHeader(t, w.Header(), map[string]string{OutcomeHeader: string(admitter.OutcomeUnknown)})
+		})
+	}
+}
