--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -31,7 +31,6 @@
 	"magnoliafront.dev/magnoliafront/internal/process/recoverer"
 	"magnoliafront.dev/magnoliafront/internal/process/registrar"
 	"magnoliafront.dev/magnoliafront/internal/request/relayer"
-	"magnoliafront.dev/magnoliafront/internal/request/retrier"
 	"magnoliafront.dev/magnoliafront/internal/version/matcher"
 	"magnoliafront.dev/magnoliafront/pkg/buffer"
 	"magnoliafront.dev/magnoliafront/pkg/timer"
@@ -222,10 +221,6 @@
 	f.put(event{kind: eventLoadReceived, entry: entry, loadReport: r})
 }
 
-// BeginStop announces that the entry stops: from then on, requests that would not end
-// before the exit are refused, and those without an answer get one before it.
-func (f *Forwarder) BeginStop(s dispatcher.Stop) { f.put(event{kind: eventStopping, stop: s}) }
-
 // State returns the current snapshot.
 func (f *Forwarder) State() State { return *f.state.Load() }
 
@@ -324,17 +319,6 @@
 	}
 }
 
-// giveFinalAnswers answers the requests without an answer before the exit.
-func (f *Forwarder) giveFinalAnswers(now time.Time) {
-	// Reports that wait may say that an answer has begun.
-	for range f.events.Stats().Depth {
-		if e, ok := f.events.TryTake(); ok {
-			f.runEvent(e)
-		}
-	}
-	f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventFinalAnswers})
-}
-
 func (f *Forwarder) handleEvent(e event) {
 	now := f.options.Clock.Now()
 	switch e.kind {
@@ -406,19 +390,3 @@
 		j.Replies.Put(j.Context, relayer.Reply{Kind: relayer.KindFailed, Failure: a.Failure})
 	}
 }
-
-// stop refuses the requests that have not been started, ends those in flight without a
-// reply and closes all idle connections to upstreams.
-func (f *Forwarder) stop() {
-	for j, ok := f.jobs.TryTake(); ok; j, ok = f.jobs.TryTake() {
-		failure := retrier.Decide(retrier.RequestState{}, retrier.CauseStopping).Failure
-		j.Replies.Put(j.Context, relayer.Reply{Kind: relayer.KindFailed, Failure: failure})
-	}
-	for _, a := range f.inFlight {
-		a.cancelCalls()
-		a.job.Replies.Close()
-	}
-	for _, p := range f.pools {
-		p.closeIdle()
-	}
-}
