--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -35,9 +35,10 @@
 	// gracePeriodMargin is how long before the end of the grace period a process
 	// exits by itself.
 	gracePeriodMargin = 700 * time.Millisecond
-	// refusalPeriod is how long after the notice period a stopping process still answers
-	// new requests before it closes its idle connections.
-	refusalPeriod = 500 * time.Millisecond
+	// closeDelay is the time between the end of the notice period and the close of the
+	// listener and of idle connections. Callers that have just connected still send their
+	// requests within it.
+	closeDelay = 500 * time.Millisecond
 	// withdrawTimeout bounds the call that deletes a leaving entry from the store. It
 	// also bounds the reading of request headers at the metrics endpoint.
 	withdrawTimeout = time.Second
@@ -222,8 +223,7 @@
 			klog.InfoS("entry not withdrawn", "identity", s.Identity, "err", err)
 		}
 		cancel()
-		sleep(ctx, c, noticeEnd.Sub(c.Now()))
-		sleep(ctx, c, refusalPeriod)
+		sleep(ctx, c, noticeEnd.Add(closeDelay).Sub(c.Now()))
 		finishCtx, cancel := withDeadline(ctx, c, exitDeadline)
 		defer cancel()
 		err := r.Stop(finishCtx)
