Log why a silent attempt is abandoned

The log of a cut stream ends with "silent attempt abandoned" and the failures of the attempts after it. It did not tell whether the other attempt had shown anything by then: its progress, its own silence, the time limit and the end of the silent attempt all had the outcome "moved".

Change: the outcome of the line gives the reason. No decision changes.

--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -230,7 +230,7 @@
 	}
 	s := d.service(f.admission.Service.Name)
 	f.begun, f.lastEvent = e.Begun, e.LastEvent
-	out := d.abandonSuspended(now, f)
+	out := d.abandonSuspended(now, f, reasonProgress)
 	if e.First {
 		s.picker.Step(now, picker.Event{Kind: picker.EventFirstToken, Upstream: f.upstream, Elapsed: e.Elapsed, PromptTokens: f.pendingTokens})
 		f.pendingTokens = 0
--- a/internal/process/dispatcher/outcome.go
+++ b/internal/process/dispatcher/outcome.go
@@ -35,7 +35,7 @@
 	f := d.inFlight[e.ID]
 	if f != nil && f.suspended != nil && f.suspended.attempt == e.Attempt {
 		// A call also ends while it is suspended, at its deadline for example.
-		return d.abandonSuspended(now, f)
+		return d.abandonSuspended(now, f, reasonEnded)
 	}
 	if f == nil || f.attempt != e.Attempt {
 		return nil
@@ -43,7 +43,7 @@
 	var out []Action
 	if e.Begun != f.begun || e.LastEvent != f.lastEvent {
 		// The caller has a part of this answer, which another one must not follow.
-		out = d.abandonSuspended(now, f)
+		out = d.abandonSuspended(now, f, reasonPart)
 	}
 	f.begun, f.lastEvent = e.Begun, e.LastEvent
 	f.state.Repeatable = f.state.Repeatable && !e.Unresumable
--- a/internal/process/dispatcher/silence.go
+++ b/internal/process/dispatcher/silence.go
@@ -27,7 +27,7 @@
 	f.begun, f.lastEvent = e.Begun, e.LastEvent
 	f.state.Repeatable = f.state.Repeatable && !e.Unresumable
 	// At most two upstreams work on a request, and one silent attempt can go on.
-	out := d.abandonSuspended(now, f)
+	out := d.abandonSuspended(now, f, reasonSilent)
 	s := d.service(f.admission.Service.Name)
 	silent := f.run
 	f.suspended, d.suspended[f.request.ID] = &silent, f
@@ -49,14 +49,28 @@
 	return Action{Kind: ActionResume, ID: f.request.ID, Attempt: f.attempt, Summary: f.finalSummary(now, reason)}
 }
 
+// The reasons why a suspended attempt is abandoned, as they appear in log lines.
+const (
+	// reasonProgress means that the other attempt has made progress, and reasonPart that
+	// it has ended after a part of its answer.
+	reasonProgress = "other_progressed"
+	reasonPart     = "other_broke_off"
+	// reasonSilent means that the other attempt has fallen silent as well.
+	reasonSilent = "other_silent"
+	// reasonOverlap means that both have worked on the request for the longest time.
+	reasonOverlap = "overlap_ended"
+	// reasonEnded means that the suspended attempt has ended by itself.
+	reasonEnded = "ended"
+)
+
 // abandonSuspended ends the suspended attempt of f, if there is one.
-func (d *Dispatcher) abandonSuspended(now time.Time, f *inFlightRequest) []Action {
+func (d *Dispatcher) abandonSuspended(now time.Time, f *inFlightRequest, reason string) []Action {
 	if f.suspended == nil {
 		return nil
 	}
 	attempt := f.suspended.attempt
 	d.endSuspended(now, f)
-	return []Action{{Kind: ActionAbandon, ID: f.request.ID, Attempt: attempt, Summary: f.finalSummary(now, "moved")}}
+	return []Action{{Kind: ActionAbandon, ID: f.request.ID, Attempt: attempt, Summary: f.finalSummary(now, reason)}}
 }
 
 // beginOverlap records that the current attempt was sent while another is suspended.
@@ -72,7 +86,7 @@
 	var out []Action
 	for _, f := range d.suspended {
 		if !f.overlapSince.IsZero() && now.Sub(f.overlapSince) >= maxOverlap {
-			out = append(out, d.abandonSuspended(now, f)...)
+			out = append(out, d.abandonSuspended(now, f, reasonOverlap)...)
 		}
 	}
 	return out
