Keep a silent attempt until another one has a part of its answer

Cause: a silent attempt was given up 0.1 to 0.3 s after the request was sent to another upstream, or as soon as that one fell silent as well, whatever it had shown. If it then failed, refused, broke off, or had no event after those that the caller had, nobody was left to answer.

Change: a silent attempt goes on beside the other one, and its connection is read on. Both are contested: each asks before it relays anything, and the dispatcher, which sees both, lets the first go on that has a part of its answer and ends the other. If neither has after 0.3 s, the other one ends: it has shown nothing that speaks for it. A timer of its own ends the overlap, after the reports that wait; the tick of the load reports came up to 0.2 s late. Comments and the end of a continuation without an event are no part of an answer. A silence is reported again after each idle timeout, so that another upstream is tried again as far as the route and the budget permit.

Tests that stated the former decision are replaced: when an overlap ends, or the second attempt is silent too, the second one ends and not the first; still at most two attempts work, for a bounded time, and each run counts. The test with a part of a large answer lets the first upstream answer only after the caller has that part, since otherwise it may now answer first.

--- a/internal/connection/carrier/attempt.go
+++ b/internal/connection/carrier/attempt.go
@@ -2,24 +2,22 @@
 
 import (
 	"net/http"
-	"os"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"magnoliafront.dev/magnoliafront/internal/request/relayer"
 )
 
 // attempt is the state of a call in progress.
 type attempt struct {
+	conn     *Conn
 	call     Call
 	start    time.Time
 	splitter splitter
 	begun    bool
 	// opaque is true if the caller has a part of a response that is no event stream.
 	opaque bool
-	// suspended is true from the report of a silence until the call is resumed.
-	suspended bool
+	// contested is true while another attempt may relay to the caller.
+	contested bool
 	// unreportedEvents is the number of events since the last progress report,
 	// which was sent at lastReport.
 	unreportedEvents int
@@ -38,17 +36,6 @@
 	keepAliveTimeout time.Duration
 }
 
-// readBody reads from the body of a response. If the call has ended while it was
-// suspended, it drops the bytes that were read before, since another attempt may have
-// relayed them.
-func (a *attempt) readBody(resp *http.Response, b []byte) (int, error) {
-	n, err := resp.Body.Read(b)
-	if a.suspended {
-		return 0, errors.Wrap(os.ErrDeadlineExceeded, "wait for the upstream")
-	}
-	return n, err
-}
-
 // newReport returns the report of a call that ended with the outcome o.
 func (a *attempt) newReport(o Outcome, err error) Report {
 	return Report{
@@ -61,10 +48,33 @@
 // relayed.
 func (a *attempt) isUnresumable() bool { return a.begun && (a.opaque || a.splitter.unnumbered) }
 
+// interimReport returns a report of a call that has not ended.
+func (a *attempt) interimReport() Report {
+	return Report{
+		Conn: a.conn, Request: a.call.Request, Attempt: a.call.Attempt,
+		Begun: a.begun, LastEvent: a.splitter.lastID, Unresumable: a.isUnresumable(),
+	}
+}
+
 // relay puts a reply on the ring. It reports false if the call was cancelled: another
 // attempt may then be relaying.
 func (a *attempt) relay(r relayer.Reply) bool {
-	return a.call.Context.Err() == nil && a.call.Replies.Put(a.call.Context, r)
+	return a.call.Context.Err() == nil && a.awaitPermit() && a.call.Replies.Put(a.call.Context, r)
+}
+
+// awaitPermit waits until a contested call may relay. It reports false if the call was
+// cancelled. The owner of the connection does one or the other in any case, so the wait
+// does not end with the deadline.
+func (a *attempt) awaitPermit() bool {
+	if !a.contested {
+		return true
+	}
+	r := a.interimReport()
+	r.Ready = true
+	a.conn.options.Report(r)
+	_, ok := a.conn.permits.Take(a.call.Context)
+	a.contested = !ok
+	return ok
 }
 
 // relayHead relays the head of a response unless the caller has received one, in
--- a/internal/connection/carrier/carrier.go
+++ b/internal/connection/carrier/carrier.go
@@ -78,12 +78,13 @@
 	// DialTimeout is the maximum time for establishing a connection.
 	DialTimeout time.Duration
 	// Deadline is the time at which the call ends. IdleTimeout is the time without
-	// progress after which the call is suspended; see [Report]. Zero means that it
-	// never is.
+	// progress after which the upstream is reported as silent; see [Report]. Zero means
+	// that it never is.
 	Deadline    time.Time
 	IdleTimeout time.Duration
-	// ReportSent asks for a report once the request was written; see [Report].
-	ReportSent bool
+	// Contested is true if another attempt at the request has not ended. The call then
+	// reports when the request was written, and asks before it relays; see [Report].
+	Contested bool
 	// Stream is true if the response is relayed event by event. Begun is true if
 	// the caller has received the head and the events up to LastEvent in an
 	// earlier attempt.
@@ -143,12 +144,15 @@
 	Events  int
 	Elapsed time.Duration
 	// Silent is true if the upstream has made no progress for Call.IdleTimeout. The
-	// call is then suspended: it relays nothing until [Conn.Resume], or until its
-	// context is cancelled. Ended is false.
+	// call goes on, but is contested from then on. The report is repeated after each
+	// further IdleTimeout without progress. Ended is false.
 	Silent bool
-	// Sent is true once the request was written, if Call.ReportSent is set. Ended is
-	// false.
+	// Sent is true once the request of a contested call was written. Ended is false.
 	Sent bool
+	// Ready is true if a contested call has a part of its response, other than an error,
+	// for the caller. It relays nothing until [Conn.PermitRelay] and is then no longer
+	// contested, or until its context is cancelled. Ended is false.
+	Ready bool
 
 	Outcome Outcome
 	// Status is the HTTP status of the response, if there was one. It is zero for
@@ -197,7 +201,7 @@
 type Conn struct {
 	options Options
 	calls   *buffer.Ring[Call, buffer.Reject]
-	resumes *buffer.Ring[struct{}, buffer.Reject]
+	permits *buffer.Ring[struct{}, buffer.Reject]
 
 	// The fields below are used only by the goroutine of the connection.
 	conn     net.Conn
@@ -217,7 +221,7 @@
 	c := &Conn{
 		options: o,
 		calls:   buffer.New[Call, buffer.Reject]("carrier_calls", 1),
-		resumes: buffer.New[struct{}, buffer.Reject]("carrier_resumes", 1),
+		permits: buffer.New[struct{}, buffer.Reject]("carrier_permits", 1),
 	}
 	go func() {
 		for {
@@ -242,9 +246,9 @@
 // called again before the report with Ended set for the previous call.
 func (c *Conn) Send(call Call) bool { return c.calls.Put(context.Background(), call) }
 
-// Resume continues a suspended call. It must be called at most once after each
-// report with Silent set.
-func (c *Conn) Resume() { c.resumes.Put(context.Background(), struct{}{}) }
+// PermitRelay lets a contested call relay its response. It must be called at most once
+// after each report with Ready set.
+func (c *Conn) PermitRelay() { c.permits.Put(context.Background(), struct{}{}) }
 
 // Close closes the connection after the current call has ended.
 func (c *Conn) Close() { c.calls.Close() }
--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -34,7 +34,7 @@
 	if call.Context.Err() != nil {
 		return Report{Outcome: OutcomeCancelled, Begun: call.Begun, LastEvent: call.LastEvent, Reusable: c.conn != nil}
 	}
-	a := &attempt{call: call, start: c.options.Clock.Now(), begun: call.Begun, firstReport: true}
+	a := &attempt{conn: c, call: call, start: c.options.Clock.Now(), begun: call.Begun, contested: call.Contested, firstReport: true}
 	a.splitter.lastID = call.LastEvent
 	if !c.options.Clock.Now().Before(call.Deadline) {
 		return a.newReport(OutcomeExpired, nil)
@@ -84,10 +84,12 @@
 		// have sent a response.
 		a.call.Deadline = earlier(a.call.Deadline, c.options.Clock.Now().Add(earlyResponseTimeout))
 	}
-	if a.call.ReportSent {
-		c.options.Report(Report{Conn: c, Request: a.call.Request, Attempt: a.call.Attempt, Sent: true, Begun: a.begun, LastEvent: a.splitter.lastID})
+	if a.contested {
+		sent := a.interimReport()
+		sent.Sent = true
+		c.options.Report(sent)
 	}
-	c.received.onTimeout = func() bool { return c.suspend(a) }
+	c.received.onTimeout = func() bool { return c.reportSilence(a) }
 	defer func() { c.received.onTimeout = nil }()
 	// The body isn't closed: when the call ends, the body has been read to its end
 	// or the connection is closed.
@@ -194,24 +196,18 @@
 	return nil
 }
 
-// suspend is called when a read has reached its deadline. If this is due to the idle
-// timeout, it reports the silence of the upstream and waits until the owner of the
-// connection resumes the call or cancels it. It reports whether the read continues.
-func (c *Conn) suspend(a *attempt) bool {
+// reportSilence is called when a read has reached its deadline. If this is due to the idle
+// timeout, it reports the silence of the upstream, and the call is contested from then on.
+// It reports whether the read continues.
+func (c *Conn) reportSilence(a *attempt) bool {
 	if a.call.Context.Err() != nil || !c.options.Clock.Now().Before(a.call.Deadline) {
 		return false
 	}
-	a.suspended = true
-	c.resumes.TryTake()
-	c.options.Report(Report{
-		Conn: c, Request: a.call.Request, Attempt: a.call.Attempt, Silent: true,
-		Begun: a.begun, LastEvent: a.splitter.lastID, Unresumable: a.isUnresumable(),
-	})
-	ctx, cancel := context.WithDeadline(a.call.Context, a.call.Deadline)
-	defer cancel()
-	_, resumed := c.resumes.Take(ctx)
-	a.suspended = !resumed
-	return resumed && c.setReadDeadline(a) == nil
+	a.contested = true
+	silent := a.interimReport()
+	silent.Silent = true
+	c.options.Report(silent)
+	return c.setReadDeadline(a) == nil
 }
 
 // discardRefusal reads the rest of a response that says that the request was not
@@ -272,7 +268,7 @@
 			return c.classifyError(a, err)
 		}
 		b := make([]byte, streamReadBytes)
-		n, err := a.readBody(resp, b)
+		n, err := resp.Body.Read(b)
 		ok = n == 0 || a.relayBody(b[:n])
 		if errors.Is(err, io.EOF) {
 			return c.relayEnd(a, resp)
--- a/internal/connection/carrier/stream.go
+++ b/internal/connection/carrier/stream.go
@@ -23,7 +23,7 @@
 		return c.classifyError(a, err)
 	}
 	for {
-		n, err := a.readBody(resp, c.streamBuffer)
+		n, err := resp.Body.Read(c.streamBuffer)
 		whole, events, ok := a.splitter.split(c.streamBuffer[:n])
 		if !ok {
 			return a.newReport(OutcomeLost, errors.Errorf("an event exceeds %d bytes", maxEventBytes))
@@ -37,7 +37,7 @@
 			// response of another type.
 			whole = append(whole, a.splitter.partial...)
 		}
-		if len(whole) > 0 && (!a.relayHead(resp) || !a.relayBody(whole)) {
+		if len(whole) > 0 && a.isWorthRelaying(events, err) && (!a.relayHead(resp) || !a.relayBody(whole)) {
 			return a.newReport(OutcomeCancelled, nil)
 		}
 		c.reportProgress(a, events)
@@ -61,7 +61,7 @@
 		return c.classifyError(a, errors.New("the framed stream ends within an event"))
 	case !errors.Is(err, io.EOF):
 		return c.classifyError(a, errors.Wrap(err, "read the stream"))
-	case a.call.Begun && a.lastRead.IsZero():
+	case a.isEmptyContinuation():
 		// Whether the stream that broke off was complete is as unknown as before.
 		r := a.newReport(OutcomeFailed, errors.New("the answer holds no event after the last one of the stream"))
 		r.Status = resp.StatusCode
@@ -96,6 +96,16 @@
 	a.firstReport, a.unreportedEvents, a.lastReport = false, 0, now
 }
 
+// isWorthRelaying reports whether a read that returned events and err shows that the
+// attempt should answer: comments alone, or the end of an empty continuation, are no sign
+// of that as long as another attempt may answer.
+func (a *attempt) isWorthRelaying(events int, err error) bool {
+	return !a.contested || events > 0 || errors.Is(err, io.EOF) && !a.isEmptyContinuation()
+}
+
+// isEmptyContinuation reports whether the call resumes a stream and has had no event.
+func (a *attempt) isEmptyContinuation() bool { return a.call.Begun && a.lastRead.IsZero() }
+
 // recordEventTimes updates firstEvent and longestPause with a read that completed
 // events.
 func (a *attempt) recordEventTimes(now time.Time) {
--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -115,10 +115,8 @@
 		return d.admit(now, e.Request)
 	case EventProgress:
 		return d.recordProgress(now, e)
-	case EventSent:
-		d.beginOverlap(now, e)
-	case EventSilent:
-		return d.handleSilence(now, e)
+	case EventSent, EventSilent, EventReady, EventOverlapEnded:
+		return d.handleOverlap(now, e)
 	case EventEnded:
 		return d.endAttempt(now, e)
 	case EventAborted:
@@ -141,8 +139,7 @@
 	case EventLoadReceived:
 		d.receiveLoad(now, e.Entry, e.Report)
 	case EventTick:
-		out := append(d.abandonOverdue(now), d.tick(now)...)
-		return append(out, sendStrikes(d.detector.RepeatedStrikes(now))...)
+		return append(d.tick(now), sendStrikes(d.detector.RepeatedStrikes(now))...)
 	case EventSynced:
 		d.synced = e.Synced
 	case EventHeldBack:
--- a/internal/process/dispatcher/event.go
+++ b/internal/process/dispatcher/event.go
@@ -38,12 +38,16 @@
 	EventArrived EventKind = iota
 	// EventProgress means that events of an answer arrived.
 	EventProgress
-	// EventSent means that the request of an attempt was written. It is due only
-	// while an earlier attempt is suspended.
+	// EventSent means that the request of a contested attempt was written.
 	EventSent
 	// EventSilent means that an attempt has made no progress for its idle timeout. It
-	// is suspended until ActionResume.
+	// goes on, but is contested from then on.
 	EventSilent
+	// EventReady means that a contested attempt has a part of its answer for the caller.
+	// It waits for ActionRelay.
+	EventReady
+	// EventOverlapEnded is due at [Dispatcher.OverlapEndsAt].
+	EventOverlapEnded
 	// EventEnded means that an attempt has ended.
 	EventEnded
 	// EventAborted means that a request cannot be continued after a fault of the
@@ -104,8 +108,8 @@
 type Event struct {
 	Kind    EventKind
 	Request Request
-	// ID and Attempt identify the attempt of EventProgress, EventSent, EventSilent
-	// and EventEnded. ID identifies the request of EventAborted.
+	// ID and Attempt identify the attempt of EventProgress, EventSent, EventSilent,
+	// EventReady and EventEnded. ID identifies the request of EventAborted.
 	ID      string
 	Attempt int
 	// First is true for the first event of an answer, which arrived Elapsed after
@@ -153,8 +157,11 @@
 	// ActionFail answers the caller with Failure. If Begun is true, the connection
 	// to the caller must be closed instead, since a part of the answer was sent.
 	ActionFail
-	// ActionResume lets the suspended attempt go on.
+	// ActionResume makes the suspended attempt the current one again, in place of the
+	// attempt that was current, if there is another, which ends.
 	ActionResume
+	// ActionRelay lets a contested attempt relay its answer. It is contested no longer.
+	ActionRelay
 	// ActionAbandon ends the suspended attempt.
 	ActionAbandon
 	// ActionForwardError forwards the error response of the upstream to the caller.
@@ -195,10 +202,12 @@
 	IdleTimeout time.Duration
 	DialTimeout time.Duration
 	Stream      bool
-	Begun       bool
-	LastEvent   string
-	Failure     *admitter.Failure
-	Strikes     []detector.Strike
+	// Contested is true if another attempt at the request is suspended.
+	Contested bool
+	Begun     bool
+	LastEvent string
+	Failure   *admitter.Failure
+	Strikes   []detector.Strike
 	// Received is true if the strikes of ActionSendStrikes came from another entry.
 	Received bool
 	// Report is set for ActionSendLoad.
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -54,8 +54,8 @@
 	// while the current one is tried, nil if there is none.
 	run
 	suspended *run
-	// overlapSince is the time at which the current attempt was sent while another is
-	// suspended, zero if it is not known to be sent.
+	// overlapSince is the time at which another attempt was first sent while one is
+	// suspended, zero if none is known to be sent.
 	overlapSince time.Time
 	// attempts is the number of attempts, and notSent the number of those that could
 	// not be sent.
@@ -157,7 +157,6 @@
 	f.attempts++
 	f.run = run{attempt: f.attempts, upstream: id, suspect: q.Suspect, pendingTokens: f.request.PromptTokens, sentAt: now}
 	f.tried = append(f.tried, id)
-	f.overlapSince = time.Time{}
 	d.recordPlacement(f)
 	u := s.picker.Upstream(id)
 	if f.request.PrefixTokens < minPlacementTokens || !s.picker.IsCached(f.request.Prefix) {
@@ -173,7 +172,7 @@
 		Kind: ActionSend, ID: f.request.ID, Attempt: f.attempt, Upstream: s.upstreams[id], CacheSource: s.upstreams[source].Address,
 		Priority: f.admission.Priority, Organisation: f.admission.Organisation,
 		Deadline: f.deadline, IdleTimeout: idleTimeout(f, remaining), DialTimeout: min(maxDialTimeout, remaining/3),
-		Stream: f.admission.Route.Kind == matcher.Streaming, Begun: f.begun, LastEvent: f.lastEvent,
+		Stream: f.admission.Route.Kind == matcher.Streaming, Contested: f.suspended != nil, Begun: f.begun, LastEvent: f.lastEvent,
 		Summary: f.summary,
 	}}
 }
@@ -218,11 +217,15 @@
 		patience := max(minCallerPatience, latencyPatienceFactor*f.admission.Route.LatencyTarget, gapPatienceFactor*f.admission.Route.GapTarget)
 		return time.Duration(streamIdleShare * float64(patience))
 	}
-	return min(max(minIdleTimeout, idleTimeoutFactor*f.admission.Route.LatencyTarget), remaining/2)
+	idle := min(max(minIdleTimeout, idleTimeoutFactor*f.admission.Route.LatencyTarget), remaining/2)
+	if f.suspended != nil {
+		// The attempt may show a part of its answer until the end of the overlap.
+		idle = max(idle, maxOverlap)
+	}
+	return idle
 }
 
-// recordProgress handles events of an answer. An attempt that is suspended is then
-// no longer needed.
+// recordProgress handles events of an answer.
 func (d *Dispatcher) recordProgress(now time.Time, e Event) []Action {
 	f := d.inFlight[e.ID]
 	if f == nil || f.attempt != e.Attempt {
@@ -230,16 +233,15 @@
 	}
 	s := d.service(f.admission.Service.Name)
 	f.begun, f.lastEvent = e.Begun, e.LastEvent
-	out := d.abandonSuspended(now, f, reasonProgress)
 	if e.First {
 		s.picker.Step(now, picker.Event{Kind: picker.EventFirstToken, Upstream: f.upstream, Elapsed: e.Elapsed, PromptTokens: f.pendingTokens})
 		f.pendingTokens = 0
 		if f.prefillTokens > 0 {
 			s.separator.Step(now, separator.Event{Kind: separator.EventPrefilled, Request: f.admission.Route.Name, PromptTokens: f.prefillTokens, Elapsed: e.Elapsed})
 		}
-		return append(out, d.detectProgress(now, f)...)
+		return d.detectProgress(now, f)
 	}
 	s.separator.Step(now, separator.Event{Kind: separator.EventProgress, Request: f.admission.Route.Name, Elapsed: e.Elapsed, Events: e.Events})
 	s.picker.Step(now, picker.Event{Kind: picker.EventTokens, Upstream: f.upstream, Elapsed: e.Elapsed, Tokens: e.Events})
-	return append(out, d.detectProgress(now, f)...)
+	return d.detectProgress(now, f)
 }
--- a/internal/process/dispatcher/silence.go
+++ b/internal/process/dispatcher/silence.go
@@ -8,35 +8,94 @@
 )
 
 // A sound upstream may be silent for a while. An attempt that makes no progress is
-// therefore suspended rather than ended while another upstream is tried, and goes on
-// if that one does not take the request.
+// therefore suspended rather than ended while another upstream is tried: it goes on
+// beside the other one, and both are contested. The first of them that has a part of
+// its answer for the caller relays it, and the other ends. If neither has within
+// maxOverlap, the other one ends, since nothing shows that it would do better.
 
-// maxOverlap is the time after the current attempt was sent at which a suspended one is
-// abandoned, at the next EventTick. An upstream refuses a request within a few round
-// trips. Afterwards, two upstreams would work on the same request for longer than users
-// accept (0.4 s).
-const maxOverlap = 100 * time.Millisecond
+// maxOverlap is the time from the sending of the current attempt for which a suspended
+// one goes on beside it. Users accept 0.4 s of work at two upstreams, and the end of an
+// attempt takes up to 0.1 s to reach a busy upstream.
+const maxOverlap = 300 * time.Millisecond
+
+// The reasons why one of two attempts ends, as they appear in log lines.
+const (
+	// reasonReady means that the other attempt has a part of its answer.
+	reasonReady = "other_ready"
+	// reasonPart means that the other attempt has ended after a part of its answer.
+	reasonPart = "other_broke_off"
+	// reasonSilent means that the current attempt has fallen silent as well.
+	reasonSilent = "other_silent"
+	// reasonOverlap means that neither has a part of its answer after maxOverlap.
+	reasonOverlap = "overlap_ended"
+	// reasonEnded means that the suspended attempt has ended by itself.
+	reasonEnded = "ended"
+)
+
+// handleOverlap handles the events of requests that are, or may be, at two upstreams.
+func (d *Dispatcher) handleOverlap(now time.Time, e Event) []Action {
+	switch e.Kind {
+	case EventSent:
+		d.beginOverlap(now, e)
+	case EventSilent:
+		return d.handleSilence(now, e)
+	case EventReady:
+		return d.handleReady(now, e)
+	case EventOverlapEnded:
+		return d.endOverlaps(now)
+	}
+	return nil
+}
 
 // handleSilence tries another upstream for a request whose attempt is suspended. If
-// none can get the request, the attempt goes on.
+// none can get the request, the attempt goes on alone.
 func (d *Dispatcher) handleSilence(now time.Time, e Event) []Action {
 	f := d.inFlight[e.ID]
 	if f == nil || f.attempt != e.Attempt {
 		return nil
 	}
+	if f.suspended != nil {
+		return d.withdraw(now, f, reasonSilent)
+	}
 	f.begun, f.lastEvent = e.Begun, e.LastEvent
 	f.state.Repeatable = f.state.Repeatable && !e.Unresumable
-	// At most two upstreams work on a request, and one silent attempt can go on.
-	out := d.abandonSuspended(now, f, reasonSilent)
 	s := d.service(f.admission.Service.Name)
 	silent := f.run
 	f.suspended, d.suspended[f.request.ID] = &silent, f
+	f.overlapSince = time.Time{}
 	// The suspended attempt may have been run.
 	f.state.Lost++
 	if _, ok := s.picker.Pick(now, d.query(now, s, f)); !ok {
-		return append(out, d.resume(now, f, "no_upstream"))
+		return []Action{d.resume(now, f, "no_upstream")}
 	}
-	return d.retryOrFail(now, f, retrier.CauseLost, out)
+	return d.retryOrFail(now, f, retrier.CauseLost, nil)
+}
+
+// handleReady lets the first of two attempts that has a part of its answer relay it, and
+// ends the other.
+func (d *Dispatcher) handleReady(now time.Time, e Event) []Action {
+	f := d.inFlight[e.ID]
+	if f == nil {
+		return nil
+	}
+	var out []Action
+	switch {
+	case f.attempt == e.Attempt:
+		out = d.abandonSuspended(now, f, reasonReady)
+	case f.suspended != nil && f.suspended.attempt == e.Attempt:
+		out = d.withdraw(now, f, reasonReady)
+	default:
+		return nil
+	}
+	return append(out, Action{Kind: ActionRelay, ID: e.ID, Attempt: e.Attempt})
+}
+
+// withdraw ends the current attempt of f, and the suspended one goes on.
+func (d *Dispatcher) withdraw(now time.Time, f *inFlightRequest, reason string) []Action {
+	out := d.recordOutcome(now, f, Event{Outcome: OutcomeCancelled})
+	// The current attempt may have been run.
+	f.state.Lost++
+	return append(out, d.resume(now, f, reason))
 }
 
 // resume makes the suspended attempt of f the current one again. The reason is that
@@ -49,20 +108,6 @@
 	return Action{Kind: ActionResume, ID: f.request.ID, Attempt: f.attempt, Summary: f.finalSummary(now, reason)}
 }
 
-// The reasons why a suspended attempt is abandoned, as they appear in log lines.
-const (
-	// reasonProgress means that the other attempt has made progress, and reasonPart that
-	// it has ended after a part of its answer.
-	reasonProgress = "other_progressed"
-	reasonPart     = "other_broke_off"
-	// reasonSilent means that the other attempt has fallen silent as well.
-	reasonSilent = "other_silent"
-	// reasonOverlap means that both have worked on the request for the longest time.
-	reasonOverlap = "overlap_ended"
-	// reasonEnded means that the suspended attempt has ended by itself.
-	reasonEnded = "ended"
-)
-
 // abandonSuspended ends the suspended attempt of f, if there is one.
 func (d *Dispatcher) abandonSuspended(now time.Time, f *inFlightRequest, reason string) []Action {
 	if f.suspended == nil {
@@ -73,20 +118,34 @@
 	return []Action{{Kind: ActionAbandon, ID: f.request.ID, Attempt: attempt, Summary: f.finalSummary(now, reason)}}
 }
 
-// beginOverlap records that the current attempt was sent while another is suspended.
+// beginOverlap records that the current attempt was sent while another is suspended. The
+// time runs from the first attempt that was sent since then.
 func (d *Dispatcher) beginOverlap(now time.Time, e Event) {
-	if f := d.inFlight[e.ID]; f != nil && f.attempt == e.Attempt && f.suspended != nil {
+	f := d.inFlight[e.ID]
+	if f != nil && f.attempt == e.Attempt && f.suspended != nil && f.overlapSince.IsZero() {
 		f.overlapSince = now
 	}
 }
 
-// abandonOverdue abandons the suspended attempts of requests whose current attempt was
-// sent maxOverlap ago.
-func (d *Dispatcher) abandonOverdue(now time.Time) []Action {
+// OverlapEndsAt returns the time at which EventOverlapEnded is due, or the zero time if
+// no request is at two upstreams.
+func (d *Dispatcher) OverlapEndsAt() time.Time {
+	var first time.Time
+	for _, f := range d.suspended {
+		if end := f.overlapSince.Add(maxOverlap); !f.overlapSince.IsZero() && (first.IsZero() || end.Before(first)) {
+			first = end
+		}
+	}
+	return first
+}
+
+// endOverlaps withdraws the current attempts of requests that have been at two upstreams
+// for maxOverlap.
+func (d *Dispatcher) endOverlaps(now time.Time) []Action {
 	var out []Action
 	for _, f := range d.suspended {
 		if !f.overlapSince.IsZero() && now.Sub(f.overlapSince) >= maxOverlap {
-			out = append(out, d.abandonSuspended(now, f, reasonOverlap)...)
+			out = append(out, d.withdraw(now, f, reasonOverlap)...)
 		}
 	}
 	return out
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -29,6 +29,10 @@
 		f.failRequest(a)
 	case dispatcher.ActionResume:
 		f.resume(a)
+	case dispatcher.ActionRelay:
+		if t := f.inFlight[a.ID]; t != nil {
+			t.ready.PermitRelay()
+		}
 	case dispatcher.ActionAbandon:
 		if t := f.inFlight[a.ID]; t != nil && t.suspended != nil {
 			logDecision("silent attempt abandoned", a)
@@ -72,7 +76,7 @@
 		return
 	}
 	p := f.poolOf(a.Upstream)
-	if t.conn != nil {
+	if a.Contested && t.suspended == nil {
 		silent := t.liveCall
 		t.suspended = &silent
 	}
@@ -82,8 +86,7 @@
 		Request: a.ID, Attempt: a.Attempt, Context: ctx,
 		Head: f.options.Codec.Encode(t.job, a, a.Deadline.Sub(now)), Body: t.job.Body,
 		DialTimeout: a.DialTimeout, Deadline: a.Deadline.Add(dispatcher.DeadlineGrace), IdleTimeout: a.IdleTimeout,
-		ReportSent: t.suspended != nil,
-		Stream:     a.Stream, Begun: a.Begun, LastEvent: a.LastEvent,
+		Contested: a.Contested, Stream: a.Stream, Begun: a.Begun, LastEvent: a.LastEvent,
 		Classify:     f.options.Codec.ClassifyResponse(a.ID), //nolint:bodyclose // the function reads only the head
 		DecodeNotice: f.options.Codec.DecodeNotice,
 		Replies:      t.job.Replies,
@@ -112,19 +115,20 @@
 }
 
 // handleReport handles a report of a connection about a call. Reports of an earlier
-// attempt only return the connection to its pool, unless that attempt is suspended: the
-// dispatcher must not resume it once it has ended.
+// attempt only return the connection to its pool, unless that attempt is suspended: it
+// may have a part of its answer, and must not be resumed once it has ended.
 func (f *Forwarder) handleReport(now time.Time, p *pool, r carrier.Report) {
 	t := f.inFlight[r.Request]
 	current := t != nil && t.number == r.Attempt
+	suspended := t != nil && t.suspended != nil && t.suspended.number == r.Attempt
 	if !r.Ended {
-		if current {
+		if current || suspended && r.Ready {
 			f.dispatch(now, t.interimEvent(r))
 		}
 		return
 	}
 	p.put(now, r)
-	if t != nil && t.suspended != nil && t.suspended.number == r.Attempt {
+	if suspended {
 		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventEnded, ID: r.Request, Attempt: r.Attempt, Outcome: attemptOutcome(r)})
 	}
 	if !current {
@@ -149,7 +153,7 @@
 	f.cleanUpPool(p)
 }
 
-// interimEvent returns the event for a report of the current call that has not ended.
+// interimEvent returns the event for a report of a call that has not ended.
 func (t *inFlightRequest) interimEvent(r carrier.Report) dispatcher.Event {
 	e := dispatcher.Event{
 		Kind: dispatcher.EventProgress, ID: r.Request, Attempt: r.Attempt, First: r.First,
@@ -160,12 +164,14 @@
 		e.Kind = dispatcher.EventSent
 	case r.Silent:
 		e.Kind = dispatcher.EventSilent
-		t.conn = r.Conn
+	case r.Ready:
+		e.Kind = dispatcher.EventReady
+		t.ready = r.Conn
 	}
 	return e
 }
 
-// resume lets a suspended call go on.
+// resume makes a suspended call the current one again.
 func (f *Forwarder) resume(a dispatcher.Action) {
 	t := f.inFlight[a.ID]
 	if t == nil {
@@ -176,9 +182,6 @@
 		t.liveCall, t.suspended = *t.suspended, nil
 	}
 	logDecision("silent attempt goes on", a)
-	c := t.conn
-	t.conn = nil
-	c.Resume()
 }
 
 // attemptOutcome translates the outcome of a call for the dispatcher.
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -281,15 +281,17 @@
 	delete(f.inFlight, t.job.Request.ID)
 }
 
-// nextTimer returns a channel that receives at the next expiry, load report or final
-// answers, and a function that releases the timer.
+// nextTimer returns a channel that receives at the next expiry, load report, end of an
+// overlap or final answers, and a function that releases the timer.
 func (f *Forwarder) nextTimer() (<-chan time.Time, func()) {
 	next := f.nextLoadReport
 	if at := f.registrar.NextChange(); !at.IsZero() && at.Before(next) {
 		next = at
 	}
-	if at := f.dispatcher.FinalAnswersAt(); !at.IsZero() && at.Before(next) {
-		next = at
+	for _, at := range [...]time.Time{f.dispatcher.FinalAnswersAt(), f.dispatcher.OverlapEndsAt()} {
+		if !at.IsZero() && at.Before(next) {
+			next = at
+		}
 	}
 	for _, p := range f.pools {
 		if at := p.nextExpiry(); !at.IsZero() && at.Before(next) {
@@ -300,7 +302,7 @@
 }
 
 // handleTimer sends a due load report, closes expired connections, updates the
-// upstreams if registrations have expired, and gives due final answers.
+// upstreams if registrations have expired, ends due overlaps and gives due final answers.
 func (f *Forwarder) handleTimer() {
 	now := f.options.Clock.Now()
 	if !now.Before(f.nextLoadReport) {
@@ -314,8 +316,25 @@
 	if next := f.registrar.NextChange(); !next.IsZero() && !now.Before(next) {
 		f.updateUpstreams(now)
 	}
+	if at := f.dispatcher.OverlapEndsAt(); !at.IsZero() && !now.Before(at) {
+		// Reports that wait may say that an attempt has a part of its answer.
+		f.handleWaitingEvents()
+		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventOverlapEnded})
+	}
 	if at := f.dispatcher.FinalAnswersAt(); !at.IsZero() && !now.Before(at) {
-		f.giveFinalAnswers(now)
+		// Reports that wait may say that an answer has begun.
+		f.handleWaitingEvents()
+		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventFinalAnswers})
+	}
+}
+
+// handleWaitingEvents handles the events that wait in the ring. A decision at the end of a
+// period must not precede what arrived within it.
+func (f *Forwarder) handleWaitingEvents() {
+	for range f.events.Stats().Depth {
+		if e, ok := f.events.TryTake(); ok {
+			f.runEvent(e)
+		}
 	}
 }
 
--- a/internal/process/forwarder/request.go
+++ b/internal/process/forwarder/request.go
@@ -15,6 +15,9 @@
 	// suspended is the call of an earlier attempt whose upstream is silent, nil if
 	// there is none.
 	suspended *liveCall
+	// ready is the connection of the call that has last had a part of its answer and
+	// waits for the permission to relay it.
+	ready *carrier.Conn
 	// firstEvent is the time to the first event of the last call, and longestPause
 	// the longest time between its events. They are logged.
 	firstEvent   time.Duration
@@ -30,8 +33,6 @@
 	call   carrier.Call
 	cancel context.CancelFunc
 	pool   *pool
-	// conn is the connection of a call that is suspended.
-	conn *carrier.Conn
 }
 
 // cancelCalls cancels the calls of a request.
--- a/internal/process/forwarder/stop.go
+++ b/internal/process/forwarder/stop.go
@@ -1,8 +1,6 @@
 package forwarder
 
 import (
-	"time"
-
 	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
 	"magnoliafront.dev/magnoliafront/internal/request/relayer"
 	"magnoliafront.dev/magnoliafront/internal/request/retrier"
@@ -12,17 +10,6 @@
 // before the exit are refused, and those without an answer get one before it.
 func (f *Forwarder) BeginStop(s dispatcher.Stop) { f.put(event{kind: eventStopping, stop: s}) }
 
-// giveFinalAnswers answers the requests without an answer before the exit.
-func (f *Forwarder) giveFinalAnswers(now time.Time) {
-	// Reports that wait may say that an answer has begun.
-	for range f.events.Stats().Depth {
-		if e, ok := f.events.TryTake(); ok {
-			f.runEvent(e)
-		}
-	}
-	f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventFinalAnswers})
-}
-
 // stop refuses the requests that have not been started, ends those in flight without a
 // reply and closes all idle connections to upstreams.
 func (f *Forwarder) stop() {
