Tell the picker that an upstream is silent when neither attempt answers

New requests kept going to an upstream that does not answer at all: they waited for their idle timeout there and needed another run, or got no answer.

The end of the second attempt counted as an answer of the other upstream, so that one that does not answer either looked as if it had just made progress.

Change: the picker gets an event for a silent upstream, which begins the same backoff and leaves the request counted there, and one for a request that ended before anything showed how its upstream does.

--- a/internal/process/dispatcher/silence.go
+++ b/internal/process/dispatcher/silence.go
@@ -55,7 +55,7 @@
 		return nil
 	}
 	if f.suspended != nil {
-		return d.withdraw(now, f, reasonSilent)
+		return []Action{d.withdrawSilent(now, f, reasonSilent)}
 	}
 	f.begun, f.lastEvent = e.Begun, e.LastEvent
 	f.state.Repeatable = f.state.Repeatable && !e.Unresumable
@@ -83,7 +83,7 @@
 	case f.attempt == e.Attempt:
 		out = d.abandonSuspended(now, f, reasonReady)
 	case f.suspended != nil && f.suspended.attempt == e.Attempt:
-		out = d.withdraw(now, f, reasonReady)
+		out = []Action{d.withdraw(now, f, reasonReady)}
 	default:
 		return nil
 	}
@@ -91,11 +91,20 @@
 }
 
 // withdraw ends the current attempt of f, and the suspended one goes on.
-func (d *Dispatcher) withdraw(now time.Time, f *inFlightRequest, reason string) []Action {
-	out := d.recordOutcome(now, f, Event{Outcome: OutcomeCancelled})
+func (d *Dispatcher) withdraw(now time.Time, f *inFlightRequest, reason string) Action {
+	d.service(f.admission.Service.Name).recordEnd(now, picker.Event{
+		Kind: picker.EventWithdrawn, Upstream: f.upstream, Suspect: f.suspect, PromptTokens: f.pendingTokens,
+	})
 	// The current attempt may have been run.
 	f.state.Lost++
-	return append(out, d.resume(now, f, reason))
+	return d.resume(now, f, reason)
+}
+
+// withdrawSilent is withdraw for a suspended attempt that is still silent. Its upstream
+// gets no new requests for a while.
+func (d *Dispatcher) withdrawSilent(now time.Time, f *inFlightRequest, reason string) Action {
+	d.service(f.admission.Service.Name).picker.Step(now, picker.Event{Kind: picker.EventSilent, Upstream: f.suspended.upstream})
+	return d.withdraw(now, f, reason)
 }
 
 // resume makes the suspended attempt of f the current one again. The reason is that
@@ -145,7 +154,7 @@
 	var out []Action
 	for _, f := range d.suspended {
 		if !f.overlapSince.IsZero() && now.Sub(f.overlapSince) >= maxOverlap {
-			out = append(out, d.withdraw(now, f, reasonOverlap)...)
+			out = append(out, d.withdrawSilent(now, f, reasonOverlap))
 		}
 	}
 	return out
--- a/internal/process/picker/picker.go
+++ b/internal/process/picker/picker.go
@@ -57,6 +57,12 @@
 	// EventLost means that the upstream was lost with a request of this entry in
 	// flight.
 	EventLost
+	// EventWithdrawn means that this entry ended a request before anything showed how the
+	// upstream does.
+	EventWithdrawn
+	// EventSilent means that the upstream makes no progress with a request of this entry,
+	// which goes on.
+	EventSilent
 	// EventConnected and EventDisconnected report the state of the connection.
 	EventConnected
 	EventDisconnected
@@ -241,6 +247,12 @@
 		u.removePending(e.PromptTokens)
 		u.recordResult(true, &p.fleet)
 		u.changeSuspects(e.Suspect, -1)
+	case EventWithdrawn:
+		u.setOutstanding(now, u.Outstanding-1)
+		u.removePending(e.PromptTokens)
+		u.changeSuspects(e.Suspect, -1)
+	case EventSilent:
+		u.beginBackoff(now)
 	case EventConnected:
 		u.Connected, u.Leaving, u.AvailabilityZone, u.Slots = true, false, e.AvailabilityZone, e.Slots
 	case EventDisconnected:
--- a/internal/process/picker/upstream.go
+++ b/internal/process/picker/upstream.go
@@ -215,10 +215,15 @@
 	}
 }
 
-// recordLoss counts a failure and starts a backoff. Failures during a backoff
-// count as the same crash and do not extend it.
+// recordLoss counts a request that was lost with the upstream.
 func (u *Upstream) recordLoss(now time.Time) {
 	u.setOutstanding(now, u.Outstanding-1)
+	u.beginBackoff(now)
+}
+
+// beginBackoff counts a failure and starts a backoff. Failures during a backoff
+// count as the same crash and do not extend it.
+func (u *Upstream) beginBackoff(now time.Time) {
 	if now.Before(u.BackoffUntil) {
 		return
 	}
