Give no final answer to a request whose attempt may relay

A caller whose answer had just begun at the exit of an entry got it cut off.

Cause: the permission to relay and the final answers are given in the same turn of the forwarder, which handles waiting reports first. The dispatcher takes an answer for begun only from the next report of the attempt, so it added a failure behind the head that the attempt relays. Package relayer then breaks off.

Change: the dispatcher records the permission.

--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -78,6 +78,8 @@
 	suspect bool
 	// answering is true once the attempt has had a first event.
 	answering bool
+	// permitted is true once the attempt may relay its answer, which it was contested for.
+	permitted bool
 	// pendingTokens is the number of prompt tokens that wait for prefill: all until
 	// the first event, then zero.
 	pendingTokens int
--- a/internal/process/dispatcher/silence.go
+++ b/internal/process/dispatcher/silence.go
@@ -87,6 +87,7 @@
 	default:
 		return nil
 	}
+	f.permitted = true
 	return append(out, Action{Kind: ActionRelay, ID: e.ID, Attempt: e.Attempt})
 }
 
--- a/internal/process/dispatcher/stop.go
+++ b/internal/process/dispatcher/stop.go
@@ -87,7 +87,7 @@
 }
 
 // giveFinalAnswers ends all requests whose answer has not begun. Streams go on until the
-// exit.
+// exit. The answer of a permitted attempt begins before its report arrives.
 func (d *Dispatcher) giveFinalAnswers(now time.Time) []Action {
 	if d.stop.ExitDeadline.IsZero() || now.Before(d.stop.finalAnswersAt()) {
 		return nil
@@ -95,7 +95,7 @@
 	d.finalAnswersGiven = true
 	var out []Action
 	for id, f := range d.inFlight {
-		if f.begun {
+		if f.begun || f.permitted {
 			continue
 		}
 		out = append(out, d.recordOutcome(now, f, Event{Outcome: OutcomeCancelled})...)
