Count the crash of an upstream whose silent attempt is suspended

Content that crashes upstreams reached one more of them before it was refused.

Cause: the connection of a suspended attempt is read on since, so that the end of its upstream is seen at once, but only the picker was told of it.

Change: the detector gets the crash, with the upstream and the time of sending of the suspended attempt.

--- a/internal/process/dispatcher/outcome.go
+++ b/internal/process/dispatcher/outcome.go
@@ -35,7 +35,8 @@
 	f := d.inFlight[e.ID]
 	if f != nil && f.suspended != nil && f.suspended.attempt == e.Attempt {
 		// A call also ends while it is suspended, at its deadline for example.
-		return d.abandonSuspended(now, f, reasonEnded)
+		ended := *f.suspended
+		return append(d.abandonSuspended(now, f, reasonEnded), d.detectEnd(now, f, ended, e.Outcome)...)
 	}
 	if f == nil || f.attempt != e.Attempt {
 		return nil
@@ -112,7 +113,7 @@
 		}
 	}
 	s.recordEnd(now, p)
-	return d.detectEnd(now, f, e)
+	return d.detectEnd(now, f, f.run, e.Outcome)
 }
 
 // recordEnd reports the end of an attempt to the picker, which forgets an upstream
--- a/internal/process/dispatcher/quarantine.go
+++ b/internal/process/dispatcher/quarantine.go
@@ -46,18 +46,18 @@
 	return sendStrikes(strikes)
 }
 
-// detectEnd tells the detector how an attempt at f ended. It returns the action that
-// sends the resulting strikes, if there are any.
-func (d *Dispatcher) detectEnd(now time.Time, f *inFlightRequest, e Event) []Action {
-	out := detector.Event{Upstream: f.upstream, Fingerprints: []string{f.fingerprint()}, Parts: f.request.Parts, SentAt: f.sentAt}
+// detectEnd tells the detector that the attempt r at f ended with outcome o. It returns
+// the action that sends the resulting strikes, if there are any.
+func (d *Dispatcher) detectEnd(now time.Time, f *inFlightRequest, r run, o AttemptOutcome) []Action {
+	out := detector.Event{Upstream: r.upstream, Fingerprints: []string{f.fingerprint()}, Parts: f.request.Parts, SentAt: r.sentAt}
 	switch {
-	case e.Outcome == OutcomeAnswered:
+	case o == OutcomeAnswered:
 		out.Kind = detector.EventAnswered
-	case e.Outcome != OutcomeCrashed:
+	case o != OutcomeCrashed:
 		return nil
 	default:
-		out.Kind, out.Begun = detector.EventCrashed, f.answering
-		if f.answering {
+		out.Kind, out.Begun = detector.EventCrashed, r.answering
+		if r.answering {
 			out.Parts = nil
 		}
 	}
--- a/internal/process/dispatcher/silence_order_test.go
+++ b/internal/process/dispatcher/silence_order_test.go
@@ -148,3 +148,19 @@
 	assertKind(t, endAttempt(d, 1, Event{Outcome: OutcomeAnswered, Begun: true, LastEvent: "9"}), ActionFinish)
 	assertIdle(t, d)
 }
+
+// A request that crashed its upstream while another one was tried got no strike, so that
+// it reached more upstreams before its content was refused.
+func TestCrashOfSuspendedAttemptIsCounted(t *testing.T) {
+	d := newDispatcher()
+	first := assertSent(t, d.Step(testTime(), Event{Kind: EventArrived, Request: request("/chat/1")}), 1)
+	assertSent(t, d.Step(testTime(), Event{Kind: EventSilent, ID: "r1", Attempt: 1}), 2)
+	all := endAttempt(d, 1, Event{Outcome: OutcomeCrashed})
+	is := is.New(t)
+	is.Equal(len(all), 2)
+	is.Equal(all[0].Kind, ActionAbandon)
+	is.Equal(all[1].Kind, ActionSendStrikes)
+	is.Equal(all[1].Strikes[0].Upstream, first.Upstream.InstanceID())
+	assertKind(t, endAttempt(d, 2, Event{Outcome: OutcomeAnswered, Begun: true, LastEvent: "9"}), ActionFinish)
+	assertIdle(t, d)
+}
