Relay all of a contested answer that is no event stream

A caller got a success whose body lacked the beginning (MIXED), if the route streams, the answer is no event stream and begins with a blank line or a line with a colon, and another attempt at the request is not ended.

The splitter takes such lines of any text for comments.

Change: whatever an answer that is no event stream begins with is relayed.

--- a/internal/connection/carrier/stream.go
+++ b/internal/connection/carrier/stream.go
@@ -98,9 +98,10 @@
 
 // isWorthRelaying reports whether a read that returned events and err shows that the
 // attempt should answer: comments alone, or the end of an empty continuation, are no sign
-// of that as long as another attempt may answer.
+// of that as long as another attempt may answer. Of a response that is no event stream
+// nothing may be left out.
 func (a *attempt) isWorthRelaying(events int, err error) bool {
-	return !a.contested || events > 0 || errors.Is(err, io.EOF) && !a.isEmptyContinuation()
+	return !a.contested || a.opaque || events > 0 || errors.Is(err, io.EOF) && !a.isEmptyContinuation()
 }
 
 // isEmptyContinuation reports whether the call resumes a stream and has had no event.
