Do not prefer an answer that ends before its first event

A silent but sound attempt was given up for another one that brought nothing: a stream whose upstream ended after the head, or after a comment.

Cause: the end of an answer counted as a part of it for the caller. Without a length or chunks it is not known whether the answer ended or its upstream; with them, an event that was cut off shows that it is not whole.

Change: such an end is no sign that a contested attempt should answer, and the attempt ends as lost. An empty answer that its framing ends is one as before.

--- a/internal/connection/carrier/contested_test.go
+++ b/internal/connection/carrier/contested_test.go
@@ -60,3 +60,35 @@
 		})
 	}
 }
+
+// An answer that ended before its first event was preferred to that of a silent upstream,
+// which was given up for it.
+func TestContestedStreamWithoutEventIsNotPreferred(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	for _, c := range []struct{ name, response string }{
+		{"cut off after a comment", head + "Content-Length: 10\r\n\r\n:\n\nid: 1\nd"},
+		{"closed after a comment", head + "\r\n:\n\nid: 1\nd"},
+		{"closed after its head", head + "\r\n"},
+		{"closed after a whole comment", head + "\r\n:\n\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			body, ready, end := contestedCall(t, newClosingUpstream(t, c.response))
+			is := is.New(t)
+			is.True(!ready)
+			is.Equal(end.Outcome, OutcomeLost)
+			is.Equal(body, "")
+		})
+	}
+	t.Run("one that is whole and empty is an answer", func(t *testing.T) {
+		_, ready, end := contestedCall(t, newClosingUpstream(t, head+"Content-Length: 0\r\n\r\n"))
+		is := is.New(t)
+		is.True(ready)
+		is.Equal(end.Outcome, OutcomeAnswered)
+	})
+	t.Run("one that has an event is an answer", func(t *testing.T) {
+		body, ready, _ := contestedCall(t, newClosingUpstream(t, head+"\r\n"+strings.Repeat(":\n\n", 2)+"id: 1\ndata:\n\n"))
+		is := is.New(t)
+		is.True(ready)
+		is.Equal(body, ":\n\n:\n\nid: 1\ndata:\n\n")
+	})
+}
--- a/internal/connection/carrier/stream.go
+++ b/internal/connection/carrier/stream.go
@@ -32,12 +32,13 @@
 			return a.newReport(OutcomeLost, errors.New("an event of the resumed stream has no ID"))
 		}
 		cutOff := hasContent(a.splitter.partial) && (isCloseDelimited(resp) || !a.opaque)
-		if errors.Is(err, io.EOF) && !cutOff {
+		ended := errors.Is(err, io.EOF) && !cutOff
+		if ended {
 			// The rest is no part of an event: comments, empty lines or the end of a
 			// response of another type.
 			whole = append(whole, a.splitter.partial...)
 		}
-		if len(whole) > 0 && a.isWorthRelaying(events, err) && (!a.relayHead(resp) || !a.relayBody(whole)) {
+		if len(whole) > 0 && a.isWorthRelaying(resp, events, ended) && (!a.relayHead(resp) || !a.relayBody(whole)) {
 			return a.newReport(OutcomeCancelled, nil)
 		}
 		c.reportProgress(a, events)
@@ -66,6 +67,8 @@
 		r := a.newReport(OutcomeFailed, errors.New("the answer holds no event after the last one of the stream"))
 		r.Status = resp.StatusCode
 		return r
+	case a.contested && a.endsBeforeEvent(resp):
+		return c.classifyError(a, errors.Wrap(io.ErrUnexpectedEOF, "the stream ends before its first event"))
 	case !a.relayHead(resp):
 		return a.newReport(OutcomeCancelled, nil)
 	}
@@ -96,12 +99,18 @@
 	a.firstReport, a.unreportedEvents, a.lastReport = false, 0, now
 }
 
-// isWorthRelaying reports whether a read that returned events and err shows that the
-// attempt should answer: comments alone, or the end of an empty continuation, are no sign
-// of that as long as another attempt may answer. Of a response that is no event stream
-// nothing may be left out.
-func (a *attempt) isWorthRelaying(events int, err error) bool {
-	return !a.contested || a.opaque || events > 0 || errors.Is(err, io.EOF) && !a.isEmptyContinuation()
+// isWorthRelaying reports whether a read that returned events shows that the attempt
+// should answer: comments alone are no sign of that as long as another attempt may answer,
+// nor is the end of a response without an event, unless its framing says that it ended. Of
+// a response that is no event stream nothing may be left out.
+func (a *attempt) isWorthRelaying(resp *http.Response, events int, ended bool) bool {
+	return !a.contested || a.opaque || events > 0 || ended && !a.isEmptyContinuation() && !a.endsBeforeEvent(resp)
+}
+
+// endsBeforeEvent reports whether an event stream without an event has no end but that of
+// its connection, which may be that of its upstream as well.
+func (a *attempt) endsBeforeEvent(resp *http.Response) bool {
+	return !a.opaque && a.lastRead.IsZero() && isCloseDelimited(resp)
 }
 
 // isEmptyContinuation reports whether the call resumes a stream and has had no event.
