Give an attempt that follows a refusal the whole overlap

A request whose second upstream refused it late had its third run for almost nothing: the attempt ended a few milliseconds after it was sent and counted, so that no other was left when the silent upstream failed.

An upstream that refused has not worked on the request.

Change: a refusal begins the overlap anew. After a failure or a loss it goes on.

--- a/internal/process/dispatcher/outcome.go
+++ b/internal/process/dispatcher/outcome.go
@@ -59,6 +59,8 @@
 		return d.retryOrFail(now, f, retrier.CauseFailed, out)
 	case OutcomeRefused:
 		f.state.Refused++
+		// Only the suspended attempt has worked on the request.
+		f.overlapSince = time.Time{}
 		return d.retryOrFail(now, f, retrier.CauseRefused, out)
 	case OutcomeNotSent:
 		f.notSent++
--- a/internal/process/dispatcher/silence.go
+++ b/internal/process/dispatcher/silence.go
@@ -129,7 +129,7 @@
 }
 
 // beginOverlap records that the current attempt was sent while another is suspended. The
-// time runs from the first attempt that was sent since then.
+// time runs from the first attempt that was sent since then and not refused.
 func (d *Dispatcher) beginOverlap(now time.Time, e Event) {
 	f := d.inFlight[e.ID]
 	if f != nil && f.attempt == e.Attempt && f.suspended != nil && f.overlapSince.IsZero() {
--- a/internal/process/dispatcher/silence_order_test.go
+++ b/internal/process/dispatcher/silence_order_test.go
@@ -164,3 +164,33 @@
 	assertKind(t, endAttempt(d, 2, Event{Outcome: OutcomeAnswered, Begun: true, LastEvent: "9"}), ActionFinish)
 	assertIdle(t, d)
 }
+
+// An attempt that followed a refusal had only the rest of the overlap, so that it ended
+// before it could show anything and counted as a run. The time runs on if the attempt
+// before may have been run.
+func TestAttemptAfterRefusalHasWholeOverlap(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		outcome AttemptOutcome
+		want    time.Duration
+	}{
+		{"refused", OutcomeRefused, 290*ms + maxOverlap},
+		{"failed", OutcomeFailed, maxOverlap},
+		{"lost", OutcomeLost, maxOverlap},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDispatcher()
+			all := routes()
+			all[0].MaxAttempts = 3
+			d.Step(testTime(), Event{Kind: EventConfigured, Table: matcher.New(matcher.Configuration{
+				Version: 2, Routes: all, Organisations: []matcher.Organisation{{Name: "guides", Keys: []string{"key"}}},
+			})})
+			d.Step(testTime(), Event{Kind: EventArrived, Request: request("/chat/1")})
+			assertSent(t, d.Step(testTime(), Event{Kind: EventSilent, ID: "r1", Attempt: 1}), 2)
+			d.Step(testTime(), Event{Kind: EventSent, ID: "r1", Attempt: 2})
+			assertSent(t, endAttempt(d, 2, Event{Outcome: c.outcome}), 3)
+			d.Step(testTime().Add(290*ms), Event{Kind: EventSent, ID: "r1", Attempt: 3})
+			is.New(t).Equal(d.OverlapEndsAt(), testTime().Add(c.want))
+		})
+	}
+}
