--- a/internal/process/forwarder/silence_test.go
+++ b/internal/process/forwarder/silence_test.go
@@ -166,3 +166,24 @@
 	is.True(ok)
 	is.Equal(reply.Kind, relayer.KindComplete)
 }
+
+// Both upstreams of a request must stop work soon after its caller has left, also the
+// silent one that goes on beside the other.
+func TestCallerThatLeavesEndsBothAttempts(t *testing.T) {
+	reached, disconnected := make(chan struct{}, 2), make(chan struct{}, 2)
+	f := newSilentForwarder(t, matcher.Idempotent, 2, func(conn net.Conn) {
+		reached <- struct{}{}
+		staySilent(conn)
+		disconnected <- struct{}{}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	submit(ctx, t, f, "r1", time.Minute)
+	for range 2 {
+		<-reached
+	}
+	cancel()
+	for range 2 {
+		<-disconnected
+	}
+}
