Read an answer that arrived before the deadline of its first read

An upstream that rejects a request early, with 413 for example, had its whole answer given up, and the caller got 502, if the entry got no processor time between the arrival of the answer and its first read, or for 0.1 s after the write had failed.

Cause: what has arrived is read late only if the deadline had not passed when the read deadline was set.

That case was not caught with a trace.

Change: what has arrived may be read late from the beginning of a call.

The stand-in of the reset test waits until the end of its connection was acknowledged: a reset may otherwise overtake it, and the answer, which only that end marks as whole, is then rightly lost.

--- a/internal/connection/carrier/endless_test.go
+++ b/internal/connection/carrier/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -29,6 +30,8 @@
 	ready chan struct{}
 	// closes is true if the upstream closes a connection after its response.
 	closes bool
+	// clock is the clock of the calls, or nil for that of the system.
+	clock timer.Clock
 }
 
 func newRawUpstream(t *testing.T, once, repeated string, pause time.Duration) *rawUpstream {
@@ -96,7 +99,7 @@
 func (u *rawUpstream) callAndTake(t *testing.T, change func(*Call), take func(relayer.Reply)) Report {
 	t.Helper()
 	reports := make(chan Report, 1)
-	c := New(Options{Address: u.address, Clock: timer.System{}, Report: func(r Report) {
+	c := New(Options{Address: u.address, Clock: cmp.Or[timer.Clock](u.clock, timer.System{}), Report: func(r Report) {
 		if r.Ready {
 			u.ready <- struct{}{}
 		}
--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -75,6 +75,8 @@
 
 // roundTrip writes the request and reads the response.
 func (c *Conn) roundTrip(a *attempt) Report {
+	// The deadline may have passed before the first read, and the answer have arrived.
+	c.received.lateBytes = maxLateBytes
 	err := c.writeRequest(a)
 	if err != nil && a.sent == 0 {
 		return a.newReport(OutcomeNotSent, err)
--- a/internal/connection/carrier/late_test.go
+++ b/internal/connection/carrier/late_test.go
@@ -1,10 +1,13 @@
 package carrier
 
 import (
+	"bufio"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/peeker"
+	"magnoliafront.dev/magnoliafront/pkg/timer"
 )
 
 // newLateConn returns a connection whose deadline has passed after sent, and the end of the
@@ -84,3 +88,49 @@
 		})
 	}
 }
+
+// starvedClock is the clock of a process that gets no processor time from the moment at
+// which an upstream has begun to answer until the deadline of its call has passed.
+type starvedClock struct {
+	timer.System
+	deadline time.Time
+	// answering is true from before the answer on, and answered is closed after it.
+	answering atomic.Bool
+	answered  chan struct{}
+}
+
+func (c *starvedClock) Now() time.Time {
+	if c.answering.Load() {
+		<-c.answered
+		time.Sleep(time.Until(c.deadline) + time.Millisecond)
+	}
+	return time.Now()
+}
+
+// An answer that had arrived in time was given up without a look at it if the process
+// first came to read after the deadline.
+func TestAnswerThatArrivedBeforeFirstReadIsRelayed(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	clock := &starvedClock{deadline: time.Now().Add(2 * time.Second), answered: make(chan struct{})}
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		clock.answering.Store(true)
+		_, _ = io.WriteString(conn, "HTTP/1.1 413 Too Large\r\nContent-Length: 4\r\n\r\nfull")
+		close(clock.answered)
+	}()
+	u := &rawUpstream{address: l.Addr().String(), clock: clock}
+	r, replies := u.call(t, func(c *Call) {
+		// The body does not fit into the buffers of the connection, so that it is being
+		// written when the answer arrives.
+		c.Body, c.Deadline = make([]byte, 64<<20), clock.deadline
+	})
+	is.Equal(r.Outcome, OutcomeAnswered)
+	is.Equal(string(replies[0].Bytes), "full")
+}
--- a/internal/connection/carrier/reset_test.go
+++ b/internal/connection/carrier/reset_test.go
@@ -9,8 +9,24 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 )
 
+// awaitFinAcknowledged waits until the peer has acknowledged the end of a connection. A
+// reset before that may overtake the end, which the peer then never sees.
+func awaitFinAcknowledged(conn *net.TCPConn) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return
+	}
+	for acknowledged := false; !acknowledged && err == nil; time.Sleep(time.Millisecond) {
+		err = raw.Control(func(fd uintptr) {
+			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+			acknowledged = err != nil || info.State == unix.BPF_TCP_FIN_WAIT2
+		})
+	}
+}
+
 // newEarlyUpstream returns an upstream that answers before it reads the body of a request
 // and resets the connection. With closes, it has closed its side before.
 func newEarlyUpstream(t *testing.T, response string, closes bool) *rawUpstream {
@@ -30,6 +46,7 @@
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			if closes {
 				_ = tcp.CloseWrite()
+				awaitFinAcknowledged(tcp)
 			}
 			_ = tcp.SetLinger(0)
 		}
