Do not count an attempt that was never sent as a run

A request whose second upstream was still being connected when the silent first one went on had a run less than its route permits: when the first broke off later, the caller was cut off although another upstream could have gone on.

Cause: since the end of the second attempt counts as a run in any case.

Change: it counts once its request is known to be written.

Result: the first case of TestAttemptThatWasNotSentIsNoRun failed without the change and passes with it.

--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -78,6 +78,8 @@
 	suspect bool
 	// answering is true once the attempt has had a first event.
 	answering bool
+	// sent is true once the request of a contested attempt is known to be written.
+	sent bool
 	// permitted is true once the attempt may relay its answer, which it was contested for.
 	permitted bool
 	// pendingTokens is the number of prompt tokens that wait for prefill: all until
--- a/internal/process/dispatcher/silence.go
+++ b/internal/process/dispatcher/silence.go
@@ -96,8 +96,10 @@
 	d.service(f.admission.Service.Name).recordEnd(now, picker.Event{
 		Kind: picker.EventWithdrawn, Upstream: f.upstream, Suspect: f.suspect, PromptTokens: f.pendingTokens,
 	})
-	// The current attempt may have been run.
-	f.state.Lost++
+	if f.sent {
+		// The current attempt may have been run.
+		f.state.Lost++
+	}
 	return d.resume(now, f, reason)
 }
 
@@ -132,7 +134,11 @@
 // time runs from the first attempt that was sent since then and not refused.
 func (d *Dispatcher) beginOverlap(now time.Time, e Event) {
 	f := d.inFlight[e.ID]
-	if f != nil && f.attempt == e.Attempt && f.suspended != nil && f.overlapSince.IsZero() {
+	if f == nil || f.attempt != e.Attempt {
+		return
+	}
+	f.sent = true
+	if f.suspended != nil && f.overlapSince.IsZero() {
 		f.overlapSince = now
 	}
 }
--- a/internal/process/dispatcher/silence_order_test.go
+++ b/internal/process/dispatcher/silence_order_test.go
@@ -194,3 +194,24 @@
 		})
 	}
 }
+
+// An attempt that was never sent counted as a run if the silent one answered first, so that
+// a crash of that one later cut the caller off though another run was permitted.
+func TestAttemptThatWasNotSentIsNoRun(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		sent bool
+		next ActionKind
+	}{{"still being connected", false, ActionSend}, {"sent", true, ActionFail}} {
+		t.Run(c.name, func(t *testing.T) {
+			d, next := silentChat("/chat/1", "7")
+			assertSent(t, next, 2)
+			if c.sent {
+				d.Step(testTime(), Event{Kind: EventSent, ID: "r1", Attempt: 2})
+			}
+			d.Step(testTime(), Event{Kind: EventReady, ID: "r1", Attempt: 1})
+			crashed := endAttempt(d, 1, Event{Outcome: OutcomeCrashed, Begun: true, LastEvent: "8"})
+			is.New(t).Equal(crashed[len(crashed)-1].Kind, c.next)
+		})
+	}
+}
