Give tests of entries addresses that no connection takes

Cause: the fixture takes a free port and closes it before the entry listens on it. Meanwhile any outgoing connection of the machine may get the port, since these leave from 127.0.0.1 as well.

--- a/internal/process/starter/gateway_fixture_test.go
+++ b/internal/process/starter/gateway_fixture_test.go
@@ -136,9 +136,13 @@
 	return g
 }
 
+// freeAddress returns an address at which nothing listens. Its IP address belongs to this
+// process alone, since an outgoing connection from 127.0.0.1 may take any free port there
+// before an entry listens on it.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>16&63, pid>>8&255, pid&255))
 	is.New(t).NoErr(err)
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
