Do not count a caller who leaves as an answer of its upstream

Cause: when a caller leaves, the end of the attempt was reported to the picker as that of an answered request.

Change: such an end is reported as one that shows nothing about the upstream.

The tests of dispatcher, picker and forwarder pass with the race detector.

--- a/internal/process/dispatcher/outcome.go
+++ b/internal/process/dispatcher/outcome.go
@@ -105,6 +105,8 @@
 	switch e.Outcome {
 	case OutcomeLost, OutcomeCrashed, OutcomeNotSent:
 		p.Kind = picker.EventLost
+	case OutcomeCancelled:
+		p.Kind = picker.EventWithdrawn
 	case OutcomeFailed:
 		p.Failed = true
 	case OutcomeAnswered:
--- a/internal/process/dispatcher/silence_load_test.go
+++ b/internal/process/dispatcher/silence_load_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"magnoliafront.dev/magnoliafront/internal/process/picker"
 )
 
 // An upstream that did not answer at all got new requests at the usual rate: when another
@@ -64,3 +66,22 @@
 	is.Equal(u.PendingTokens, 0)
 	is.True(u.BackoffUntil.Before(testTime().Add(time.Millisecond)))
 }
+
+// A caller who had waited in vain and left counted as an answer of the upstream, so that
+// one that did not answer at all looked as sound as any other.
+func TestCallerWhoLeavesIsNoProgressOfTheUpstream(t *testing.T) {
+	d := newDispatcher()
+	sent := assertSent(t, d.Step(testTime(), Event{Kind: EventArrived, Request: request("/check/1")}), 1)
+	s := d.service("desk")
+	u := s.picker.Upstream(sent.Upstream.InstanceID())
+	s.picker.Step(testTime(), picker.Event{Kind: picker.EventEnded, Upstream: u.Name, Failed: true})
+	s.picker.Step(testTime(), picker.Event{Kind: picker.EventSent, Upstream: u.Name})
+	rate := u.FailureRate
+	later := testTime().Add(time.Second)
+	assertKind(t, d.Step(later, Event{Kind: EventEnded, ID: "r1", Attempt: 1, Outcome: OutcomeCancelled}), ActionFinish)
+	is := is.New(t)
+	is.True(u.LastProgress.Before(later))
+	is.Equal(u.FailureRate, rate)
+	is.True(u.BackoffUntil.Before(later))
+	assertIdle(t, d)
+}
--- a/internal/process/picker/picker.go
+++ b/internal/process/picker/picker.go
@@ -57,8 +57,8 @@
 	// EventLost means that the upstream was lost with a request of this entry in
 	// flight.
 	EventLost
-	// EventWithdrawn means that this entry ended a request before anything showed how the
-	// upstream does.
+	// EventWithdrawn means that this entry or the caller ended a request. The end shows
+	// nothing about the upstream; what came before it was reported as it came.
 	EventWithdrawn
 	// EventSilent means that the upstream makes no progress with a request of this entry,
 	// which goes on.
