Let soak tests start fleets with other routes and upstreams

Callers see no change. The soak tests could only start three entries before emulated runners, with fixed routes, kinds of requests and deadlines. The parts that start a store and entries are now functions of their own, and the routes, and the kinds and deadline of a caller, are fields.

The draws of the present seeds are the same.

--- a/internal/process/soaker/fleet_test.go
+++ b/internal/process/soaker/fleet_test.go
@@ -47,6 +47,11 @@
 	// removed runner.
 	foreignRunner *emulator.Runner
 	entries       []*entry
+	// storeAddress is the address of the store, which each entry reaches through a
+	// proxy.
+	storeAddress string
+	// routes are the routes of the next configuration.
+	routes        []any
 	configVersion int
 	mu            sync.Mutex
 	faults        []fault
@@ -80,13 +85,7 @@
 // newFleet starts all processes and stops them at the end of the test.
 func newFleet(t *testing.T, binary string) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: emulator.NewObjectStore()}
-	t.Cleanup(f.store.Stop)
-	srv := httptest.NewServer(f.store.Handler())
-	t.Cleanup(func() {
-		srv.CloseClientConnections()
-		srv.Close()
-	})
+	f := newEmptyFleet(t)
 	for i := range runnerCount + 1 {
 		r, err := emulator.NewRunner(fmt.Sprint("i-", i))
 		is.New(t).NoErr(err)
@@ -102,24 +101,48 @@
 		f.proxies = append(f.proxies, newProxy(t, r.Address()))
 		f.registerRunner(i, "ready")
 	}
+	f.routes = []any{
+		newRoute("stream/chat", "streaming", 2, true), newRoute("stream/brief", "streaming", 1, false),
+		newRoute("hold", "non_idempotent", 1, false), newRoute("check", "idempotent", 2, false),
+	}
 	f.writeConfig()
-	var addresses [entryCount][3]string
+	f.startEntries(binary, 0, entryCount)
+	return f
+}
+
+// newEmptyFleet starts a store, without runners and entries.
+func newEmptyFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: emulator.NewObjectStore()}
+	t.Cleanup(f.store.Stop)
+	srv := httptest.NewServer(f.store.Handler())
+	t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	f.storeAddress = strings.TrimPrefix(srv.URL, "http://")
+	return f
+}
+
+// startEntries starts entries at the IP addresses from number first on, and kills them at
+// the end of the test.
+func (f *fleet) startEntries(binary string, first, count int) {
+	var addresses [][3]string
 	var peers []string
-	for i := range entryCount {
-		addresses[i] = freeAddresses(t, i)
+	for i := range count {
+		addresses = append(addresses, freeAddresses(f.t, first+i))
 		peers = append(peers, addresses[i][2])
 	}
-	for i := range entryCount {
+	for i := range count {
 		e := &entry{
 			fleet: f, name: fmt.Sprint("entry-", i+1), address: addresses[i][0], readyAddress: addresses[i][1], binaryPath: binary,
-			storeProxy: newProxy(t, strings.TrimPrefix(srv.URL, "http://")),
+			storeProxy: newProxy(f.t, f.storeAddress),
 		}
 		e.writeSettings(peers[i], peers)
 		f.entries = append(f.entries, e)
 		e.start()
-		t.Cleanup(e.kill)
+		f.t.Cleanup(e.kill)
 	}
-	return f
 }
 
 // registerRunner writes the object of runner i to the store, with the address of
@@ -130,24 +153,23 @@
 	f.store.Put("servers", f.runners[i].ID, e)
 }
 
+// newRoute returns a route below /name/ as the store spells it.
+func newRoute(name, kind string, attempts int, resumable bool) map[string]any {
+	return map[string]any{
+		"name": name, "host": "desk.example", "path_prefix": "/" + name + "/", "route_type": kind, "service": "desk",
+		"timeout_ms": 4000, "target_latency_ms": 250, "target_gap_ms": 200, "priority": 1,
+		"max_attempts": attempts, "resumable": resumable, "public": false,
+	}
+}
+
 // writeConfig writes the next version of the configuration to the store.
 func (f *fleet) writeConfig() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.configVersion++
-	route := func(name, kind string, attempts int, resumable bool) map[string]any {
-		return map[string]any{
-			"name": name, "host": "desk.example", "path_prefix": "/" + name + "/", "route_type": kind, "service": "desk",
-			"timeout_ms": 4000, "target_latency_ms": 250, "target_gap_ms": 200, "priority": 1,
-			"max_attempts": attempts, "resumable": resumable, "public": false,
-		}
-	}
 	f.store.Put("config", "main", map[string]any{
-		"version": f.configVersion,
-		"routes": []any{
-			route("stream/chat", "streaming", 2, true), route("stream/brief", "streaming", 1, false),
-			route("hold", "non_idempotent", 1, false), route("check", "idempotent", 2, false),
-		},
+		"version":  f.configVersion,
+		"routes":   f.routes,
 		"services": []any{map[string]any{"name": "desk", "health_check": "/health", "max_connections": 200}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants":  []any{map[string]any{"name": "guides", "api_keys": []any{"key"}}},
@@ -271,7 +293,7 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// freeAddresses returns the listen addresses of entry i. Each entry has its own IP
+// freeAddresses returns listen addresses at the IP address with number i. Each entry has its own IP
 // address, so that no outgoing connection uses its ports while it is down.
 func freeAddresses(t *testing.T, i int) (addresses [3]string) {
 	t.Helper()
--- a/internal/process/soaker/piece_caller_test.go
+++ b/internal/process/soaker/piece_caller_test.go
@@ -85,6 +85,10 @@
 	idPrefix string
 	// maxPause is the maximum pause between two pieces.
 	maxPause time.Duration
+	// kinds are the kinds of requests, of which each is equally frequent.
+	kinds []string
+	// deadline is the time within which the caller wants an answer.
+	deadline time.Duration
 
 	conn         *net.TCPConn
 	reader       *bufio.Reader
@@ -99,6 +103,9 @@
 	return &pieceCaller{
 		fleet: f, random: rand.New(rand.NewPCG(seed, uint64(200+i))), maxPause: maxPause,
 		idPrefix: fmt.Sprintf("s%d-%s%d", seed, name, i),
+		// Requests that may not be repeated are the most frequent.
+		kinds:    []string{"hold", "hold", "hold", "check", "stream/chat", "stream/brief"},
+		deadline: callerTimeout,
 	}
 }
 
@@ -138,7 +145,7 @@
 func (c *pieceCaller) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		c.sleepUpTo(maxThinkTime)
-		if c.isConnected() || c.connect(c.fleet.entries[c.random.IntN(entryCount)]) {
+		if c.isConnected() || c.connect(c.fleet.entries[c.random.IntN(len(c.fleet.entries))]) {
 			c.send()
 		}
 	}
@@ -162,15 +169,14 @@
 }
 
 // send sends a request of a random kind on the open connection and reads the answer.
-// Requests that may not be repeated are the most frequent.
 func (c *pieceCaller) send() {
 	c.requestCount++
-	kind := []string{"hold", "hold", "hold", "check", "stream/chat", "stream/brief"}[c.random.IntN(6)]
+	kind := c.kinds[c.random.IntN(len(c.kinds))]
 	r := pieceRequest{caller: c.conn.LocalAddr().String()}
 	r.id, r.kind, r.entry, r.start = fmt.Sprintf("%s-%d", c.idPrefix, c.requestCount), kind, c.entry, time.Now()
 	message := fmt.Sprintf("POST /%s/%s HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer key\r\n"+
 		"Magnoliafront-Request-Id: %s\r\nMagnoliafront-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n",
-		kind, r.id, r.id, callerTimeout.Milliseconds(), bodySize)
+		kind, r.id, r.id, c.deadline.Milliseconds(), bodySize)
 	headSize := len(message)
 	message += strings.Repeat("x", bodySize)
 	r.wanted = len(message)
