Test sound upstreams that fall silent within an answer

Two entries run as processes before six upstreams that write their answers to the socket themselves: streams of six events in chunks, and bodies with a length, in chunks or up to the end of the connection. One answer in five stops for 0.8 to 2.5 s at any byte, or after its last event or chunk and before the end of its framing, and then goes on. Sixty callers use a resumable stream, an idempotent and a non-idempotent route, beside nothing, new configurations with a SIGHUP, or stops in turn. The test checks at callers, upstreams and entries; for how long two upstreams work on one request is only logged, since it depends on the machine.

--- a/internal/process/soaker/soaker.go
+++ b/internal/process/soaker/soaker.go
@@ -11,9 +11,13 @@
 // A second test stops entries in turn while callers write their requests in pieces. It
 // also checks how each connection ended and what the logs of the entries say.
 //
+// A third test has sound upstreams that fall silent within an answer and go on, beside
+// new configurations or stops of the entries.
+//
 // # Usage
 //
 //	MAGNOLIAFRONT_SOAK_SEED=1 MAGNOLIAFRONT_SOAK_SEEDS=50 MAGNOLIAFRONT_SOAK_SECONDS=15 go test -timeout 60m -run TestSoak ./internal/process/soaker
 //	MAGNOLIAFRONT_SOAK_SEED=17 go test -run TestSoak ./internal/process/soaker
 //	MAGNOLIAFRONT_SOAK_SEED=1 MAGNOLIAFRONT_SOAK_SEEDS=20 go test -timeout 60m -run TestPlannedStop ./internal/process/soaker
+//	MAGNOLIAFRONT_SOAK_SEED=1 MAGNOLIAFRONT_SOAK_SEEDS=10 MAGNOLIAFRONT_SOAK_SECONDS=10 go test -timeout 60m -run TestSilence ./internal/process/soaker
 package soaker
