Bound the sum of the bytes of answers that wait for callers

Cause: each answer was bounded, their sum was not. The ring of replies held 64 parts of up to 16 KB each (a part of 4,000 bytes kept a buffer of 16 KB), whole events of up to 128 KB, and bodies, events and parsed heads were buffered without regard to the others. A head of 64 KB with thousands of short lines took many times its bytes once parsed. The Go runtime did not know the memory of the process and let the heap grow to twice what was in use.

Change: four parts of 4 KB wait for a caller, then its upstream is not read. A reservation never waits, so answers cannot wait for each other: without one, a body is relayed as it arrives, also an error response, and a head or event that is larger than its share ends the attempt as lost, never as not run. Events below 3 KB and answers of 4 KB never need a reservation. A line of a head counts 256 bytes. The runtime gets five eighths of the memory as its limit. Gauges for the held bytes and the budget, a counter of refused reservations; the line "attempt ended" says that the memory for answers is used up.

--- a/internal/connection/carrier/attempt.go
+++ b/internal/connection/carrier/attempt.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"magnoliafront.dev/magnoliafront/internal/process/reserver"
 	"magnoliafront.dev/magnoliafront/internal/request/relayer"
 )
 
@@ -30,6 +31,11 @@
 	// unsent is the rest of the request, and sent the number of bytes before it.
 	unsent []byte
 	sent   int
+	// reserved is the number of bytes that are reserved for the call in the account of
+	// its replies, beyond its share.
+	reserved int
+	// headBytes is what the head takes beyond headShareBytes.
+	headBytes int
 	// skipped is true if a mismatched response was skipped.
 	skipped bool
 	// keepAliveTimeout is the timeout in the Keep-Alive header of the response.
@@ -56,10 +62,49 @@
 	}
 }
 
+// hold reserves what the call must hold for n bytes of a response besides its head. It
+// reports false if that does not fit into the budget of the process.
+func (a *attempt) hold(n int) bool {
+	more := max(0, n-reserver.ShareBytes) + a.headBytes - a.reserved
+	if !a.call.Replies.Account.Reserve(more) {
+		return false
+	}
+	a.reserved += max(0, more)
+	return true
+}
+
+// holdHead does the same for a head that takes n bytes.
+func (a *attempt) holdHead(n int) bool {
+	a.headBytes = max(0, n-headShareBytes)
+	return a.hold(0)
+}
+
+// release gives back what the call has reserved.
+func (a *attempt) release() {
+	a.call.Replies.Account.Release(a.reserved)
+	a.reserved = 0
+}
+
+// reserveFor returns r with what is reserved for the bytes of the response, which the
+// call no longer has then. The head of a response in parts is held as long as the call.
+func (a *attempt) reserveFor(r relayer.Reply) relayer.Reply {
+	kept := a.headBytes
+	if r.Kind == relayer.KindComplete {
+		kept = 0
+	}
+	r.Reserved = max(0, a.reserved-kept)
+	a.reserved -= r.Reserved
+	return r
+}
+
 // relay puts a reply on the ring. It reports false if the call was cancelled: another
 // attempt may then be relaying.
 func (a *attempt) relay(r relayer.Reply) bool {
-	return a.call.Context.Err() == nil && a.awaitPermit() && a.call.Replies.Put(a.call.Context, r)
+	ok := a.call.Context.Err() == nil && a.awaitPermit() && a.call.Replies.Put(a.call.Context, r)
+	if !ok {
+		a.call.Replies.Account.Release(r.Reserved)
+	}
+	return ok
 }
 
 // awaitPermit waits until a contested call may relay. It reports false if the call was
@@ -92,5 +137,5 @@
 // relayBody relays a part of the body. It reports false if the call was
 // cancelled.
 func (a *attempt) relayBody(b []byte) bool {
-	return a.relay(relayer.Reply{Kind: relayer.KindBody, Bytes: b})
+	return a.relay(a.reserveFor(relayer.Reply{Kind: relayer.KindBody, Bytes: b}))
 }
--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -11,13 +11,14 @@
 
 	"github.com/go-faster/errors"
 
+	"magnoliafront.dev/magnoliafront/internal/process/reserver"
 	"magnoliafront.dev/magnoliafront/internal/request/relayer"
 )
 
 const (
 	// maxBufferedBytes is the maximum size of a response body that is buffered
 	// completely before it is relayed. A larger one is relayed as it arrives. The
-	// process must hold one for each of several hundred requests.
+	// budget of the process may end the buffering earlier.
 	maxBufferedBytes = 128 << 10
 	// maxMismatchedResponses is the maximum number of responses to other requests
 	// that are skipped in one call.
@@ -25,8 +26,12 @@
 	// earlyResponseTimeout is the time for which a response is awaited after
 	// writing the request has failed.
 	earlyResponseTimeout = 100 * time.Millisecond
-	// streamReadBytes is the maximum size of one read of a response body.
-	streamReadBytes = 16 << 10
+	// bodyReadBytes is the maximum size of one read of a response body that is relayed in
+	// parts, and so of a part that waits without a reservation.
+	bodyReadBytes = reserver.ShareBytes
+	// minStreamReadBytes is the size of a read of a stream beside a large incomplete event.
+	// Events smaller than bodyReadBytes less this size need no reservation.
+	minStreamReadBytes = 1 << 10
 )
 
 // runCall performs a call. It dials if no earlier call has connected.
@@ -35,6 +40,7 @@
 		return Report{Outcome: OutcomeCancelled, Begun: call.Begun, LastEvent: call.LastEvent, Reusable: c.conn != nil}
 	}
 	a := &attempt{conn: c, call: call, start: c.options.Clock.Now(), begun: call.Begun, contested: call.Contested, firstReport: true}
+	defer a.release()
 	a.splitter.lastID = call.LastEvent
 	if !c.options.Clock.Now().Before(call.Deadline) {
 		return a.newReport(OutcomeExpired, nil)
@@ -118,20 +124,35 @@
 	if err := c.setReadDeadline(a); err != nil {
 		return nil, err
 	}
-	c.received.limit(maxHeadBytes)
+	c.received.limitHead(a.holdHead)
 	defer c.received.unlimit()
 	for {
 		resp, err := http.ReadResponse(c.reader, a.call.Head)
+		if err != nil && c.received.headErr != nil {
+			err = c.received.headErr
+		}
 		if err != nil {
 			return nil, errors.Wrap(err, "read the answer")
 		}
 		if resp.StatusCode >= http.StatusOK {
 			c.reportNotice(a, resp)
-			return resp, nil
+			return resp, a.checkHead(resp)
 		}
 	}
 }
 
+// checkHead returns an error if a parsed head is too large to be held.
+func (a *attempt) checkHead(resp *http.Response) error {
+	n := headSize(resp.Header)
+	switch {
+	case n > maxHeadBytes:
+		return errHeadTooLarge
+	case !a.holdHead(n):
+		return errNoMemory
+	}
+	return nil
+}
+
 // readHead reads and classifies the head of the response to the call. It skips
 // responses to other requests.
 func (c *Conn) readHead(a *attempt) (*http.Response, Verdict, error) {
@@ -228,21 +249,44 @@
 	return r
 }
 
+// bufferBody reads a body up to maxBufferedBytes. It reports whether that is the whole
+// body: less is returned as well when the budget of the process is used up.
+func (a *attempt) bufferBody(resp *http.Response) (body []byte, whole bool, err error) {
+	body = make([]byte, 0, bodyReadBytes)
+	for {
+		if len(body) == cap(body) {
+			size := min(2*cap(body), maxBufferedBytes+1)
+			if len(body) > maxBufferedBytes || !a.hold(size) {
+				return body, false, nil
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := resp.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, len(body) <= maxBufferedBytes, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+}
+
 // relayComplete reads the whole response and relays it as one reply. An error
 // response is not relayed but returned in the report.
 func (c *Conn) relayComplete(a *attempt, resp *http.Response) Report {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	body, whole, err := a.bufferBody(resp)
 	if err != nil {
 		r := c.classifyError(a, errors.Wrap(err, "read the body"))
 		r.Status = resp.StatusCode
 		return r
 	}
-	if len(body) > maxBufferedBytes {
+	if !whole {
 		return c.relayOversized(a, resp, body)
 	}
-	reply := relayer.Reply{
+	reply := a.reserveFor(relayer.Reply{
 		Kind: relayer.KindComplete, Status: resp.StatusCode, Header: resp.Header, CloseDelimited: isCloseDelimited(resp), Bytes: body,
-	}
+	})
 	r := a.newReport(OutcomeAnswered, nil)
 	r.Status = resp.StatusCode
 	r.Elapsed = c.options.Clock.Now().Sub(a.start)
@@ -256,7 +300,7 @@
 	return r
 }
 
-// relayOversized relays a response larger than maxBufferedBytes as it arrives.
+// relayOversized relays a response that is not buffered to its end as it arrives.
 func (c *Conn) relayOversized(a *attempt, resp *http.Response, body []byte) Report {
 	if a.begun {
 		return a.newReport(OutcomeFailed, errors.Errorf("the response with status %d does not continue the stream", resp.StatusCode))
@@ -267,7 +311,7 @@
 		if err := c.setReadDeadline(a); err != nil {
 			return c.classifyError(a, err)
 		}
-		b := make([]byte, streamReadBytes)
+		b := make([]byte, bodyReadBytes)
 		n, err := resp.Body.Read(b)
 		ok = n == 0 || a.relayBody(b[:n])
 		if errors.Is(err, io.EOF) {
--- a/internal/connection/carrier/request.go
+++ b/internal/connection/carrier/request.go
@@ -54,6 +54,8 @@
 			return nil
 		}
 	}
+	// An empty slice would keep the written request in memory until the call ends.
+	a.unsent = nil
 	return nil
 }
 
--- a/internal/connection/carrier/splitter.go
+++ b/internal/connection/carrier/splitter.go
@@ -7,8 +7,11 @@
 
 const (
 	// maxEventBytes is the maximum size of an incomplete event that is buffered. The
-	// process must hold one for each of several hundred streams.
+	// budget of the process may end the buffering earlier.
 	maxEventBytes = 128 << 10
+	// maxKeptBytes is the capacity up to which the buffer for an incomplete event is kept
+	// for the next one.
+	maxKeptBytes = bodyReadBytes
 	// maxEndBytes is the length of the longest sequence that ends an event.
 	maxEndBytes = len("\r\n\r\n")
 )
@@ -33,6 +36,7 @@
 	if len(s.partial) > 0 {
 		// The earlier bytes hold no end of an event, but may hold the beginning of one.
 		scanned = max(0, len(s.partial)-maxEndBytes+1)
+		s.grow(len(b))
 		s.partial = append(s.partial, b...)
 		data = s.partial
 	}
@@ -56,12 +60,32 @@
 			s.unnumbered = s.unnumbered || id == ""
 		}
 	}
-	if start > 0 || len(s.partial) == 0 {
+	switch {
+	case start > 0 && cap(s.partial) > maxKeptBytes:
+		s.partial = bytes.Clone(data[start:])
+	case start > 0 || len(s.partial) == 0:
 		s.partial = append(s.partial[:0], data[start:]...)
 	}
 	return whole, events, len(s.partial) <= maxEventBytes
 }
 
+// grow makes room for n bytes after the incomplete event. It at least doubles the buffer,
+// which leaves less garbage than growing by what is read.
+func (s *splitter) grow(n int) {
+	if need := len(s.partial) + n; need > cap(s.partial) {
+		s.partial = append(make([]byte, 0, max(need, 2*cap(s.partial))), s.partial...)
+	}
+}
+
+// held returns the number of bytes that the incomplete event takes in memory. The buffer
+// that is kept for small ones counts as far as it is used.
+func (s *splitter) held() int {
+	if cap(s.partial) > maxKeptBytes {
+		return cap(s.partial)
+	}
+	return len(s.partial)
+}
+
 // eventEnd returns the index after the first blank line from the given index on, -1 if
 // there is none.
 func eventEnd(data []byte, from int) int {
--- a/internal/connection/carrier/stream.go
+++ b/internal/connection/carrier/stream.go
@@ -12,7 +12,7 @@
 // an event is incomplete, also if the framing of the response is not.
 func (c *Conn) relayStream(a *attempt, resp *http.Response) Report {
 	if c.streamBuffer == nil {
-		c.streamBuffer = make([]byte, streamReadBytes)
+		c.streamBuffer = make([]byte, bodyReadBytes)
 	}
 	a.opaque = !isEventStream(resp)
 	if !a.opaque && a.call.Head.Method != http.MethodHead {
@@ -23,13 +23,11 @@
 		return c.classifyError(a, err)
 	}
 	for {
-		n, err := resp.Body.Read(c.streamBuffer)
+		size := max(minStreamReadBytes, bodyReadBytes-len(a.splitter.partial))
+		n, err := resp.Body.Read(c.streamBuffer[:size])
 		whole, events, ok := a.splitter.split(c.streamBuffer[:n])
-		if !ok {
-			return a.newReport(OutcomeLost, errors.Errorf("an event exceeds %d bytes", maxEventBytes))
-		}
-		if a.call.LastEvent != "" && a.splitter.unnumbered {
-			return a.newReport(OutcomeLost, errors.New("an event of the resumed stream has no ID"))
+		if broken := a.checkEvents(whole, ok); broken != nil {
+			return a.newReport(OutcomeLost, broken)
 		}
 		cutOff := hasContent(a.splitter.partial) && (isCloseDelimited(resp) || !a.opaque)
 		if errors.Is(err, io.EOF) && !cutOff {
@@ -51,6 +49,20 @@
 	}
 }
 
+// checkEvents returns an error if a stream must not go on after the whole events of a read.
+// With fits, the incomplete event after them is not too large.
+func (a *attempt) checkEvents(whole []byte, fits bool) error {
+	switch {
+	case !fits:
+		return errors.Errorf("an event exceeds %d bytes", maxEventBytes)
+	case !a.hold(len(whole) + a.splitter.held()):
+		return errors.Wrapf(errNoMemory, "hold %d bytes of events", len(whole)+len(a.splitter.partial))
+	case a.call.LastEvent != "" && a.splitter.unnumbered:
+		return errors.New("an event of the resumed stream has no ID")
+	}
+	return nil
+}
+
 // endStream returns the report of a stream whose last read returned err. With cutOff,
 // it ended within an event.
 func (c *Conn) endStream(a *attempt, resp *http.Response, err error, cutOff bool) Report {
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -132,6 +132,9 @@
 		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventEnded, ID: r.Request, Attempt: r.Attempt, Outcome: attemptOutcome(r)})
 	}
 	if !current {
+		if t != nil {
+			t.job.Replies.Account.Release(r.ErrorResponse.Reserved)
+		}
 		f.cleanUpPool(p)
 		return
 	}
@@ -141,6 +144,7 @@
 		return
 	}
 	t.cancel()
+	t.job.Replies.Account.Release(t.errorResponse.Reserved)
 	t.errorResponse, t.firstEvent, t.longestPause = r.ErrorResponse, r.FirstEvent, r.LongestPause
 	if r.Err != nil || r.Outcome != carrier.OutcomeAnswered {
 		klog.InfoS("attempt ended", "request", r.Request, "attempt", r.Attempt, "upstream", p.upstream.InstanceID(),
--- a/internal/process/loader/loader.go
+++ b/internal/process/loader/loader.go
@@ -96,8 +96,14 @@
 	// RetryShare retries per request and RetrySlack additional ones.
 	RetryShare float64 `json:"retry_share"`
 	RetrySlack float64 `json:"retry_slack"`
+	// MemoryLimitMB is the memory in megabytes that the process may use. Zero means that
+	// it is not known.
+	MemoryLimitMB int `json:"memory_limit_mb,omitempty"`
 }
 
+// MemoryLimitBytes returns MemoryLimitMB in bytes, zero if it is not known.
+func (g Gateway) MemoryLimitBytes() int64 { return int64(g.MemoryLimitMB) << 20 }
+
 // GracePeriodDuration returns GracePeriod as a duration.
 func (g Gateway) GracePeriodDuration() time.Duration { return parseDuration(g.GracePeriod) }
 
@@ -153,10 +159,15 @@
 	c.require("notice_period", g.NoticePeriodDuration() > 0 && g.NoticePeriodDuration() < g.GracePeriodDuration(),
 		fmt.Sprintf("a duration such as 3s, shorter than the grace period %q, got %q", g.GracePeriod, g.NoticePeriod))
 	c.require("retry_share", g.RetryShare >= 0, fmt.Sprintf("a number of attempts for each request, not below zero, got %v", g.RetryShare))
+	c.require("memory_limit_mb", g.MemoryLimitMB == 0 || g.MemoryLimitMB >= minMemoryLimitMB, fmt.Sprintf("at least %d, got %d", minMemoryLimitMB, g.MemoryLimitMB))
 	c.require("retry_slack", g.RetrySlack >= 0, fmt.Sprintf("a number of attempts, not below zero, got %v", g.RetrySlack))
 	return c.err()
 }
 
+// minMemoryLimitMB is the least memory of an entry: what an idle process uses, and as
+// much for answers.
+const minMemoryLimitMB = 64
+
 // minSecretBytes is the minimum length of the shared secret.
 const minSecretBytes = 16
 
--- a/internal/process/loader/loader_test.go
+++ b/internal/process/loader/loader_test.go
@@ -54,6 +54,23 @@
 	}
 }
 
+func TestReadGatewayNamesInvalidFields(t *testing.T) {
+	const settings = `{"identity":"entry-1","availability_zone":"stowe","peer_listen":"10.0.0.5:9001","platform":"http://10.0.0.9:9100",
+		"shared_secret":"0123456789abcdef","listen":"10.0.0.5:8080","ready_listen":"10.0.0.5:8081","grace_period":"8s","notice_period":"2s",
+		"leaving_limit":"2s","retry_share":0.2,"retry_slack":50,"memory_limit_mb":284}`
+	assertReads(t, settings, ReadGateway)
+	assertReads(t, strings.Replace(settings, `,"memory_limit_mb":284`, "", 1), ReadGateway)
+	for _, c := range []struct{ name, replacement string }{
+		{"memory limit below that of an idle process is rejected", "63"},
+		{"negative memory limit is rejected", "-1"},
+		{"memory limit with a unit is rejected", `"284MB"`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			assertErrorContains(t, strings.Replace(settings, ":284", ":"+c.replacement, 1), "memory_limit_mb", ReadGateway)
+		})
+	}
+}
+
 // TestReadSecretAcceptsAnySettings checks that the secret can be read from the
 // settings of both an entry and an agent.
 func TestReadSecretAcceptsAnySettings(t *testing.T) {
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -26,6 +26,7 @@
 	"go.opentelemetry.io/otel/metric"
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 
+	"magnoliafront.dev/magnoliafront/internal/process/reserver"
 	"magnoliafront.dev/magnoliafront/pkg/buffer"
 	"magnoliafront.dev/magnoliafront/pkg/tracer"
 )
@@ -51,6 +52,10 @@
 	panics metric.Int64ObservableCounter
 	// peerRefused counts the refused connections and messages of peers.
 	peerRefused metric.Int64ObservableCounter
+	// answerBytes, answerLimit and answerRefused are the state of the budget for answers.
+	answerBytes   metric.Int64ObservableGauge
+	answerLimit   metric.Int64ObservableGauge
+	answerRefused metric.Int64ObservableCounter
 }
 
 // New returns a meter with a registry of its own.
@@ -128,6 +133,22 @@
 	return nil
 }
 
+// WatchAnswers exports the state of the budget for answers that are held for callers.
+// Each scrape calls stats.
+func (m *Meter) WatchAnswers(stats func() reserver.Stats) error {
+	_, err := m.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		s := stats()
+		o.ObserveInt64(m.answerBytes, s.Held)
+		o.ObserveInt64(m.answerLimit, s.Limit)
+		o.ObserveInt64(m.answerRefused, int64(s.Refused))
+		return nil
+	}, m.answerBytes, m.answerLimit, m.answerRefused)
+	if err != nil {
+		return &Error{Op: "register callback for answers", Kind: ErrorInstrument, Err: err}
+	}
+	return nil
+}
+
 // Violation counts a violation of a promise, one of P1 to P8.
 func (m *Meter) Violation(promise string) {
 	m.violations.Add(context.Background(), 1, metric.WithAttributes(attribute.String("promise", promise)))
@@ -193,6 +214,15 @@
 	if m.peerRefused, err = m.meter.Int64ObservableCounter("magnoliafront_peer_refused", metric.WithDescription("Connections and messages of peers that were refused.")); err != nil {
 		return err
 	}
+	if m.answerBytes, err = m.meter.Int64ObservableGauge("magnoliafront_answer_held_bytes", metric.WithDescription("Bytes of answers that are reserved in the budget for answers.")); err != nil {
+		return err
+	}
+	if m.answerLimit, err = m.meter.Int64ObservableGauge("magnoliafront_answer_held_bytes_limit", metric.WithDescription("Budget for answers in bytes.")); err != nil {
+		return err
+	}
+	if m.answerRefused, err = m.meter.Int64ObservableCounter("magnoliafront_answer_reservations_refused", metric.WithDescription("Reservations that did not fit into the budget for answers.")); err != nil {
+		return err
+	}
 	if m.events, err = m.meter.Int64Counter("magnoliafront_events", metric.WithDescription("Events of the time line.")); err != nil {
 		return err
 	}
--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -33,6 +33,7 @@
 	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
 	"magnoliafront.dev/magnoliafront/internal/process/drainer"
 	"magnoliafront.dev/magnoliafront/internal/process/forwarder"
+	"magnoliafront.dev/magnoliafront/internal/process/reserver"
 	"magnoliafront.dev/magnoliafront/internal/request/admitter"
 	"magnoliafront.dev/magnoliafront/internal/request/relayer"
 	"magnoliafront.dev/magnoliafront/pkg/buffer"
@@ -72,6 +73,9 @@
 	Codec       Codec
 	Forwarder   *forwarder.Forwarder
 	Clock       timer.Clock
+	// Answers is the budget of the bytes of answers that are held for callers. If it is
+	// nil, they are not limited.
+	Answers *reserver.Budget
 }
 
 // Receiver is the HTTP server for callers and readiness checks.
@@ -167,7 +171,9 @@
 		r.options.Codec.WriteFailure(w, failure)
 		return
 	}
-	j := forwarder.Job{Request: request, Context: req.Context(), Head: req, Body: body, Replies: relayer.NewRing()}
+	account := r.options.Answers.Open()
+	defer account.Close()
+	j := forwarder.Job{Request: request, Context: req.Context(), Head: req, Body: body, Replies: relayer.NewLimitedRing(account)}
 	if !r.options.Forwarder.Submit(req.Context(), j) {
 		klog.InfoS("request refused", "request", request.ID, "reason", "entry_overloaded")
 		r.options.Codec.WriteFailure(w, admitter.OverloadedFailure())
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,7 @@
 	"magnoliafront.dev/magnoliafront/internal/process/receiver"
 	"magnoliafront.dev/magnoliafront/internal/process/recoverer"
 	"magnoliafront.dev/magnoliafront/internal/process/reloader"
+	"magnoliafront.dev/magnoliafront/internal/process/reserver"
 	"magnoliafront.dev/magnoliafront/internal/process/syncer"
 	"magnoliafront.dev/magnoliafront/pkg/buffer"
 	"magnoliafront.dev/magnoliafront/pkg/timer"
@@ -68,9 +70,10 @@
 			func() timer.Clock { return timer.System{} },
 			func() *syncerRef { return &syncerRef{} },
 			func() *recoverer.Recoverer { return &recoverer.Recoverer{} },
-			newStore, newMeter, newForwarder, newPeering, newReceiver,
+			newStore, newMeter, newForwarder, newPeering, newReceiver, newAnswerBudget,
 		),
 		fx.Invoke(serveGatewayMetrics),
+		fx.Invoke(func(m *meter.Meter, b *reserver.Budget) error { return m.WatchAnswers(b.Stats) }),
 		fx.Invoke(func(m *meter.Meter, r *recoverer.Recoverer) error { return m.WatchPanics(&r.Panics) }),
 		fx.Invoke(func(m *meter.Meter, f *forwarder.Forwarder, p *peering, r *receiver.Receiver) error {
 			return m.WatchRings(func() []buffer.Stats { return append(append(f.Stats(), p.syncer.Stats()...), r.Stats()) })
@@ -186,10 +189,21 @@
 	lc.Append(fx.StopHook(r.Stop))
 }
 
-func newReceiver(s loader.Gateway, c timer.Clock, f *forwarder.Forwarder) (*receiver.Receiver, error) {
+// newAnswerBudget returns the budget for the answers that are held for callers. If the
+// memory of the process is known, the Go runtime is told to stay within its part of it.
+func newAnswerBudget(s loader.Gateway) *reserver.Budget {
+	limit := s.MemoryLimitBytes()
+	if limit == 0 {
+		return reserver.NewBudget(reserver.AnswerBytes(reserver.DefaultMemoryLimit))
+	}
+	debug.SetMemoryLimit(reserver.RuntimeBytes(limit))
+	return reserver.NewBudget(reserver.AnswerBytes(limit))
+}
+
+func newReceiver(s loader.Gateway, c timer.Clock, f *forwarder.Forwarder, b *reserver.Budget) (*receiver.Receiver, error) {
 	return receiver.New(receiver.Options{
 		Listen: s.Listen, ReadyListen: s.ReadyListen, ReadyPath: platform.ReadyPath,
-		Codec: platform.Codec{}, Forwarder: f, Clock: c,
+		Codec: platform.Codec{}, Forwarder: f, Clock: c, Answers: b,
 	})
 }
 
--- a/internal/request/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -28,13 +28,15 @@
 
 	"github.com/go-faster/errors"
 
+	"magnoliafront.dev/magnoliafront/internal/process/reserver"
 	"magnoliafront.dev/magnoliafront/internal/request/admitter"
 	"magnoliafront.dev/magnoliafront/pkg/buffer"
 )
 
 // ringCapacity is the maximum number of replies queued for a slow caller. While
-// the ring is full, the upstream is not read, and TCP flow control slows it down.
-const ringCapacity = 64
+// the ring is full, the upstream is not read, and TCP flow control slows it down. The
+// process may hold a full ring for each of some thousand requests.
+const ringCapacity = 4
 
 // Kind is the type of a [Reply].
 type Kind int
@@ -67,25 +69,45 @@
 	// Head and end differ if a stream was continued by another response.
 	CloseDelimited bool
 	Bytes          []byte
-	Failure        *admitter.Failure
+	// Reserved is the number of bytes that are reserved for the reply in the account of
+	// its ring. Who ends with the reply releases them.
+	Reserved int
+	Failure  *admitter.Failure
 }
 
 // Ring queues the replies to one request.
-type Ring = buffer.Ring[Reply, buffer.Block]
+type Ring struct {
+	*buffer.Ring[Reply, buffer.Block]
+	// Account holds the bytes that are reserved for the replies. If it is nil, they are
+	// not limited.
+	Account *reserver.Account
+}
+
+// NewRing returns a ring for the replies to one request, whose bytes are not limited.
+func NewRing() *Ring { return NewLimitedRing(nil) }
 
-// NewRing returns a ring for the replies to one request.
-func NewRing() *Ring { return buffer.New[Reply, buffer.Block]("relayed_replies", ringCapacity) }
+// NewLimitedRing returns a ring for the replies to one request, whose bytes are reserved
+// in a.
+func NewLimitedRing(a *reserver.Account) *Ring {
+	return &Ring{Ring: buffer.New[Reply, buffer.Block]("relayed_replies", ringCapacity), Account: a}
+}
 
 // Relay writes the replies from the ring to w until the response ends. For
 // [KindFailed] it calls fail to write the failure. Its errors have the type
 // [*Error].
 func Relay(ctx context.Context, w http.ResponseWriter, replies *Ring, fail func(http.ResponseWriter, *admitter.Failure)) error {
 	controller := http.NewResponseController(w)
+	reserved := 0
+	defer func() { replies.Account.Release(reserved) }()
 	for begun, framed := false, false; ; {
+		// The reply before this one has been written.
+		replies.Account.Release(reserved)
+		reserved = 0
 		r, err := takeReply(ctx, replies, begun)
 		if err != nil {
 			return err
 		}
+		reserved = r.Reserved
 		if begun && r.Kind != KindBody && r.Kind != KindEnd {
 			return &Error{Op: "write", Kind: ErrorBroken, Err: errors.New("another response follows the beginning of one")}
 		}
--- a/internal/request/relayer/relayer_test.go
+++ b/internal/request/relayer/relayer_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"magnoliafront.dev/magnoliafront/internal/process/reserver"
 	"magnoliafront.dev/magnoliafront/internal/request/admitter"
 )
 
@@ -64,3 +65,22 @@
 		})
 	}
 }
+
+// A reply that was written, or will not be, kept its bytes in the budget, so that later
+// answers found none.
+func TestRelayReleasesWhatItHasWritten(t *testing.T) {
+	budget := reserver.NewBudget(100)
+	account := budget.Open()
+	is := is.New(t)
+	is.True(account.Reserve(70))
+	replies := NewLimitedRing(account)
+	for _, r := range []Reply{
+		{Kind: KindHead, Status: http.StatusOK, Header: http.Header{}},
+		{Kind: KindBody, Bytes: []byte("id: 1\n\n"), Reserved: 30},
+		{Kind: KindEnd, Reserved: 40},
+	} {
+		replies.Put(t.Context(), r)
+	}
+	is.NoErr(Relay(t.Context(), httptest.NewRecorder(), replies, nil))
+	is.Equal(budget.Stats().Held, int64(0))
+}
