Give a final answer without waiting for its caller

Callers would have seen: in a planned stop, an entry with one caller that does not read a large answer answers nobody any more.

Cause: the forwarder put the failure of a request on the ring of its caller and waited while the ring was full. That a large answer has begun is not reported to the dispatcher before it ends, so the final answer before the exit went to a full ring, and the goroutine that forwards all requests stood still until that caller left.

Evidence: TestFinalAnswerDoesNotWaitForCallerThatDoesNotRead failed on and on after its limit of a minute ("the forwarder waits for the caller"); it does not depend on the size of the ring.

Change: a reply that ends a request is put without waiting. If the ring is full, the caller has a part of another response, and the ring is closed, which cuts it off.

--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -41,7 +41,7 @@
 		}
 	case dispatcher.ActionForwardError:
 		if t := f.endRequest(a); t != nil {
-			t.job.Replies.Put(t.job.Context, t.errorResponse)
+			t.job.Replies.End(t.errorResponse)
 		}
 	case dispatcher.ActionFinish:
 		f.endRequest(a)
@@ -231,7 +231,7 @@
 		t.job.Replies.Close()
 		return
 	}
-	t.job.Replies.Put(t.job.Context, relayer.Reply{Kind: relayer.KindFailed, Failure: a.Failure})
+	t.job.Replies.End(relayer.Reply{Kind: relayer.KindFailed, Failure: a.Failure})
 }
 
 // endRequest removes a request from the requests in flight and logs how it ended.
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -406,6 +406,6 @@
 	// refusal must be sent to this caller and not to the caller of the request in
 	// flight.
 	for _, a := range f.dispatcher.Step(f.options.Clock.Now(), dispatcher.Event{Kind: dispatcher.EventArrived, Request: j.Request}) {
-		j.Replies.Put(j.Context, relayer.Reply{Kind: relayer.KindFailed, Failure: a.Failure})
+		j.Replies.End(relayer.Reply{Kind: relayer.KindFailed, Failure: a.Failure})
 	}
 }
--- a/internal/process/forwarder/stop.go
+++ b/internal/process/forwarder/stop.go
@@ -15,7 +15,7 @@
 func (f *Forwarder) stop() {
 	for j, ok := f.jobs.TryTake(); ok; j, ok = f.jobs.TryTake() {
 		failure := retrier.Decide(retrier.RequestState{}, retrier.CauseStopping).Failure
-		j.Replies.Put(j.Context, relayer.Reply{Kind: relayer.KindFailed, Failure: failure})
+		j.Replies.End(relayer.Reply{Kind: relayer.KindFailed, Failure: failure})
 	}
 	for _, a := range f.inFlight {
 		a.cancelCalls()
--- a/internal/process/forwarder/stop_test.go
+++ b/internal/process/forwarder/stop_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -74,6 +76,36 @@
 	<-disconnected
 }
 
+// The final answer to a request, whose caller did not read the large answer that had
+// begun, waited for room in its ring. The forwarder stood still meanwhile, and with it all
+// other requests.
+func TestFinalAnswerDoesNotWaitForCallerThatDoesNotRead(t *testing.T) {
+	clock := timer.NewManual(time.Now())
+	f := newStoppableForwarder(t, clock, faultyCodec{}, func(conn net.Conn) {
+		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n")
+		for err == nil {
+			_, err = io.WriteString(conn, strings.Repeat("x", 4000))
+		}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	unread := submit(t.Context(), t, f, "unread", time.Minute)
+	for unread.Stats().Depth < unread.Stats().Capacity {
+		time.Sleep(time.Millisecond)
+	}
+	f.BeginStop(dispatcher.Stop{NoticeEnd: clock.Now().Add(time.Second), ExitDeadline: clock.Now().Add(2 * time.Second)})
+	// An event after BeginStop is in force, so BeginStop is too.
+	f.Configure(matcher.New(matcher.Configuration{Version: 2}))
+	awaitVersion(f, 2)
+	clock.Advance(1900 * time.Millisecond)
+	select {
+	case <-unread.Done():
+	case <-ctx.Done():
+		t.Fatal("the forwarder waits for the caller")
+	}
+	assertFailure(ctx, t, submit(ctx, t, f, "next", time.Minute), http.StatusServiceUnavailable)
+}
+
 // blockingCodec blocks the goroutine of the forwarder in its first call of Encode until
 // release is closed.
 type blockingCodec struct {
--- a/internal/request/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -92,6 +92,17 @@
 	return &Ring{Ring: buffer.New[Reply, buffer.Block]("relayed_replies", ringCapacity), Account: a}
 }
 
+// End puts a reply that ends the request without waiting for its caller. If the ring is
+// full, the caller has a part of a response already, and the ring is closed instead.
+func (r *Ring) End(reply Reply) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if !r.Put(ctx, reply) {
+		r.Account.Release(reply.Reserved)
+		r.Close()
+	}
+}
+
 // Relay writes the replies from the ring to w until the response ends. For
 // [KindFailed] it calls fail to write the failure. Its errors have the type
 // [*Error].
