Check that the metrics tell the held bytes of answers

To make that hold at each moment, a reservation that does not fit no longer adds its bytes before it takes them back, which could also refuse another one that fitted.

--- a/internal/process/reserver/reserver.go
+++ b/internal/process/reserver/reserver.go
@@ -85,12 +85,16 @@
 
 // take takes n bytes if they are left.
 func (b *Budget) take(n int64) bool {
-	if b.held.Add(n) <= b.limit {
-		return true
+	for {
+		held := b.held.Load()
+		if held+n > b.limit {
+			b.refused.Add(1)
+			return false
+		}
+		if b.held.CompareAndSwap(held, held+n) {
+			return true
+		}
 	}
-	b.held.Add(-n)
-	b.refused.Add(1)
-	return false
 }
 
 // Account holds the reservations of one request. A nil account reserves anything.
--- a/internal/process/soaker/endless_test.go
+++ b/internal/process/soaker/endless_test.go
@@ -114,6 +114,8 @@
 type endlessFixture struct {
 	t     *testing.T
 	entry *entry
+	// metrics is the address of the metrics of the entry.
+	metrics string
 }
 
 func newEndlessFixture(t *testing.T, binary string, u *endlessUpstream) *endlessFixture {
@@ -150,13 +152,14 @@
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants":  []any{map[string]any{"name": "guides", "api_keys": []any{"key"}}},
 	})
-	addresses := freeAddresses(t, 0)
+	addresses, metrics := freeAddresses(t, 0), freeAddresses(t, 1)[0]
 	e := &entry{fleet: f, name: "entry-1", address: addresses[0], readyAddress: addresses[1], binaryPath: binary}
 	e.settingsPath = filepath.Join(t.TempDir(), "settings.json")
 	settings := map[string]any{
 		"identity": e.name, "availability_zone": "z", "listen": e.address, "ready_listen": e.readyAddress, "peer_listen": addresses[2],
 		"platform": srv.URL, "shared_secret": "secret of the test", "grace_period": "8s", "notice_period": "500ms",
 		"leaving_limit": "2s", "retry_share": retryShare, "retry_slack": retrySlack, "memory_limit_mb": entryMemoryMB,
+		"metrics": metrics,
 	}
 	data, err := json.Marshal(settings)
 	is.New(t).NoErr(err)
@@ -166,7 +169,7 @@
 	for end := time.Now().Add(waitTimeout); !e.isReady(); time.Sleep(10 * time.Millisecond) {
 		is.New(t).True(time.Now().Before(end))
 	}
-	return &endlessFixture{t: t, entry: e}
+	return &endlessFixture{t: t, entry: e, metrics: metrics}
 }
 
 // send sends a request. Its caller reads no more than the status of the answer, to tell
@@ -210,6 +213,29 @@
 	}
 }
 
+// assertHeldBytesExported checks that the metrics tell the held bytes and their limit.
+func (f *endlessFixture) assertHeldBytesExported() {
+	f.t.Helper()
+	is := is.New(f.t)
+	resp, err := http.Get("http://" + f.metrics + "/metrics")
+	is.NoErr(err)
+	data, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	value := func(name string) float64 {
+		_, rest, ok := strings.Cut(string(data), "\n"+name+"{")
+		is.True(ok)
+		line, _, _ := strings.Cut(rest, "\n")
+		v, err := strconv.ParseFloat(line[strings.LastIndex(line, " ")+1:], 64)
+		is.NoErr(err)
+		return v
+	}
+	held, limit := value("magnoliafront_answer_held_bytes"), value("magnoliafront_answer_held_bytes_limit")
+	f.t.Logf("held %.0f of %.0f bytes, %.0f reservations refused", held, limit, value("magnoliafront_answer_reservations_refused_total"))
+	is.True(held >= 0)
+	is.True(held <= limit)
+}
+
 // peakMB returns the largest resident set of the entry process so far.
 func (f *endlessFixture) peakMB() int {
 	f.t.Helper()
@@ -253,6 +279,7 @@
 			wg.Wait()
 			u.awaitHeld(t)
 			f.assertSoundServiceAnswers()
+			f.assertHeldBytesExported()
 			peak := f.peakMB()
 			t.Logf("peak of the resident set: %d MB", peak)
 			is.New(t).True(peak < entryMemoryMB)
