--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -41,7 +41,7 @@
 		}
 	case dispatcher.ActionForwardError:
 		if t := f.endRequest(a); t != nil {
-			t.job.Replies.Put(t.job.Context, t.errorResponse)
+			t.job.Replies.End(t.errorResponse)
 		}
 	case dispatcher.ActionFinish:
 		f.endRequest(a)
@@ -132,6 +132,9 @@
 		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventEnded, ID: r.Request, Attempt: r.Attempt, Outcome: attemptOutcome(r)})
 	}
 	if !current {
+		if t != nil {
+			t.job.Replies.Account.Release(r.ErrorResponse.Reserved)
+		}
 		f.cleanUpPool(p)
 		return
 	}
@@ -141,6 +144,7 @@
 		return
 	}
 	t.cancel()
+	t.job.Replies.Account.Release(t.errorResponse.Reserved)
 	t.errorResponse, t.firstEvent, t.longestPause = r.ErrorResponse, r.FirstEvent, r.LongestPause
 	if r.Err != nil || r.Outcome != carrier.OutcomeAnswered {
 		klog.InfoS("attempt ended", "request", r.Request, "attempt", r.Attempt, "upstream", p.upstream.InstanceID(),
@@ -227,7 +231,7 @@
 		t.job.Replies.Close()
 		return
 	}
-	t.job.Replies.Put(t.job.Context, relayer.Reply{Kind: relayer.KindFailed, Failure: a.Failure})
+	t.job.Replies.End(relayer.Reply{Kind: relayer.KindFailed, Failure: a.Failure})
 }
 
 // endRequest removes a request from the requests in flight and logs how it ended.
