--- a/internal/connection/reader/reader_test.go
+++ b/internal/connection/reader/reader_test.go
@@ -41,8 +41,10 @@
 			clock := timer.NewManual(time.Unix(0, 0))
 			events := make(chan Event, 8)
 			NewEngine(s.Client(), clock, s.URL, Job{Key: scheduler.Key{Request: "r"}, Body: []byte(`{}`)}, func(e Event) { events <- e })
-			for range c.tokens {
-				is.New(t).Equal((<-events).Kind, EventTokens)
+			for n := 0; n < c.tokens; {
+				e := <-events
+				is.New(t).Equal(e.Kind, EventTokens)
+				n += len(e.Tokens)
 			}
 			assertLostAfterStallTimeout(t, clock, events)
 		})
--- a/internal/process/router/silence_test.go
+++ b/internal/process/router/silence_test.go
@@ -164,3 +164,19 @@
 		})
 	}
 }
+
+// The tokens that an engine or its agent held back arrived one by one and overflowed the
+// ring of the connection between agent and entry, which was closed.
+func TestTokensHeldBackWhileSilentArrive(t *testing.T) {
+	const tokens = 2000
+	r := newTestRig(t)
+	one := newSilentEngine(t, chunkedAnswer(tokenEvents(tokens)+"data: [DONE]\n\n"))
+	r.startEngineAgents(one)
+	e := r.startEntry("entry-1", nil)
+	r.discardEvents()
+	replies := r.complete(e, "request-1")
+	r.awaitSignal(one.silent)
+	r.clock.Advance(engineSilence)
+	one.goOn <- struct{}{}
+	r.assertWholeAnswer(replies, tokens)
+}
