Wait longer for a silent engine before it counts as down

Callers saw streams cut off, and waiting requests refused, at an engine that was sound: it failed one run, or one broke, and was then silent for a second.

Cause: after a lost run the reader checks the health of the engine for 1 s. No answer within it counted like a refused connection, so the executor took the engine for down: it refused the runs that waited and gave up the preempted ones, whose callers have a part of their answer. With no other engine for them nothing was left.

Change: an engine that accepts the connection of the check but does not answer is checked once more, for 3 s, after the loss was reported, so that the retry of the lost run is not later than before. Only then it counts as down.

--- a/internal/connection/reader/probe.go
+++ b/internal/connection/reader/probe.go
@@ -11,6 +11,10 @@
 const (
 	// probeTimeout is the timeout of one health check of an upstream.
 	probeTimeout = time.Second
+	// silenceTimeout is the timeout of the check of an upstream that has not answered one
+	// within probeTimeout but accepts connections. A sound one may be silent for a second
+	// or so.
+	silenceTimeout = 3 * time.Second
 	// probeInterval is the time between two health checks of an upstream that is
 	// down.
 	probeInterval = 500 * time.Millisecond
@@ -36,7 +40,7 @@
 				stop()
 				return
 			}
-			if reachable(ctx, client, url) {
+			if ping(ctx, client, url, probeTimeout) == nil {
 				onReachable()
 				return
 			}
@@ -48,21 +52,20 @@
 // Stop cancels the probe. It doesn't wait for a running call of onReachable.
 func (p *Probe) Stop() { p.cancel() }
 
-// reachable reports whether the upstream at url responds to a request. It
+// ping returns nil if the upstream at url responds to a request within a time. It
 // accepts any status, since the paths of health checks differ between engines.
-func reachable(ctx context.Context, client *http.Client, url string) bool {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+func ping(ctx context.Context, client *http.Client, url string, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/health", nil)
 	if err != nil {
-		return false
+		return err
 	}
 	// No request may find a kept connection.
 	req.Close = true
 	resp, err := client.Do(req)
 	if err != nil {
-		return false
+		return err
 	}
-	_ = resp.Body.Close()
-	return true
+	return resp.Body.Close()
 }
--- a/internal/connection/reader/reader.go
+++ b/internal/connection/reader/reader.go
@@ -87,6 +87,9 @@
 	// EventLost means that the answer is incomplete, malformed or missing. The
 	// upstream may have run the request.
 	EventLost
+	// EventSilent follows an EventLost if the upstream accepts connections but does not
+	// answer.
+	EventSilent
 )
 
 // Event reports the progress or the end of a request.
@@ -99,9 +102,9 @@
 	Tokens       []string
 	FinishReason string
 	Response     *messenger.Response
-	// Unreachable is set if the upstream does not accept connections. With
-	// EventRejected it was down before the request, with EventLost it crashed
-	// during the request.
+	// Unreachable is set if the upstream does not accept connections, or with
+	// EventSilent. With EventRejected it was down before the request, with EventLost it
+	// crashed during the request.
 	Unreachable bool
 	// Crashed is set with EventLost if the connection broke. The upstream runs on
 	// the same VM, so that a network failure is ruled out: the upstream has failed
@@ -122,7 +125,7 @@
 	cancel context.CancelFunc
 }
 
-// NewEngine starts a request to the model engine at url. The last event is
+// NewEngine starts a request to the model engine at url. The last event of the request is
 // EventFinished, EventRejected or EventLost.
 func NewEngine(client *http.Client, c timer.Clock, url string, job Job, emit func(Event)) *Reader {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -137,7 +140,7 @@
 }
 
 // NewService starts a request to the plain service at url. It emits exactly one
-// event: EventResponse, EventRejected or EventLost.
+// event about it: EventResponse, EventRejected or EventLost.
 func NewService(client *http.Client, url string, job Job, emit func(Event)) *Reader {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Reader{client: client, url: url, job: job, emit: emit, cancel: cancel}
@@ -172,11 +175,18 @@
 	if ctx.Err() == nil && isKind(err, ErrorUnreachable) {
 		e.Unreachable = true
 	}
-	if ctx.Err() == nil && e.Kind == EventLost {
-		e.Crashed = isKind(err, ErrorBroken)
-		e.Unreachable = !reachable(ctx, r.client, r.url)
+	if ctx.Err() != nil || e.Kind != EventLost {
+		r.emitEvent(e)
+		return
 	}
+	e.Crashed = isKind(err, ErrorBroken)
+	err = ping(ctx, r.client, r.url, probeTimeout)
+	silent := errors.Is(err, context.DeadlineExceeded)
+	e.Unreachable = err != nil && !silent
 	r.emitEvent(e)
+	if silent && ping(ctx, r.client, r.url, silenceTimeout) != nil && ctx.Err() == nil {
+		r.emitEvent(Event{Kind: EventSilent, Unreachable: true})
+	}
 }
 
 // transportErrorKind classifies the error of a request without a response. If
--- a/internal/connection/reader/replay_test.go
+++ b/internal/connection/reader/replay_test.go
@@ -75,7 +75,7 @@
 	url := replayingUpstream(t, healthy, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 	client := newClient(t)
 	is := is.New(t)
-	is.True(reachable(t.Context(), client, url))
+	is.NoErr(ping(t.Context(), client, url, probeTimeout))
 	events := make(chan Event, 1)
 	NewService(client, url, Job{Call: &messenger.Call{Method: http.MethodPost, Path: "/hold"}}, func(e Event) { events <- e })
 	e := <-events
--- a/internal/process/executor/executor_test.go
+++ b/internal/process/executor/executor_test.go
@@ -19,9 +19,13 @@
 	"magnoliafront.dev/magnoliafront/pkg/timer"
 )
 
+// errorToken makes a scriptedEngine fail the run.
+const errorToken = "error"
+
 // scriptedEngine streams the tokens from its channel to the active run. An empty
-// token ends the answer.
+// token ends the answer. It answers a health check once it can take a value from health.
 type scriptedEngine struct {
+	health chan struct{}
 	starts chan int
 	tokens chan string
 	// cancelled receives a value for each run whose connection has ended.
@@ -29,6 +33,13 @@
 }
 
 func (e *scriptedEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet {
+		select {
+		case <-e.health:
+		case <-r.Context().Done():
+		}
+		return
+	}
 	var body struct {
 		ResumeFrom int `json:"resume_from"`
 	}
@@ -47,6 +58,10 @@
 				_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 				return
 			}
+			if t == errorToken {
+				_, _ = fmt.Fprint(w, "data: {\"error\":\"failed\"}\n\n")
+				return
+			}
 			_, _ = fmt.Fprintf(w, "data: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", t)
 			_ = rc.Flush()
 		}
@@ -70,7 +85,7 @@
 	t.Helper()
 	is := is.New(t)
 	b := &engineFixture{
-		t: t, clock: timer.NewManual(time.Unix(1000, 0)), engine: &scriptedEngine{make(chan int, 10), make(chan string), make(chan struct{}, 10)},
+		t: t, clock: timer.NewManual(time.Unix(1000, 0)), engine: &scriptedEngine{make(chan struct{}), make(chan int, 10), make(chan string), make(chan struct{}, 10)},
 		frames: make(chan messenger.Frame, 100), notices: make(chan struct{}, 100), pending: map[string][]messenger.Frame{},
 	}
 	server := httptest.NewServer(b.engine)
@@ -148,10 +163,9 @@
 	}
 }
 
-// A preempted run must resume at its next token. The entry must get neither a
-// refusal nor a repeated token.
-func TestPreemptedRunResumesAtNextToken(t *testing.T) {
-	b := newEngineFixture(t, descriptor.Upstream{Slots: 1})
+// preemptLow lets the run high preempt the run low after two tokens. High has one token.
+func (b *engineFixture) preemptLow() {
+	b.t.Helper()
 	b.submit(messenger.Submit{Request: "low", Tier: 8, Repeatable: true})
 	b.assertStarts("low", 0)
 	b.assertTokens("low", 0, 2)
@@ -163,6 +177,13 @@
 	// Until its connection has ended, the preempted run could take the token.
 	<-b.engine.cancelled
 	b.assertTokens("high", 0, 1)
+}
+
+// A preempted run must resume at its next token. The entry must get neither a
+// refusal nor a repeated token.
+func TestPreemptedRunResumesAtNextToken(t *testing.T) {
+	b := newEngineFixture(t, descriptor.Upstream{Slots: 1})
+	b.preemptLow()
 	b.engine.tokens <- ""
 	b.assertFrame("high", messenger.FrameFinished)
 	b.assertStarts("low", 2)
