Do not take an engine for down because a run was stopped

Callers could see streams cut off at a sound engine: one run had failed there, and the executor preempted it, or its entry withdrew it, while the reader checked the health of the engine.

Cause: the stop cancels the check as well, and its error counted as that of an engine that accepts no connections. The executor then refused the runs that waited and gave up the preempted ones.

Change: a cancelled check says nothing.

--- a/internal/connection/reader/reader.go
+++ b/internal/connection/reader/reader.go
@@ -182,7 +182,7 @@
 	e.Crashed = isKind(err, ErrorBroken)
 	err = ping(ctx, r.client, r.url, probeTimeout)
 	silent := errors.Is(err, context.DeadlineExceeded)
-	e.Unreachable = err != nil && !silent
+	e.Unreachable = err != nil && !silent && ctx.Err() == nil
 	r.emitEvent(e)
 	if silent && ping(ctx, r.client, r.url, silenceTimeout) != nil && ctx.Err() == nil {
 		r.emitEvent(Event{Kind: EventSilent, Unreachable: true})
