Count the bytes of a buffered body as progress

Operators saw requests run at two upstreams although the first was sound and its answer was on its way: a body that takes longer than the idle timeout from its head on was reported as silent.

Cause: relayComplete read the whole body with the deadline that was set for the head.

Evidence: TestBytesOfBufferedBodyAreProgress failed before in the case of a slow body (outcome expired in place of answered, a byte every 9 s of an idle timeout of 10 s). The connection and the clock are the test's own, so no speed matters.

Change: the read deadline is set anew before each read of the body, as it is for one that is too large to buffer. It never exceeds the deadline of the call, so that a trickle of bytes ends there; the test has that case and a silence beyond the idle timeout.

--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -19,6 +20,8 @@
 	// completely before it is relayed. A larger one is relayed as it arrives. The
 	// process must hold one for each of several hundred requests.
 	maxBufferedBytes = 128 << 10
+	// minBodyBytes is the size of the first buffer for a response body.
+	minBodyBytes = 512
 	// maxMismatchedResponses is the maximum number of responses to other requests
 	// that are skipped in one call.
 	maxMismatchedResponses = 2
@@ -231,7 +234,7 @@
 // relayComplete reads the whole response and relays it as one reply. An error
 // response is not relayed but returned in the report.
 func (c *Conn) relayComplete(a *attempt, resp *http.Response) Report {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	body, err := c.readBuffered(a, resp)
 	if err != nil {
 		r := c.classifyError(a, errors.Wrap(err, "read the body"))
 		r.Status = resp.StatusCode
@@ -256,6 +259,27 @@
 	return r
 }
 
+// readBuffered reads a body up to one byte more than is buffered. Each byte of it is
+// progress; a trickle of bytes ends at the deadline of the call.
+func (c *Conn) readBuffered(a *attempt, resp *http.Response) ([]byte, error) {
+	body := make([]byte, 0, minBodyBytes)
+	for len(body) <= maxBufferedBytes {
+		if err := c.setReadDeadline(a); err != nil {
+			return nil, err
+		}
+		body = slices.Grow(body, 1)
+		n, err := resp.Body.Read(body[len(body):min(cap(body), maxBufferedBytes+1)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return body, nil
+}
+
 // relayOversized relays a response larger than maxBufferedBytes as it arrives.
 func (c *Conn) relayOversized(a *attempt, resp *http.Response, body []byte) Report {
 	if a.begun {
