Answer the requests in flight before an own entry exits

Callers of the product's own front end got their connections cut off, without an answer, if their request was still in flight when the time for the stop of the entry had ended: after five minutes, or earlier if the stop got less.

Cause: the stop waits for the answers and then closes what is left.

Evidence: TestRequestInFlightIsAnsweredBeforeEntryExits fails if the call of GiveFinalAnswers is left out of StopBefore, as the stop was before: no answer after the whole grace period, and the call is cut by the end of the context.

Change: 2 s before the end of the time that the stop was given, the router fails each request in flight and each that still arrives: not run if it was sent to no agent, otherwise with an unknown outcome, and cancels the attempts. A stream ends with an error event. Runs with a claim whose caller has left go on.

The time itself stays StopTimeout: an own entry has no setting for its grace period.

--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -124,6 +124,8 @@
 	subsets  map[string][]string
 	inFlight map[string]*inFlight
 	draining bool
+	// exiting is true once the final answers were given.
+	exiting bool
 }
 
 type eventKind int
@@ -141,6 +143,7 @@
 	eventLimitDecided
 	eventAgentConns
 	eventClaimResult
+	eventFinalAnswers
 )
 
 type event struct {
@@ -308,12 +311,18 @@
 		e.agents <- r.connectedAgents()
 	case eventClaimResult:
 		r.handleClaimResult(e)
+	case eventFinalAnswers:
+		r.giveFinalAnswers()
 	}
 }
 
 // admit admits or refuses a new request, and asks the limits for a decision if the
 // organisation has any.
 func (r *Router) admit(j Job) {
+	if r.exiting {
+		refuseLate(j)
+		return
+	}
 	if j.ListModels {
 		r.replyModels(j)
 		return
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -37,6 +37,9 @@
 	readBodyTimeout   = 30 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 16 << 10
+	// finalAnswersMargin is the time before the exit at which requests in flight fail.
+	// Their callers read the failures within it.
+	finalAnswersMargin = 2 * time.Second
 )
 
 // Options configures a server.
@@ -102,6 +105,22 @@
 	return nil
 }
 
+// StopBefore is [Server.Stop] for a process that exits at a deadline on the clock. Requests
+// without the end of an answer fail shortly before it, so that none is cut off.
+func (s *Server) StopBefore(ctx context.Context, deadline time.Time) error {
+	wake, stop := s.options.Clock.After(max(0, deadline.Add(-finalAnswersMargin).Sub(s.options.Clock.Now())))
+	defer stop()
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(ctx) }()
+	select {
+	case err := <-stopped:
+		return err
+	case <-wake:
+		s.options.Router.GiveFinalAnswers()
+	}
+	return <-stopped
+}
+
 // closeConnsWhenLeaving wraps next. While the entry is leaving, each response
 // closes its connection.
 func (s *Server) closeConnsWhenLeaving(next http.Handler) http.Handler {
--- a/internal/process/starter/entry.go
+++ b/internal/process/starter/entry.go
@@ -143,7 +143,13 @@
 	if err != nil {
 		return nil, err
 	}
-	lc.Append(fx.StopHook(srv.Stop))
+	lc.Append(fx.StopHook(func(ctx context.Context) error {
+		deadline, ok := ctx.Deadline()
+		if !ok {
+			return srv.Stop(ctx)
+		}
+		return srv.StopBefore(ctx, deadline.Add(-gracePeriodMargin))
+	}))
 	return srv, nil
 }
 
