Count the requests of callers from arrival to end

Change: the receiver counts each request when its handler begins and once when it ends, by how it ended for the caller: answered, refused, unanswered, cut_off, caller_left or panicked. The count at the end is deferred, so that a panic and an aborted connection have theirs. Received less ended is in flight; the forwarder exports its own number beside it, so that a request whose end is lost between the two shows as one that only the receiver holds. The numbers are metrics, read at a scrape: magnoliafront_requests_received_total, magnoliafront_requests_ended_total{result} and magnoliafront_requests_in_flight{stage}. They need 7 counters, whatever the traffic.

--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -102,6 +102,8 @@
 	events  *buffer.Ring[event, buffer.Block]
 	done    chan struct{}
 	state   atomic.Pointer[State]
+	// inFlightCount is the length of inFlight, for other goroutines to read.
+	inFlightCount atomic.Int64
 
 	// The fields below are owned by the goroutine.
 	dispatcher *dispatcher.Dispatcher
@@ -231,6 +233,10 @@
 	<-f.done
 }
 
+// InFlight returns the number of requests that have been taken from the ring of jobs and
+// have not ended.
+func (f *Forwarder) InFlight() int { return int(f.inFlightCount.Load()) }
+
 // Stats returns the states of the rings.
 func (f *Forwarder) Stats() []buffer.Stats {
 	return []buffer.Stats{f.jobs.Stats(), f.events.Stats()}
@@ -258,6 +264,7 @@
 	case <-f.events.Done():
 		return false
 	}
+	f.inFlightCount.Store(int64(len(f.inFlight)))
 	return true
 }
 
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -47,6 +47,11 @@
 	// requestSeconds is the distribution of the time from the arrival of a request
 	// to its end.
 	requestSeconds metric.Float64Histogram
+	// requestsReceived and requestsEnded count the requests of callers, and
+	// requestsInFlight is the number of those that a stage has not ended.
+	requestsReceived metric.Int64ObservableCounter
+	requestsEnded    metric.Int64ObservableCounter
+	requestsInFlight metric.Int64ObservableGauge
 	// panics counts the recovered panics.
 	panics metric.Int64ObservableCounter
 	// peerRefused counts the refused connections and messages of peers.
@@ -158,6 +163,33 @@
 	return nil
 }
 
+// Requests holds the numbers of the requests of callers in a process: those received, those
+// ended by how they ended, and those in flight by the stage that has not ended them.
+type Requests struct {
+	Received uint64
+	Ended    map[string]uint64
+	InFlight map[string]uint64
+}
+
+// WatchRequests exports the numbers of requests. Each scrape calls requests.
+func (m *Meter) WatchRequests(requests func() Requests) error {
+	_, err := m.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		r := requests()
+		o.ObserveInt64(m.requestsReceived, int64(r.Received))
+		for result, n := range r.Ended {
+			o.ObserveInt64(m.requestsEnded, int64(n), metric.WithAttributes(attribute.String("result", result)))
+		}
+		for stage, n := range r.InFlight {
+			o.ObserveInt64(m.requestsInFlight, int64(n), metric.WithAttributes(attribute.String("stage", stage)))
+		}
+		return nil
+	}, m.requestsReceived, m.requestsEnded, m.requestsInFlight)
+	if err != nil {
+		return &Error{Op: "register callback for requests", Kind: ErrorInstrument, Err: err}
+	}
+	return nil
+}
+
 // Stop shuts down the export. Later scrapes get no metrics.
 func (m *Meter) Stop(ctx context.Context) error {
 	if err := m.provider.Shutdown(ctx); err != nil {
@@ -187,6 +219,15 @@
 		metric.WithExplicitBucketBoundaries(requestSecondsBuckets()...)); err != nil {
 		return err
 	}
+	if m.requestsReceived, err = m.meter.Int64ObservableCounter("magnoliafront_requests_received", metric.WithDescription("Requests of callers that have arrived.")); err != nil {
+		return err
+	}
+	if m.requestsEnded, err = m.meter.Int64ObservableCounter("magnoliafront_requests_ended", metric.WithDescription("Requests of callers that have ended.")); err != nil {
+		return err
+	}
+	if m.requestsInFlight, err = m.meter.Int64ObservableGauge("magnoliafront_requests_in_flight", metric.WithDescription("Requests that a stage has not ended.")); err != nil {
+		return err
+	}
 	if m.panics, err = m.meter.Int64ObservableCounter("magnoliafront_panics", metric.WithDescription("Panics that ended the handling of one message.")); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/process/meter/meter_test.go
@@ -0,0 +1,44 @@
+package meter
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Requests without an end can be found only if the numbers of those received, ended and in
+// flight are all exported.
+func TestNumbersOfRequestsAreExported(t *testing.T) {
+	m, err := New()
+	is := is.New(t)
+	is.NoErr(err)
+	is.NoErr(m.WatchRequests(func() Requests {
+		return Requests{Received: 7, Ended: map[string]uint64{"answered": 4, "cut_off": 1}, InFlight: map[string]uint64{"receiver": 2, "forwarder": 1}}
+	}))
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, line := range []struct{ name, label, value string }{
+		{"magnoliafront_requests_received_total{", "", "} 7"},
+		{"magnoliafront_requests_ended_total{", `result="answered"`, "} 4"},
+		{"magnoliafront_requests_ended_total{", `result="cut_off"`, "} 1"},
+		{"magnoliafront_requests_in_flight{", `stage="receiver"`, "} 2"},
+		{"magnoliafront_requests_in_flight{", `stage="forwarder"`, "} 1"},
+	} {
+		t.Run(line.name+line.label, func(t *testing.T) { assertExported(t, w.Body.String(), line.name, line.label, line.value) })
+	}
+}
+
+// assertExported checks that a line of the metrics has a name, a label and a value.
+func assertExported(t *testing.T, metrics, name, label, value string) {
+	t.Helper()
+	for line := range strings.Lines(metrics) {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, name) && strings.Contains(line, label) && strings.HasSuffix(line, value) {
+			return
+		}
+	}
+	t.Fatalf("no line with %q, %q and %q in:\n%s", name, label, value, metrics)
+}
--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -80,6 +80,7 @@
 	callerServer    *drainer.Drainer
 	readinessServer *http.Server
 	draining        atomic.Bool
+	requests        requestCounters
 }
 
 // New listens on both addresses and starts the servers.
@@ -151,7 +152,22 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// Requests returns the numbers of the requests of callers.
+func (r *Receiver) Requests() Requests { return r.requests.snapshot() }
+
+// serve serves a request of a caller and counts how it ends.
 func (r *Receiver) serve(w http.ResponseWriter, req *http.Request) {
+	r.requests.received.Add(1)
+	end := endingPanicked
+	defer func() { r.requests.ended[end].Add(1) }()
+	end = r.answer(w, req)
+	if end == endingCutOff || end == endingCallerLeft {
+		cutOff(w, req)
+	}
+}
+
+// answer writes the answer to a request of a caller.
+func (r *Receiver) answer(w http.ResponseWriter, req *http.Request) ending {
 	now := r.options.Clock.Now()
 	if r.draining.Load() {
 		w.Header().Set("Connection", "close")
@@ -159,29 +175,34 @@
 	body, failure := r.readBody(w, req, now)
 	if failure != nil {
 		r.options.Codec.WriteFailure(w, failure)
-		return
+		return endingRefused
 	}
 	request, failure := r.options.Codec.ParseRequest(req, body, now)
 	if failure != nil {
 		klog.InfoS("request refused", "request", request.ID, "reason", failure.Code, "detail", failure.Message)
 		r.options.Codec.WriteFailure(w, failure)
-		return
+		return endingRefused
 	}
 	j := forwarder.Job{Request: request, Context: req.Context(), Head: req, Body: body, Replies: relayer.NewRing()}
 	if !r.options.Forwarder.Submit(req.Context(), j) {
 		klog.InfoS("request refused", "request", request.ID, "reason", "entry_overloaded")
 		r.options.Codec.WriteFailure(w, admitter.OverloadedFailure())
-		return
+		return endingRefused
 	}
 	err := relayer.Relay(req.Context(), w, j.Replies, r.options.Codec.WriteFailure)
 	switch {
+	case err == nil:
+		return endingAnswered
 	case relayer.IsKind(err, relayer.ErrorNoReply):
 		klog.InfoS("request ended without a reply", "request", request.ID, "stopping", r.draining.Load())
 		r.options.Codec.WriteFailure(w, admitter.InterruptedFailure())
-	case err != nil:
-		klog.InfoS("answer cut off", "request", request.ID, "stopping", r.draining.Load(), "err", err)
-		cutOff(w, req)
+		return endingUnanswered
+	}
+	klog.InfoS("answer cut off", "request", request.ID, "stopping", r.draining.Load(), "err", err)
+	if relayer.IsKind(err, relayer.ErrorCaller) {
+		return endingCallerLeft
 	}
+	return endingCutOff
 }
 
 // cutOff closes the connection without the end of the answer. If only the end of the
--- a/internal/process/receiver/receiver_test.go
+++ b/internal/process/receiver/receiver_test.go
@@ -35,14 +35,20 @@
 
 func (faultyCodec) DecodeNotice(*http.Response) carrier.Notice { return carrier.Notice{} }
 
-// startReceiver starts a receiver with one route and one upstream and returns the
+// callerCodec is the codec of both a receiver and its forwarder.
+type callerCodec interface {
+	Codec
+	forwarder.Codec
+}
+
+// startReceiver starts a receiver with one route and one upstream and returns it with the
 // address for callers.
-func startReceiver(t *testing.T, c faultyCodec) string {
+func startReceiver(t *testing.T, c callerCodec, upstream string) (*Receiver, string) {
 	t.Helper()
 	f := forwarder.New(forwarder.Options{Clock: timer.System{}, Codec: c})
 	t.Cleanup(f.Stop)
 	f.HandleRegistrarEvent(registrar.Event{Kind: registrar.EventListed, Upstreams: []registrar.Upstream{
-		{Name: "desk-1", Service: "desk", Address: "127.0.0.1:1"},
+		{Name: "desk-1", Service: "desk", Address: upstream},
 	}})
 	f.Configure(matcher.New(matcher.Configuration{Version: 1, Routes: []matcher.Route{{
 		Name: "all", Host: "h", PathPrefix: "/", Public: true, MaxAttempts: 1, Timeout: time.Minute,
@@ -56,7 +62,7 @@
 	r, err := New(Options{Listen: address, ReadyListen: freeAddress(t), ReadyPath: "/ready", Codec: c, Forwarder: f, Clock: timer.System{}})
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = r.Stop(context.Background()) })
-	return address
+	return r, address
 }
 
 func freeAddress(t *testing.T) string {
@@ -70,7 +76,7 @@
 // A panic while a request was handled ended it without a reply, and the connection of its
 // caller was closed without an answer.
 func TestRequestWithoutReplyGetsFailure(t *testing.T) {
-	address := startReceiver(t, faultyCodec{})
+	_, address := startReceiver(t, faultyCodec{}, "127.0.0.1:1")
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Get("http://" + address + "/x")
 	is := is.New(t)
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -75,10 +75,23 @@
 		fx.Invoke(func(m *meter.Meter, f *forwarder.Forwarder, p *peering, r *receiver.Receiver) error {
 			return m.WatchRings(func() []buffer.Stats { return append(append(f.Stats(), p.syncer.Stats()...), r.Stats()) })
 		}),
+		fx.Invoke(watchRequests),
 		fx.Invoke(drainGateway),
 	)
 }
 
+// watchRequests exports the numbers of requests. A request that the receiver holds for
+// longer than the forwarder has lost its end.
+func watchRequests(m *meter.Meter, f *forwarder.Forwarder, r *receiver.Receiver) error {
+	return m.WatchRequests(func() meter.Requests {
+		q := r.Requests()
+		return meter.Requests{
+			Received: q.Received, Ended: q.Ended,
+			InFlight: map[string]uint64{"receiver": q.InFlight(), "forwarder": uint64(f.InFlight())},
+		}
+	})
+}
+
 func newStore(s loader.Gateway) (*platform.Store, error) {
 	u, err := url.Parse(s.Platform)
 	if err != nil {
@@ -227,7 +240,8 @@
 		finishCtx, cancel := withDeadline(ctx, c, exitDeadline)
 		defer cancel()
 		err := r.Stop(finishCtx)
-		klog.InfoS("stopped", "identity", s.Identity, "err", err)
+		q := r.Requests()
+		klog.InfoS("stopped", "identity", s.Identity, "received", q.Received, "in_flight", q.InFlight(), "err", err)
 		return nil
 	}))
 }
