Read what has arrived of a head whose deadline has passed

Callers could send a whole request and get neither an answer nor a refusal: if the process was frozen past the time limit of a head (5 s) after it had read a part of it, it closed the connection, although the rest had arrived meanwhile.

Change: within a head, as on an idle connection, a read whose deadline has passed returns what has arrived. Within a body the deadline holds as before: its caller gets a failure with status 400.

No freeze of a whole process was played.

--- a/internal/connection/closer/closer.go
+++ b/internal/connection/closer/closer.go
@@ -52,6 +52,10 @@
 	phaseEnded
 )
 
+// maxLateBytes is the maximum number of bytes of a head that are read after its deadline,
+// since they had arrived before. It is about what the kernel holds for a connection.
+const maxLateBytes = 64 << 10
+
 // Conn is the connection of a caller. It knows whether a part of a request that is
 // not being served has been read from it.
 type Conn struct {
@@ -71,26 +75,54 @@
 	// one since the connection became idle.
 	readDeadline time.Time
 	awaited      bool
-	closed       bool
+	// lateBytes is the number of bytes of a head that may still be read after the
+	// deadline.
+	lateBytes int
+	closed    bool
 }
 
 // Read reads from the connection. If the deadline passes while it is idle, as on a draining
-// connection or when the process was frozen, it returns what has already arrived, or an
-// error if there is nothing. It is that of the deadline: at any other, net/http may answer
-// 400.
+// connection, or within a head, as when the process was frozen, it returns what has already
+// arrived, or an error if there is nothing. It is that of the deadline: at any other,
+// net/http may answer 400.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isIdle() {
-		if peeker.Peek(c.Conn) != peeker.DataAvailable {
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		limit := c.lateLimit(len(p))
+		if limit == 0 || peeker.Peek(c.Conn) != peeker.DataAvailable {
 			return 0, err
 		}
 		_ = c.Conn.SetReadDeadline(time.Time{})
-		n, err = c.Conn.Read(p)
+		n, err = c.Conn.Read(p[:limit])
+		c.recordLateRead(n)
 	}
 	c.recordRead(n)
 	return n, err
 }
 
+// lateLimit returns how many of n bytes may be read after the deadline. Within a head they
+// are bounded, so that a caller who sends a byte now and then does not keep it open.
+func (c *Conn) lateLimit(n int) int {
+	if c.isIdle() {
+		return n
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseIdle || c.phase == phaseHead {
+		return min(n, c.lateBytes)
+	}
+	return 0
+}
+
+// recordLateRead counts bytes that were read after the deadline within a head.
+func (c *Conn) recordLateRead(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle() {
+		c.lateBytes -= n
+	}
+}
+
 // recordRead counts bytes that belong to the next request: those that were read while
 // the connection was idle, or after the answer had begun, since the body of a request is
 // read before that.
@@ -126,7 +158,7 @@
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readDeadline = t
+	c.readDeadline, c.lateBytes = t, maxLateBytes
 	if c.phase == phaseIdle && c.awaited {
 		c.phase = phaseHead
 	}
