--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -252,7 +252,8 @@
 }
 
 // bufferBody reads a body up to maxBufferedBytes. It reports whether that is the whole
-// body: less is returned as well when the budget of the process is used up.
+// body: less is returned as well when the budget of the process is used up. Each byte is
+// progress; a trickle of bytes ends at the deadline of the call.
 func (a *attempt) bufferBody(resp *http.Response) (body []byte, whole bool, err error) {
 	body = make([]byte, 0, bodyReadBytes)
 	for {
@@ -263,6 +264,9 @@
 			}
 			body = append(make([]byte, 0, size), body...)
 		}
+		if err := a.conn.setReadDeadline(a); err != nil {
+			return nil, false, err
+		}
 		n, err := resp.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if errors.Is(err, io.EOF) {
--- a/internal/connection/reader/reader.go
+++ b/internal/connection/reader/reader.go
@@ -87,6 +87,9 @@
 	// EventLost means that the answer is incomplete, malformed or missing. The
 	// upstream may have run the request.
 	EventLost
+	// EventSilent follows an EventLost if the upstream accepts connections but does not
+	// answer.
+	EventSilent
 )
 
 // Event reports the progress or the end of a request.
@@ -99,9 +102,9 @@
 	Tokens       []string
 	FinishReason string
 	Response     *messenger.Response
-	// Unreachable is set if the upstream does not accept connections. With
-	// EventRejected it was down before the request, with EventLost it crashed
-	// during the request.
+	// Unreachable is set if the upstream does not accept connections, or with
+	// EventSilent. With EventRejected it was down before the request, with EventLost it
+	// crashed during the request.
 	Unreachable bool
 	// Crashed is set with EventLost if the connection broke. The upstream runs on
 	// the same VM, so that a network failure is ruled out: the upstream has failed
@@ -122,7 +125,7 @@
 	cancel context.CancelFunc
 }
 
-// NewEngine starts a request to the model engine at url. The last event is
+// NewEngine starts a request to the model engine at url. The last event of the request is
 // EventFinished, EventRejected or EventLost.
 func NewEngine(client *http.Client, c timer.Clock, url string, job Job, emit func(Event)) *Reader {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -137,7 +140,7 @@
 }
 
 // NewService starts a request to the plain service at url. It emits exactly one
-// event: EventResponse, EventRejected or EventLost.
+// event about it: EventResponse, EventRejected or EventLost.
 func NewService(client *http.Client, url string, job Job, emit func(Event)) *Reader {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Reader{client: client, url: url, job: job, emit: emit, cancel: cancel}
@@ -172,11 +175,18 @@
 	if ctx.Err() == nil && isKind(err, ErrorUnreachable) {
 		e.Unreachable = true
 	}
-	if ctx.Err() == nil && e.Kind == EventLost {
-		e.Crashed = isKind(err, ErrorBroken)
-		e.Unreachable = !reachable(ctx, r.client, r.url)
+	if ctx.Err() != nil || e.Kind != EventLost {
+		r.emitEvent(e)
+		return
 	}
+	e.Crashed = isKind(err, ErrorBroken)
+	err = ping(ctx, r.client, r.url, probeTimeout)
+	silent := errors.Is(err, context.DeadlineExceeded)
+	e.Unreachable = err != nil && !silent && ctx.Err() == nil
 	r.emitEvent(e)
+	if silent && ping(ctx, r.client, r.url, silenceTimeout) != nil && ctx.Err() == nil {
+		r.emitEvent(Event{Kind: EventSilent, Unreachable: true})
+	}
 }
 
 // transportErrorKind classifies the error of a request without a response. If
@@ -312,41 +322,45 @@
 	Error any `json:"error"`
 }
 
+// answer is the part of an engine's answer that has been read.
+type answer struct {
+	// next is the index of the next token to emit in the whole answer, and tokens are
+	// those read since.
+	next         int
+	tokens       []string
+	finishReason string
+	done         bool
+}
+
 // readEvents reads server-sent events until the terminating [DONE]. Each chunk
-// with content counts as one token.
+// with content counts as one token. Tokens that have arrived together are emitted in one
+// event: an engine or a process that was silent for a second leaves more of them than the
+// rings for single ones hold.
 func (r *Reader) readEvents(body io.Reader, progress chan<- struct{}) error {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(make([]byte, 4096), maxLineBytes)
-	next, reason := r.job.ResumeFrom, ""
+	lineWaits := false
+	lines.Split(func(data []byte, atEOF bool) (int, []byte, error) {
+		n, line, err := bufio.ScanLines(data, atEOF)
+		lineWaits = bytes.IndexByte(data[n:], '\n') >= 0
+		return n, line, err
+	})
+	a := answer{next: r.job.ResumeFrom}
 	for lines.Scan() {
 		select {
 		case progress <- struct{}{}:
 		default:
 		}
-		data, ok := strings.CutPrefix(lines.Text(), "data: ")
-		if !ok {
-			continue
-		}
-		if data == "[DONE]" {
-			r.emitEvent(Event{Kind: EventFinished, FinishReason: reason})
-			return nil
-		}
-		var c chunk
-		if err := json.Unmarshal([]byte(data), &c); err != nil {
-			return &Error{Op: "read", Kind: ErrorMalformed, Err: err}
+		err := a.readLine(lines.Text())
+		if err != nil || a.done || !lineWaits {
+			r.emitTokens(&a)
 		}
-		if c.Error != nil {
-			return &Error{Op: "read", Kind: ErrorMalformed, Err: errors.Errorf("the engine failed: %.*s", maxReasonBytes, data)}
+		if err != nil {
+			return err
 		}
-		for _, choice := range c.Choices {
-			if choice.FinishReason != nil {
-				reason = *choice.FinishReason
-			}
-			if choice.Delta.Content == "" {
-				continue
-			}
-			r.emitEvent(Event{Kind: EventTokens, First: next, Tokens: []string{choice.Delta.Content}})
-			next++
+		if a.done {
+			r.emitEvent(Event{Kind: EventFinished, FinishReason: a.finishReason})
+			return nil
 		}
 	}
 	if err := lines.Err(); err != nil {
@@ -355,6 +369,43 @@
 	return &Error{Op: "read", Kind: ErrorBroken, Err: io.ErrUnexpectedEOF}
 }
 
+// emitTokens emits the tokens that have been read and not emitted.
+func (r *Reader) emitTokens(a *answer) {
+	if len(a.tokens) == 0 {
+		return
+	}
+	r.emitEvent(Event{Kind: EventTokens, First: a.next, Tokens: a.tokens})
+	a.next, a.tokens = a.next+len(a.tokens), nil
+}
+
+// readLine reads a line of the event stream.
+func (a *answer) readLine(line string) error {
+	data, ok := strings.CutPrefix(line, "data: ")
+	if !ok {
+		return nil
+	}
+	if data == "[DONE]" {
+		a.done = true
+		return nil
+	}
+	var c chunk
+	if err := json.Unmarshal([]byte(data), &c); err != nil {
+		return &Error{Op: "read", Kind: ErrorMalformed, Err: err}
+	}
+	if c.Error != nil {
+		return &Error{Op: "read", Kind: ErrorMalformed, Err: errors.Errorf("the engine failed: %.*s", maxReasonBytes, data)}
+	}
+	for _, choice := range c.Choices {
+		if choice.FinishReason != nil {
+			a.finishReason = *choice.FinishReason
+		}
+		if choice.Delta.Content != "" {
+			a.tokens = append(a.tokens, choice.Delta.Content)
+		}
+	}
+	return nil
+}
+
 // callService sends the call to a plain service and emits its response.
 func (r *Reader) callService(ctx context.Context) error {
 	c := r.job.Call
