Give silent upstreams addresses that no other process uses

All its own requests were answered.

The upstream had the port of a test server that had ended while its clients still asked.

Change: the upstreams listen at a loopback address that is derived from the process ID. The check is as before, and a request that nobody sent is now named with its method and the address of its sender.

--- a/internal/process/soaker/silent_upstream_test.go
+++ b/internal/process/soaker/silent_upstream_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -47,7 +48,8 @@
 	silentAtEnd
 )
 
-// upstreamRun is the work of an upstream on one request.
+// upstreamRun is the work of an upstream on one request. The target names the method, the
+// path and the address of the sender.
 type upstreamRun struct {
 	id, target, upstream string
 	start, end           time.Time
@@ -70,7 +72,7 @@
 
 func newSilentUpstream(t *testing.T, id string, seed uint64, place silencePlace) *silentUpstream {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", processIP()+":0")
 	is.New(t).NoErr(err)
 	u := &silentUpstream{id: id, seed: seed, place: place, listener: l}
 	u.serving.Go(u.accept)
@@ -78,6 +80,14 @@
 	return u
 }
 
+// processIP returns a loopback address at which only this process listens. A port that
+// another process on 127.0.0.1 has released may be assigned again while that one's
+// clients still use it.
+func processIP() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>16&63, pid>>8&255, pid&255)
+}
+
 func (u *silentUpstream) accept() {
 	for {
 		conn, err := u.listener.Accept()
@@ -127,7 +137,8 @@
 
 // serve answers a request. It reports whether the connection can be used again.
 func (u *silentUpstream) serve(conn net.Conn, reader *bufio.Reader, req *http.Request) bool {
-	run := upstreamRun{id: req.Header.Get("Magnoliafront-Request-Id"), target: req.RequestURI, upstream: u.id, start: time.Now()}
+	run := upstreamRun{id: req.Header.Get("Magnoliafront-Request-Id"), upstream: u.id, start: time.Now()}
+	run.target = fmt.Sprintf("%s %s of %v", req.Method, req.RequestURI, conn.RemoteAddr())
 	if expected := req.Header.Get("Magnoliafront-Expect-Instance"); expected != "" && expected != u.id {
 		_, err := fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nMagnoliafront-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", run.id)
 		return err == nil
