Count attempts that go on beside a later one in the silence soak

The rule on streams of model runners speaks of the runner before, which still works 400 ms after the request went on at another. The soak logged only for how long two upstreams were at work at once. It now also logs how often the first one was still at work 400 ms after the start of the second, and which requests two upstreams worked on for longer than that. It takes MAGNOLIAFRONT_SOAK_BUSY like the soaks of stops. All of these are figures without a verdict, since they depend on the machine.

--- a/internal/process/soaker/silence_test.go
+++ b/internal/process/soaker/silence_test.go
@@ -30,7 +30,7 @@
 	minConfigPause = 200 * time.Millisecond
 	maxConfigPause = 1100 * time.Millisecond
 	// maxDoubleWork is the time for which users accept that two upstreams work on one
-	// request. How long they do depends on the machine, so it only splits a report.
+	// request. How long they do depends on the machine, so it only splits counts.
 	maxDoubleWork = 400 * time.Millisecond
 )
 
@@ -53,6 +53,7 @@
 // callers get a part of an answer, a failure or a second run.
 func TestSilenceOfSoundUpstreamsLosesNoAnswer(t *testing.T) {
 	binary := buildProgram(t)
+	startBusyProcesses(t, envInt("MAGNOLIAFRONT_SOAK_BUSY", 0))
 	length := time.Duration(envInt("MAGNOLIAFRONT_SOAK_SECONDS", 3)) * time.Second
 	works := []plannedWork{
 		{name: "nothing", run: awaitEnd}, {name: "configurations", run: changeConfigurations},
@@ -236,21 +237,32 @@
 	}
 }
 
-// logDoubleWork logs for how long several upstreams worked on one request.
+// logDoubleWork logs for how long two upstreams worked on one request, and how often the
+// first one still did maxDoubleWork after the request had reached the second.
 func logDoubleWork(t *testing.T, runs map[string][]upstreamRun) {
 	t.Helper()
-	var times []time.Duration
+	pairs, long, still := 0, 0, 0
+	var longest time.Duration
 	for _, of := range runs {
-		for i, r := range of {
-			for _, other := range of[:i] {
-				times = append(times, min(r.end.Sub(r.start), r.end.Sub(other.start), other.end.Sub(r.start), other.end.Sub(other.start)))
+		slices.SortFunc(of, func(x, y upstreamRun) int { return x.start.Compare(y.start) })
+		for i, second := range of {
+			for _, first := range of[:i] {
+				pairs++
+				rest := first.end.Sub(second.start)
+				overlap := min(rest, second.end.Sub(second.start))
+				longest = max(longest, overlap)
+				if overlap > maxDoubleWork {
+					long++
+					t.Logf("two upstreams worked on %s for %v: %s", first.id, overlap, describeRuns(of))
+				}
+				if rest > maxDoubleWork {
+					still++
+				}
 			}
 		}
 	}
-	slices.Sort(times)
-	long, _ := slices.BinarySearch(times, maxDoubleWork+1)
-	t.Logf("%d pairs of runs of one request, %d of them at the same time for more than %v, the last ones: %v",
-		len(times), len(times)-long, maxDoubleWork, times[max(0, len(times)-3):])
+	t.Logf("%d pairs of runs of one request: at the same time for %v at most, %d longer than %v; the first at work %v after the start of the second: %d",
+		pairs, longest.Round(time.Millisecond), long, maxDoubleWork, maxDoubleWork, still)
 }
 
 func describeRuns(runs []upstreamRun) string {
