--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -254,7 +254,7 @@
 // bufferBody reads a body up to maxBufferedBytes. It reports whether that is the whole
 // body: less is returned as well when the budget of the process is used up. Each byte is
 // progress; a trickle of bytes ends at the deadline of the call.
-func (a *attempt) bufferBody(resp *http.Response) (body []byte, whole bool, err error) {
+func (c *Conn) bufferBody(a *attempt, resp *http.Response) (body []byte, whole bool, err error) {
 	body = make([]byte, 0, bodyReadBytes)
 	for {
 		if len(body) == cap(body) {
@@ -264,7 +264,7 @@
 			}
 			body = append(make([]byte, 0, size), body...)
 		}
-		if err := a.conn.setReadDeadline(a); err != nil {
+		if err := c.setReadDeadline(a); err != nil {
 			return nil, false, err
 		}
 		n, err := resp.Body.Read(body[len(body):cap(body)])
@@ -281,7 +281,7 @@
 // relayComplete reads the whole response and relays it as one reply. An error
 // response is not relayed but returned in the report.
 func (c *Conn) relayComplete(a *attempt, resp *http.Response) Report {
-	body, whole, err := a.bufferBody(resp)
+	body, whole, err := c.bufferBody(a, resp)
 	if err != nil {
 		r := c.classifyError(a, errors.Wrap(err, "read the body"))
 		r.Status = resp.StatusCode
