Log framing and events of answers and closes within an answer

Cause: the log of a gateway could not tell an answer that ended with its connection from one that was known to be whole, nor how many events of a stream were relayed, how the answer to the caller was framed, or that the stop of the server had closed the connection of a caller within an answer.

Change: carrier.Report has the framing of the response and the number of relayed events, and the lines "attempt ended" and "request ended" write both. "answer cut off" has the framing of the answer to the caller and the protocol. A connection knows while the handler of a request runs; if somebody else closes it within the answer, it writes "connection closed within an answer" with "reset". The metric magnoliafront_answers_total{framing,end} counts the answers of upstreams. No decision changes.

Open: go test -race ./internal/process/forwarder passed in 25.5 s, then hung until its time limit of 600 s in one run beside load (load average 14 to 20), and passed in four runs at once after that. The name of the test that hung was not kept. It is being traced.

--- a/internal/connection/carrier/attempt.go
+++ b/internal/connection/carrier/attempt.go
@@ -19,6 +19,10 @@
 	opaque bool
 	// contested is true while another attempt may relay to the caller.
 	contested bool
+	// framing is that of the response, and relayedEvents the number of its events that
+	// were relayed.
+	framing       Framing
+	relayedEvents int
 	// unreportedEvents is the number of events since the last progress report,
 	// which was sent at lastReport.
 	unreportedEvents int
@@ -47,6 +51,7 @@
 	return Report{
 		Outcome: o, Err: err, Begun: a.begun, LastEvent: a.splitter.lastID, Unresumable: a.isUnresumable(),
 		Events: a.unreportedEvents, FirstEvent: a.firstEvent, LongestPause: a.longestPause,
+		Framing: a.framing, RelayedEvents: a.relayedEvents,
 	}
 }
 
@@ -59,6 +64,7 @@
 	return Report{
 		Conn: a.conn, Request: a.call.Request, Attempt: a.call.Attempt,
 		Begun: a.begun, LastEvent: a.splitter.lastID, Unresumable: a.isUnresumable(),
+		Framing: a.framing, RelayedEvents: a.relayedEvents,
 	}
 }
 
--- a/internal/connection/carrier/carrier.go
+++ b/internal/connection/carrier/carrier.go
@@ -164,6 +164,10 @@
 	Begun       bool
 	LastEvent   string
 	Unresumable bool
+	// Framing is that of the response. RelayedEvents is the number of events of the
+	// response that were relayed since the start of the call.
+	Framing       Framing
+	RelayedEvents int
 	// FirstEvent is the time from the start of the call to the first event of a
 	// stream. LongestPause is the longest time between two later reads that
 	// completed events. Both are zero if there were none.
--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -164,6 +164,7 @@
 			return nil, VerdictInvalid, err
 		}
 		if verdict := a.call.Classify(resp); verdict != VerdictMismatched {
+			a.framing = framingOf(resp)
 			// The receiver of the reply owns the header, so the Keep-Alive timeout is
 			// read before the header is relayed.
 			a.keepAliveTimeout = parseKeepAliveTimeout(resp.Header.Get("Keep-Alive"))
--- a/internal/connection/carrier/framing.go
+++ b/internal/connection/carrier/framing.go
@@ -8,6 +8,39 @@
 	"time"
 )
 
+// Framing is how the end of a response is marked.
+type Framing int
+
+// The framings.
+const (
+	// FramingNone means that no response has been received.
+	FramingNone Framing = iota
+	// FramingLength means that the length is known from the head, as by Content-Length.
+	FramingLength
+	// FramingChunks means chunked encoding.
+	FramingChunks
+	// FramingClose means that only the end of the connection marks that of the response.
+	FramingClose
+	framingCount
+)
+
+// String returns the name of the framing in log lines and metrics.
+func (f Framing) String() string {
+	names := [framingCount]string{"none", "length", "chunks", "close"}
+	return names[f]
+}
+
+// framingOf returns the framing of a response by its head.
+func framingOf(resp *http.Response) Framing {
+	switch {
+	case isCloseDelimited(resp):
+		return FramingClose
+	case len(resp.TransferEncoding) > 0:
+		return FramingChunks
+	}
+	return FramingLength
+}
+
 // isCloseDelimited reports whether the end of a response is marked only by the
 // end of the connection, without a Content-Length or chunked encoding.
 func isCloseDelimited(resp *http.Response) bool {
--- a/internal/connection/carrier/stream.go
+++ b/internal/connection/carrier/stream.go
@@ -95,6 +95,7 @@
 		a.recordEventTimes(now)
 	}
 	a.unreportedEvents += events
+	a.relayedEvents += events
 	if a.unreportedEvents == 0 {
 		return
 	}
@@ -107,6 +108,7 @@
 	c.options.Report(Report{
 		Conn: c, Request: a.call.Request, Attempt: a.call.Attempt, First: a.firstReport,
 		Events: a.unreportedEvents, Elapsed: now.Sub(since), Begun: true, LastEvent: a.splitter.lastID,
+		Framing: a.framing, RelayedEvents: a.relayedEvents,
 	})
 	a.firstReport, a.unreportedEvents, a.lastReport = false, 0, now
 }
--- a/internal/connection/closer/closer.go
+++ b/internal/connection/closer/closer.go
@@ -13,7 +13,7 @@
 // # Usage
 //
 //	c := &closer.Conn{Conn: accepted, OnClose: forget}
-//	srv := &http.Server{Handler: h, ConnState: closer.FollowState}
+//	srv := &http.Server{Handler: closer.FollowHandler(h), ConnContext: closer.WithConn, ConnState: closer.FollowState}
 //	// srv serves c
 //	c.Drain()
 package closer
@@ -79,6 +79,11 @@
 	// deadline.
 	lateBytes int
 	closed    bool
+	// handled is true while a handler runs that has not taken the connection over. Nobody
+	// else should close the connection meanwhile.
+	handled bool
+	// reset is true once the connection is to be closed by a reset.
+	reset bool
 }
 
 // Read reads from the connection. If the deadline passes while it is idle, as on a draining
@@ -166,11 +171,11 @@
 	return c.applyReadDeadline()
 }
 
-// Close closes the connection. It logs a request that gets no answer, unless the caller
-// has closed the connection before.
+// Close closes the connection. It logs a request that gets no answer, or not all of it
+// although its handler has not ended, unless the caller has closed the connection before.
 func (c *Conn) Close() error {
 	c.mu.Lock()
-	first, phase, unserved := !c.closed, c.phase, c.unserved
+	first, phase, unserved, handled, reset := !c.closed, c.phase, c.unserved, c.handled, c.reset
 	c.closed = true
 	c.mu.Unlock()
 	if !first {
@@ -181,6 +186,9 @@
 		klog.InfoS("connection closed before an answer", "caller", c.RemoteAddr().String(),
 			"serving", phase == phaseRequest, "bytes_read", unserved, "bytes_unread", state == peeker.DataAvailable)
 	}
+	if hasUnfinished(phase, handled, state) {
+		klog.InfoS("connection closed within an answer", "caller", c.RemoteAddr().String(), "reset", reset)
+	}
 	c.OnClose(c)
 	return c.Conn.Close()
 }
@@ -194,6 +202,12 @@
 	return p == phaseHead || p == phaseRequest || unserved > 0 || s == peeker.DataAvailable
 }
 
+// hasUnfinished reports whether a connection that is closed has a part of an answer whose
+// handler has not ended, and its caller waits for the rest.
+func hasUnfinished(p phase, handled bool, s peeker.State) bool {
+	return handled && p == phaseAnswer && s != peeker.Ended
+}
+
 // CloseWrite closes the sending side of the connection.
 func (c *Conn) CloseWrite() error {
 	c.mu.Lock()
@@ -211,6 +225,9 @@
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
+	c.mu.Lock()
+	c.reset = true
+	c.mu.Unlock()
 	return c.Close()
 }
 
@@ -230,6 +247,8 @@
 		c.phase, c.unserved = phaseRequest, 0
 	case http.StateIdle:
 		c.phase, c.awaited = phaseIdle, false
+	case http.StateHijacked:
+		c.handled = false
 	}
 	_ = c.applyReadDeadline()
 }
--- a/internal/connection/closer/closer_test.go
+++ b/internal/connection/closer/closer_test.go
@@ -69,13 +69,24 @@
 
 // awaitArrival waits until something can be read from c, and leaves it there.
 func awaitArrival(t *testing.T, c *Conn) {
+	t.Helper()
+	awaitState(t, c, peeker.DataAvailable)
+}
+
+// awaitEnd waits until the other end of c is known to have ended.
+func awaitEnd(t *testing.T, c *Conn) {
+	t.Helper()
+	awaitState(t, c, peeker.Ended)
+}
+
+func awaitState(t *testing.T, c *Conn, s peeker.State) {
 	t.Helper()
 	for end := time.Now().Add(waitTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if peeker.Peek(c.Conn) == peeker.DataAvailable {
+		if peeker.Peek(c.Conn) == s {
 			return
 		}
 	}
-	t.Fatal("nothing has arrived")
+	t.Fatalf("the connection does not reach state %d", s)
 }
 
 // Bytes that had arrived but were not read when the connection was drained were dropped
@@ -242,3 +253,44 @@
 		})
 	}
 }
+
+// The log could not tell a connection that was closed within an answer by the stop of the
+// server from one whose answer had ended. A close that ends an answer, or that the handler
+// of the request asks for, must not be told.
+func TestUnfinishedAnswerIsTold(t *testing.T) {
+	begin := func(t *testing.T, c *Conn) {
+		FollowState(c, http.StateActive)
+		c.setHandled(true)
+		write(t, c, "HTTP/1.1 200 OK")
+	}
+	for _, c := range []struct {
+		name       string
+		steps      func(t *testing.T, c *Conn, caller net.Conn)
+		unfinished bool
+	}{
+		{"the handler writes the answer", func(t *testing.T, c *Conn, caller net.Conn) { begin(t, c) }, true},
+		{"the handler has ended", func(t *testing.T, c *Conn, caller net.Conn) {
+			begin(t, c)
+			c.setHandled(false)
+		}, false},
+		{"the handler has taken the connection over", func(t *testing.T, c *Conn, caller net.Conn) {
+			begin(t, c)
+			FollowState(c, http.StateHijacked)
+		}, false},
+		{"nothing of the answer was written", func(t *testing.T, c *Conn, caller net.Conn) {
+			FollowState(c, http.StateActive)
+			c.setHandled(true)
+		}, false},
+		{"the caller has left", func(t *testing.T, c *Conn, caller net.Conn) {
+			begin(t, c)
+			is.New(t).NoErr(caller.(*net.TCPConn).CloseWrite())
+			awaitEnd(t, c)
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			conn, caller := newConn(t)
+			c.steps(t, conn, caller)
+			is.New(t).Equal(hasUnfinished(conn.phase, conn.handled, peeker.Peek(conn.Conn)), c.unfinished)
+		})
+	}
+}
--- a/internal/process/drainer/drainer.go
+++ b/internal/process/drainer/drainer.go
@@ -73,7 +73,8 @@
 	stopping atomic.Bool
 }
 
-// Serve starts to serve connections that l accepts. It sets the hook ConnState of srv.
+// Serve starts to serve connections that l accepts. It sets the hooks
+// ConnContext and ConnState of srv and wraps its handler.
 func Serve(srv *http.Server, l net.Listener) *Drainer {
 	d := &Drainer{
 		server: srv, listener: l,
@@ -81,7 +82,7 @@
 		accepted: make(chan struct{}),
 		done:     make(chan struct{}),
 	}
-	srv.ConnState = closer.FollowState
+	srv.Handler, srv.ConnContext, srv.ConnState = closer.FollowHandler(srv.Handler), closer.WithConn, closer.FollowState
 	go func() {
 		defer close(d.done)
 		d.run()
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -121,6 +121,7 @@
 	t := f.inFlight[r.Request]
 	current := t != nil && t.number == r.Attempt
 	suspended := t != nil && t.suspended != nil && t.suspended.number == r.Attempt
+	t.recordEvents(r)
 	if !r.Ended {
 		if current || suspended && r.Ready {
 			f.dispatch(now, t.interimEvent(r))
@@ -128,6 +129,7 @@
 		return
 	}
 	p.put(now, r)
+	f.observeAnswer(r)
 	if suspended {
 		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventEnded, ID: r.Request, Attempt: r.Attempt, Outcome: attemptOutcome(r)})
 	}
@@ -146,9 +148,11 @@
 	t.cancel()
 	t.job.Replies.Account.Release(t.errorResponse.Reserved)
 	t.errorResponse, t.firstEvent, t.longestPause = r.ErrorResponse, r.FirstEvent, r.LongestPause
+	t.framing = r.Framing
 	if r.Err != nil || r.Outcome != carrier.OutcomeAnswered {
 		klog.InfoS("attempt ended", "request", r.Request, "attempt", r.Attempt, "upstream", p.upstream.InstanceID(),
-			"address", p.upstream.Address, "outcome", outcomeName(r.Outcome), "status", r.Status, "begun", r.Begun, "err", r.Err)
+			"address", p.upstream.Address, "outcome", outcomeName(r.Outcome), "status", r.Status, "begun", r.Begun,
+			"framing", r.Framing.String(), "events", r.RelayedEvents, "err", r.Err)
 	}
 	f.dispatch(now, dispatcher.Event{
 		Kind: dispatcher.EventEnded, ID: r.Request, Attempt: r.Attempt, Outcome: attemptOutcome(r),
@@ -243,13 +247,20 @@
 	}
 	delete(f.inFlight, a.ID)
 	t.cancelCalls()
-	logDecision("request ended", a, "begun", a.Begun, "first_event", t.firstEvent, "longest_pause", t.longestPause)
+	logDecision("request ended", a, "begun", a.Begun, "framing", t.framing.String(), "events", t.countEvents(), "first_event", t.firstEvent, "longest_pause", t.longestPause)
 	if f.options.Observe != nil {
 		f.options.Observe(Observation{Route: a.Summary.Route, Result: a.Summary.Reason, Elapsed: a.Summary.Elapsed})
 	}
 	return t
 }
 
+// observeAnswer reports the end of a call to the metrics if there was an answer.
+func (f *Forwarder) observeAnswer(r carrier.Report) {
+	if f.options.ObserveAnswer != nil && r.Framing != carrier.FramingNone {
+		f.options.ObserveAnswer(AnswerObservation{Framing: r.Framing.String(), End: outcomeName(r.Outcome)})
+	}
+}
+
 // logDecision logs message with the summary of a and further key-value pairs.
 func logDecision(message string, a dispatcher.Action, keysAndValues ...any) {
 	s := a.Summary
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -84,6 +84,9 @@
 	// Observe is called at the end of each request. It must not block. It may be
 	// nil.
 	Observe func(Observation)
+	// ObserveAnswer is called at the end of each answer of an upstream, whether or not
+	// its caller got it. It must not block. It may be nil.
+	ObserveAnswer func(AnswerObservation)
 	// Recoverer handles panics while an event or a call is handled. It may be nil.
 	Recoverer *recoverer.Recoverer
 }
@@ -95,6 +98,13 @@
 	Elapsed time.Duration
 }
 
+// AnswerObservation describes an answer of an upstream that has ended, for metrics. End
+// is the outcome of the attempt as in its log line.
+type AnswerObservation struct {
+	Framing string
+	End     string
+}
+
 // Forwarder forwards the requests of one entry.
 type Forwarder struct {
 	options Options
--- a/internal/process/forwarder/request.go
+++ b/internal/process/forwarder/request.go
@@ -22,6 +22,10 @@
 	// the longest time between its events. They are logged.
 	firstEvent   time.Duration
 	longestPause time.Duration
+	// framing is that of the answer to the last call, and events holds the number of
+	// events that each attempt has relayed, by its number. They are logged.
+	framing carrier.Framing
+	events  map[int]int
 	// errorResponse is the error response of the upstream to the last call, which
 	// ActionForwardError forwards to the caller.
 	errorResponse relayer.Reply
@@ -44,3 +48,24 @@
 		t.suspended.cancel()
 	}
 }
+
+// recordEvents updates the number of events that the attempt of r has relayed. A request
+// that is not in flight has none.
+func (t *inFlightRequest) recordEvents(r carrier.Report) {
+	if t == nil || r.RelayedEvents == 0 {
+		return
+	}
+	if t.events == nil {
+		t.events = map[int]int{}
+	}
+	t.events[r.Attempt] = r.RelayedEvents
+}
+
+// countEvents returns the number of events that all attempts have relayed.
+func (t *inFlightRequest) countEvents() int {
+	n := 0
+	for _, events := range t.events {
+		n += events
+	}
+	return n
+}
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -48,6 +48,8 @@
 	// requestSeconds is the distribution of the time from the arrival of a request
 	// to its end.
 	requestSeconds metric.Float64Histogram
+	// answers counts the answers of upstreams that have ended.
+	answers metric.Int64Counter
 	// requestsReceived and requestsEnded count the requests of callers, and
 	// requestsInFlight is the number of those that a stage has not ended.
 	requestsReceived metric.Int64ObservableCounter
@@ -100,6 +102,13 @@
 	))
 }
 
+// Answer counts the end of an answer of an upstream. Both labels have a fixed set of values.
+func (m *Meter) Answer(framing, end string) {
+	m.answers.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("framing", framing), attribute.String("end", end),
+	))
+}
+
 // Control adds the size of one control plane message. The direction is "sent" or
 // "received".
 func (m *Meter) Control(method, direction string, bytes int) {
@@ -240,6 +249,9 @@
 		metric.WithExplicitBucketBoundaries(requestSecondsBuckets()...)); err != nil {
 		return err
 	}
+	if m.answers, err = m.meter.Int64Counter("magnoliafront_answers", metric.WithDescription("Answers of upstreams that have ended.")); err != nil {
+		return err
+	}
 	if m.requestsReceived, err = m.meter.Int64ObservableCounter("magnoliafront_requests_received", metric.WithDescription("Requests of callers that have arrived.")); err != nil {
 		return err
 	}
--- a/internal/process/meter/meter_test.go
+++ b/internal/process/meter/meter_test.go
@@ -31,6 +31,24 @@
 	}
 }
 
+// Answers that ended with their connection can be counted only if the metric has both
+// labels.
+func TestAnswersAreExported(t *testing.T) {
+	m, err := New()
+	is.New(t).NoErr(err)
+	m.Answer("close", "answered")
+	m.Answer("close", "answered")
+	m.Answer("chunks", "lost")
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, line := range []struct{ name, label, value string }{
+		{"magnoliafront_answers_total{", `end="answered",framing="close"`, "} 2"},
+		{"magnoliafront_answers_total{", `end="lost",framing="chunks"`, "} 1"},
+	} {
+		t.Run(line.label, func(t *testing.T) { assertExported(t, w.Body.String(), line.name, line.label, line.value) })
+	}
+}
+
 // assertExported checks that a line of the metrics has a name, a label and a value.
 func assertExported(t *testing.T, metrics, name, label, value string) {
 	t.Helper()
--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -204,7 +204,8 @@
 		r.options.Codec.WriteFailure(w, admitter.InterruptedFailure())
 		return endingUnanswered
 	}
-	klog.InfoS("answer cut off", "request", request.ID, "stopping", r.draining.Load(), "err", err)
+	klog.InfoS("answer cut off", "request", request.ID, "stopping", r.draining.Load(),
+		"framing", answerFraming(w, req).String(), "protocol", req.Proto, "err", err)
 	if relayer.IsKind(err, relayer.ErrorCaller) {
 		return endingCallerLeft
 	}
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -138,7 +138,8 @@
 func newForwarder(lc fx.Lifecycle, s loader.Gateway, c timer.Clock, ref *syncerRef, m *meter.Meter, rec *recoverer.Recoverer) *forwarder.Forwarder {
 	f := forwarder.New(forwarder.Options{
 		Clock: c, Codec: platform.Codec{}, Recoverer: rec, SendStrikes: ref.sendStrikes, SendLoad: ref.sendLoad,
-		Observe: func(o forwarder.Observation) { m.Request(o.Route, o.Result, o.Elapsed) },
+		Observe:       func(o forwarder.Observation) { m.Request(o.Route, o.Result, o.Elapsed) },
+		ObserveAnswer: func(o forwarder.AnswerObservation) { m.Answer(o.Framing, o.End) },
 		Dispatcher: dispatcher.Settings{
 			AvailabilityZone: s.AvailabilityZone, Seed: uint64(c.Now().UnixNano()),
 			RetryRatio: s.RetryShare, RetryCapacity: s.RetrySlack,
--- a/internal/process/starter/gateway_fixture_test.go
+++ b/internal/process/starter/gateway_fixture_test.go
@@ -19,6 +19,7 @@
 	"magnoliafront.dev/magnoliafront/internal/process/emulator"
 	"magnoliafront.dev/magnoliafront/internal/process/forwarder"
 	"magnoliafront.dev/magnoliafront/internal/process/loader"
+	"magnoliafront.dev/magnoliafront/internal/process/meter"
 	"magnoliafront.dev/magnoliafront/pkg/timer"
 )
 
@@ -102,6 +103,7 @@
 	peerAddress   string
 	forwarder     *forwarder.Forwarder
 	peering       *peering
+	meter         *meter.Meter
 }
 
 // startEntry starts an entry that uses the store at url and the peers as seeds.
@@ -119,7 +121,7 @@
 	is.NoErr(s.Check())
 	path := filepath.Join(r.t.TempDir(), "settings.json")
 	is.NoErr(os.WriteFile(path, []byte("{}"), 0o600))
-	g.app = fx.New(Gateway(s, SettingsFile{Path: path}), fx.Populate(&g.forwarder, &g.peering),
+	g.app = fx.New(Gateway(s, SettingsFile{Path: path}), fx.Populate(&g.forwarder, &g.peering, &g.meter),
 		fx.Decorate(func(timer.Clock) timer.Clock { return r.clock }))
 	is.NoErr(g.app.Err())
 	is.NoErr(g.app.Start(context.Background()))
--- a/internal/process/starter/gateway_log_test.go
+++ b/internal/process/starter/gateway_log_test.go
@@ -86,24 +86,30 @@
 	third := crashing.startReadyEntry()
 	crashRunners(t, crashing, third)
 	assertStatus(t, callWithParts(third, "quarantined", "aa:800,dead:9,dd:1"), http.StatusServiceUnavailable)
+	cutting := newGatewayFixture(t, 0)
+	cutting.startCuttingUpstream("i-a")
+	fourth := cutting.startReadyEntry()
+	fourth.callOverSocket(framingUnframed, "HTTP/1.1", "unframed")
+	fourth.callOverSocket(framingChunked, "HTTP/1.1", "chunked")
 
 	var logged []map[string]string
 	for line := range strings.Lines(log.String()) {
 		logged = append(logged, parseFields(line))
 	}
 	examples := readLogExamples(t)
-	is.New(t).True(len(examples) >= 8)
+	is.New(t).True(len(examples) >= 12)
 	for _, example := range examples {
-		t.Run(example["msg"]+" "+example["outcome"]+example["kind"], func(t *testing.T) { assertLogged(t, logged, example) })
+		t.Run(example["msg"]+" "+example["outcome"]+example["kind"]+example["framing"], func(t *testing.T) { assertLogged(t, logged, example) })
 	}
 }
 
-// assertLogged checks that a logged line has the message, the outcome, the status
-// and all keys of the example.
+// assertLogged checks that a logged line has the message, the outcome, the status, the
+// framing and all keys of the example.
 func assertLogged(t *testing.T, logged []map[string]string, example map[string]string) {
 	t.Helper()
 	for _, line := range logged {
-		matches := line["msg"] == example["msg"] && line["outcome"] == example["outcome"] && line["status"] == expectedStatus(example, line)
+		matches := line["msg"] == example["msg"] && line["outcome"] == example["outcome"] &&
+			line["status"] == expectedValue("status", example, line) && line["framing"] == expectedValue("framing", example, line)
 		for key := range example {
 			_, ok := line[key]
 			matches = matches && ok
@@ -115,11 +121,11 @@
 	t.Fatalf("no logged line matches the example %v", example)
 }
 
-// expectedStatus returns the status that a line must have: the status of the
-// example or, if the example has none, the status of the line itself.
-func expectedStatus(example, line map[string]string) string {
-	if s, ok := example["status"]; ok {
-		return s
+// expectedValue returns the value of a key that a line must have: the one of the example
+// or, if the example has none, the one of the line itself.
+func expectedValue(key string, example, line map[string]string) string {
+	if v, ok := example[key]; ok {
+		return v
 	}
-	return line["status"]
+	return line[key]
 }
--- a/internal/request/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -204,6 +204,13 @@
 	return to
 }
 
+// HasHead reports whether the head of a response has been written to a
+// [http.ResponseWriter] with the header h by [Relay].
+func HasHead(h http.Header) bool {
+	_, ok := h["Date"]
+	return ok
+}
+
 // writeBody writes b, if it is not empty. It ignores the error of net/http for a
 // status that allows no body, such as 204 or 304.
 func writeBody(w http.ResponseWriter, b []byte) error {
