--- a/internal/process/soaker/endless_test.go
+++ b/internal/process/soaker/endless_test.go
@@ -153,7 +153,7 @@
 		"tenants":  []any{map[string]any{"name": "guides", "api_keys": []any{"key"}}},
 	})
 	addresses, metrics := freeAddresses(t, 0), freeAddresses(t, 1)[0]
-	e := &entry{fleet: f, name: "entry-1", address: addresses[0], readyAddress: addresses[1], binaryPath: binary}
+	e := &entry{process: process{t: t, name: "entry-1"}, fleet: f, address: addresses[0], readyAddress: addresses[1], binaryPath: binary}
 	e.settingsPath = filepath.Join(t.TempDir(), "settings.json")
 	settings := map[string]any{
 		"identity": e.name, "availability_zone": "z", "listen": e.address, "ready_listen": e.readyAddress, "peer_listen": addresses[2],
--- a/internal/process/soaker/fleet_test.go
+++ b/internal/process/soaker/fleet_test.go
@@ -28,6 +28,8 @@
 	// the requests, and a number of retries on top.
 	retryShare = 0.2
 	retrySlack = 40
+	// defaultGrace is the time between SIGTERM and the end of an entry at the latest.
+	defaultGrace = 8 * time.Second
 	// waitTimeout limits each wait for an expected condition.
 	waitTimeout = 30 * time.Second
 	// restartPause is the time between the end of a process and its restart.
@@ -53,8 +55,10 @@
 	// routes are the routes of the next configuration.
 	routes        []any
 	configVersion int
-	mu            sync.Mutex
-	faults        []fault
+	// grace is the grace period of the entries.
+	grace  time.Duration
+	mu     sync.Mutex
+	faults []fault
 	// entryStarts holds the start time of each entry process.
 	entryStarts []time.Time
 }
@@ -66,20 +70,13 @@
 
 // entry is one entry of the system and its current process.
 type entry struct {
+	process
 	fleet        *fleet
-	name         string
 	address      string
 	readyAddress string
 	settingsPath string
 	binaryPath   string
 	storeProxy   *proxy
-	mu           sync.Mutex
-	command      *exec.Cmd
-	exited       chan struct{}
-	// logPath is the path of the log of the current process.
-	logPath string
-	// expectExit is true while the test itself terminates or restarts the process.
-	expectExit bool
 }
 
 // newFleet starts all processes and stops them at the end of the test.
@@ -113,7 +110,7 @@
 // newEmptyFleet starts a store, without runners and entries.
 func newEmptyFleet(t *testing.T) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: emulator.NewObjectStore()}
+	f := &fleet{t: t, store: emulator.NewObjectStore(), grace: defaultGrace}
 	t.Cleanup(f.store.Stop)
 	srv := httptest.NewServer(f.store.Handler())
 	t.Cleanup(func() {
@@ -135,8 +132,8 @@
 	}
 	for i := range count {
 		e := &entry{
-			fleet: f, name: fmt.Sprint("entry-", i+1), address: addresses[i][0], readyAddress: addresses[i][1], binaryPath: binary,
-			storeProxy: newProxy(f.t, f.storeAddress),
+			process: process{t: f.t, name: fmt.Sprint("entry-", i+1)}, fleet: f,
+			address: addresses[i][0], readyAddress: addresses[i][1], binaryPath: binary, storeProxy: newProxy(f.t, f.storeAddress),
 		}
 		e.writeSettings(peers[i], peers)
 		f.entries = append(f.entries, e)
@@ -153,6 +150,14 @@
 	f.store.Put("servers", f.runners[i].ID, e)
 }
 
+// newServerSpec returns the spec of the object that registers an upstream of many slots.
+func newServerSpec(address, state string, born int) map[string]any {
+	return map[string]any{
+		"service": "desk", "address": address, "zone": "z", "version": "v1", "slots": 64,
+		"state": state, "warmup_left_ms": 0, "sequence": 1, "born": born,
+	}
+}
+
 // newRoute returns a route below /name/ as the store spells it.
 func newRoute(name, kind string, attempts int, resumable bool) map[string]any {
 	return map[string]any{
@@ -208,47 +213,26 @@
 func (e *entry) writeSettings(peer string, peers []string) {
 	data, err := json.Marshal(map[string]any{
 		"identity": e.name, "availability_zone": "z", "listen": e.address, "ready_listen": e.readyAddress, "peer_listen": peer, "peers": peers,
-		"platform": "http://" + e.storeProxy.address(), "shared_secret": "secret of the soak", "grace_period": "8s", "notice_period": "500ms",
+		"platform": "http://" + e.storeProxy.address(), "shared_secret": "secret of the soak", "grace_period": e.fleet.grace.String(), "notice_period": "500ms",
 		"leaving_limit": "2s", "retry_share": retryShare, "retry_slack": retrySlack,
 	})
-	is := is.New(e.fleet.t)
+	is := is.New(e.t)
 	is.NoErr(err)
-	e.settingsPath = filepath.Join(e.fleet.t.TempDir(), e.name+".json")
+	e.settingsPath = filepath.Join(e.t.TempDir(), e.name+".json")
 	is.NoErr(os.WriteFile(e.settingsPath, data, 0o600))
 }
 
 // start starts a process of the entry. The test fails if the process exits although
 // expectExit is false.
 func (e *entry) start() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	log, err := os.Create(filepath.Join(e.t.ArtifactDir(), fmt.Sprintf("%s-%d.log", e.name, time.Now().UnixMilli())))
+	is.New(e.t).NoErr(err)
 	c := exec.Command(e.binaryPath, "gateway", "--settings", e.settingsPath)
-	log, err := os.Create(filepath.Join(e.fleet.t.ArtifactDir(), fmt.Sprintf("%s-%d.log", e.name, time.Now().UnixMilli())))
-	is.New(e.fleet.t).NoErr(err)
 	c.Stdout, c.Stderr = log, log
-	is.New(e.fleet.t).NoErr(c.Start())
+	e.run(c, log)
 	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
 	e.fleet.entryStarts = append(e.fleet.entryStarts, time.Now())
-	e.fleet.mu.Unlock()
-	exited := make(chan struct{})
-	e.command, e.exited, e.logPath, e.expectExit = c, exited, log.Name(), false
-	go func() {
-		defer close(exited)
-		err := c.Wait()
-		_ = log.Close()
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		if !e.expectExit {
-			e.fleet.t.Errorf("%s exited unexpectedly: %v, see %s", e.name, err, log.Name())
-		}
-	}()
-}
-
-// signal sends a signal to the current process.
-func (e *entry) signal(s syscall.Signal) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	_ = e.command.Process.Signal(s)
 }
 
 // reload sends SIGHUP if the process has written to its log. Before that, the Go
@@ -262,22 +246,6 @@
 	}
 }
 
-// terminate sends a signal that ends the process and waits for its exit.
-func (e *entry) terminate(s syscall.Signal) {
-	e.mu.Lock()
-	e.expectExit = true
-	_ = e.command.Process.Signal(s)
-	exited := e.exited
-	e.mu.Unlock()
-	select {
-	case <-exited:
-	case <-time.After(waitTimeout):
-		e.fleet.t.Errorf("%s did not exit within %v after signal %v", e.name, waitTimeout, s)
-	}
-}
-
-func (e *entry) kill() { e.terminate(syscall.SIGKILL) }
-
 func (e *entry) restart(s syscall.Signal) {
 	e.terminate(s)
 	time.Sleep(restartPause)
