Soak answers that end while entries and upstreams are killed or stopped

The test checks that no answer ends without an error before its end, that callers have what upstreams wrote to its end unless the upstream or the entry had an outage meanwhile, and that no request runs too often.

--- a/internal/process/soaker/piece_caller_test.go
+++ b/internal/process/soaker/piece_caller_test.go
@@ -71,6 +71,8 @@
 	ending ending
 	// caller is the address of the caller, as the entry sees it.
 	caller string
+	// protocol is the version of HTTP of the request.
+	protocol string
 	// sent is the number of bytes that were written, and wanted the size of the
 	// request.
 	sent, wanted int
@@ -89,6 +91,8 @@
 	kinds []string
 	// deadline is the time within which the caller wants an answer.
 	deadline time.Duration
+	// protocol is the version of HTTP that the caller speaks.
+	protocol string
 
 	conn         *net.TCPConn
 	reader       *bufio.Reader
@@ -105,7 +109,7 @@
 		idPrefix: fmt.Sprintf("s%d-%s%d", seed, name, i),
 		// Requests that may not be repeated are the most frequent.
 		kinds:    []string{"hold", "hold", "hold", "check", "stream/chat", "stream/brief"},
-		deadline: callerTimeout,
+		deadline: callerTimeout, protocol: "HTTP/1.1",
 	}
 }
 
@@ -152,6 +156,18 @@
 	c.close()
 }
 
+// runOnEntries sends requests to random entries until ctx is done, each on a connection of
+// its own.
+func (c *pieceCaller) runOnEntries(ctx context.Context) {
+	for ctx.Err() == nil {
+		c.sleepUpTo(maxThinkTime)
+		if c.connect(c.fleet.entries[c.random.IntN(len(c.fleet.entries))]) {
+			c.send()
+			c.close()
+		}
+	}
+}
+
 // runOnNewConnections sends requests to e until ctx is done, each on a connection of its
 // own, which it tries to open until the entry accepts it.
 func (c *pieceCaller) runOnNewConnections(ctx context.Context, e *entry) {
@@ -172,11 +188,11 @@
 func (c *pieceCaller) send() {
 	c.requestCount++
 	kind := c.kinds[c.random.IntN(len(c.kinds))]
-	r := pieceRequest{caller: c.conn.LocalAddr().String()}
+	r := pieceRequest{caller: c.conn.LocalAddr().String(), protocol: c.protocol}
 	r.id, r.kind, r.entry, r.start = fmt.Sprintf("%s-%d", c.idPrefix, c.requestCount), kind, c.entry, time.Now()
-	message := fmt.Sprintf("POST /%s/%s HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer key\r\n"+
+	message := fmt.Sprintf("POST /%s/%s %s\r\nHost: desk.example\r\nAuthorization: Bearer key\r\n"+
 		"Magnoliafront-Request-Id: %s\r\nMagnoliafront-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n",
-		kind, r.id, r.id, c.deadline.Milliseconds(), bodySize)
+		kind, r.id, c.protocol, r.id, c.deadline.Milliseconds(), bodySize)
 	headSize := len(message)
 	message += strings.Repeat("x", bodySize)
 	r.wanted = len(message)
--- a/internal/process/soaker/process_test.go
+++ b/internal/process/soaker/process_test.go
@@ -22,8 +22,12 @@
 	logPath string
 	// expectExit is true while the test itself terminates or restarts the process.
 	expectExit bool
+	outages    []outage
 }
 
+// outage is a time in which a process may break answers off.
+type outage struct{ start, end time.Time }
+
 // run starts a process that writes to log. The test fails if it exits although
 // expectExit is false.
 func (p *process) run(c *exec.Cmd, log *os.File) {
@@ -66,3 +70,24 @@
 }
 
 func (p *process) kill() { p.terminate(syscall.SIGKILL) }
+
+// beginOutage records the start of an outage and returns the function that records its end.
+func (p *process) beginOutage(start time.Time) (end func()) {
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.outages = append(p.outages, outage{start, time.Now()})
+	}
+}
+
+// hadOutage reports whether an outage overlaps the time from start to end.
+func (p *process) hadOutage(start, end time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, o := range p.outages {
+		if !o.start.After(end) && !o.end.Before(start) {
+			return true
+		}
+	}
+	return false
+}
