Soak answers in chunks and in both framings as well

The rows of TestAnswersEndWholeOrCut are repeated with upstreams that send all answers in chunks and with such that end half of them with the connection. The disturbances move to a file of their own.

Two streams with upstreams killed (mixed) were cut though the upstream of the second attempt had sent the rest and had no outage: the first part was in chunks, the rest ended with the connection.

--- a/internal/process/soaker/whole_answers_test.go
+++ b/internal/process/soaker/whole_answers_test.go
@@ -9,7 +9,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -34,8 +33,6 @@
 	graceMargin = time.Second
 	// wholeDeadline exceeds the time that any answer takes.
 	wholeDeadline = 25 * time.Second
-	// outagePause is the time between two outages.
-	outagePause = 300 * time.Millisecond
 )
 
 // wholeSeeds are the seeds that run unless the environment selects others.
@@ -45,14 +42,6 @@
 // requests with a plain answer that may and that may not run more than once.
 var wholeKinds = []string{"stream/chat", "stream/chat", "stream/brief", "stream/brief", "check", "hold"}
 
-// disturbance is what happens while answers are sent.
-type disturbance struct {
-	name string
-	run  func(ctx context.Context, f *wholeFleet)
-	// events is the number of events in a stream.
-	events int
-}
-
 // framingMix names the framings of the answers of all upstreams.
 type framingMix struct {
 	name     string
@@ -72,15 +61,10 @@
 func TestAnswersEndWholeOrCut(t *testing.T) {
 	binary := buildProgram(t)
 	startBusyProcesses(t, envInt("MAGNOLIAFRONT_SOAK_BUSY", 0))
-	length := time.Duration(envInt("MAGNOLIAFRONT_SOAK_SECONDS", 8)) * time.Second
-	disturbances := []disturbance{
-		{name: "nothing", run: func(ctx context.Context, _ *wholeFleet) { <-ctx.Done() }, events: shortStreamEvents},
-		{name: "entries-killed", run: killEntries, events: shortStreamEvents},
-		{name: "entries-stopped-long-streams", run: stopEntries, events: longStreamEvents},
-		{name: "upstreams-killed", run: killUpstreams, events: shortStreamEvents},
-	}
+	length := time.Duration(envInt("MAGNOLIAFRONT_SOAK_SECONDS", 4)) * time.Second
+	disturbances := newDisturbances()
 	mixes := []framingMix{
-		{"close", []framing{framedByClose}},
+		{"close", []framing{framedByClose}}, {"chunks", []framing{framedByChunks}}, {"mixed", []framing{framedByClose, framedByChunks}},
 	}
 	for _, seed := range selectSeeds(wholeSeeds) {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
@@ -146,58 +130,6 @@
 	return requests
 }
 
-// killEntries kills and starts one entry after another.
-func killEntries(ctx context.Context, f *wholeFleet) {
-	f.inTurn(ctx, func(i int) {
-		e := f.entries[i%len(f.entries)]
-		end := e.beginOutage(time.Now())
-		e.restart(syscall.SIGKILL)
-		end()
-		assertEventually(f.t, e.name+" ready again", e.isReady)
-	})
-}
-
-// stopEntries stops and starts one entry after another. Each may cut off what is left at the
-// end of its grace period.
-func stopEntries(ctx context.Context, f *wholeFleet) {
-	f.inTurn(ctx, func(i int) {
-		e := f.entries[i%len(f.entries)]
-		end := e.beginOutage(time.Now().Add(shortGrace - graceMargin))
-		e.restart(syscall.SIGTERM)
-		end()
-		assertEventually(f.t, e.name+" ready again", e.isReady)
-	})
-}
-
-// killUpstreams kills and starts one upstream after another.
-func killUpstreams(ctx context.Context, f *wholeFleet) {
-	f.inTurn(ctx, func(i int) {
-		u := f.upstreams[i%len(f.upstreams)]
-		end := u.beginOutage(time.Now())
-		u.kill()
-		end()
-		f.restartUpstream(u)
-	})
-}
-
-// restartUpstream starts an upstream that has ended, at the same or another address.
-func (f *wholeFleet) restartUpstream(u *upstreamProcess) {
-	time.Sleep(restartPause)
-	u.spec.Address = ""
-	if f.random.IntN(2) == 0 {
-		u.spec.Address = u.address
-	}
-	u.start()
-}
-
-// inTurn calls disturb with rising numbers until ctx is done.
-func (f *wholeFleet) inTurn(ctx context.Context, disturb func(i int)) {
-	for i := 0; ctx.Err() == nil; i++ {
-		time.Sleep(outagePause + time.Duration(f.random.Int64N(int64(outagePause))))
-		disturb(i)
-	}
-}
-
 // wholeProtocols are the versions of HTTP of the callers.
 var wholeProtocols = []string{"HTTP/1.1", "HTTP/1.0"}
 
