Soak stops, freezes and resets of entries and upstreams

New rows of TestAnswersEndWholeOrCut: entries stopped with streams that end within the grace period, entries paused, upstreams stopped in an orderly way with and without the store saying so, upstreams paused, upstreams that reset one stream in five between two events, and upstreams that reset connections beyond eight. Each of them is a case in which whole answers must stay whole whatever an entry does to detect an upstream that has gone.

With upstreams that reset streams and both framings, 4 streams were cut after their last event although the upstream of the last attempt sent the rest and ended the connection.

--- a/internal/process/soaker/disturbances_test.go
+++ b/internal/process/soaker/disturbances_test.go
@@ -9,6 +9,13 @@
 const (
 	// outagePause is the minimum time between two outages, and half of the maximum.
 	outagePause = 300 * time.Millisecond
+	// minFreeze and maxFreeze bound the time for which a process is paused.
+	minFreeze = 300 * time.Millisecond
+	maxFreeze = 1500 * time.Millisecond
+	// resetEvery is the number of streams of which an upstream resets one.
+	resetEvery = 5
+	// fewConns is a number of connections that all upstreams together reach at times.
+	fewConns = 8
 )
 
 // disturbance is what happens while answers are sent.
@@ -17,6 +24,8 @@
 	run  func(ctx context.Context, f *wholeFleet)
 	// events is the number of events in a stream.
 	events int
+	// resetEvery and maxConns configure the upstreams, see [upstreamSpec].
+	resetEvery, maxConns int
 }
 
 // newDisturbances returns all disturbances.
@@ -25,7 +34,14 @@
 		{name: "nothing", run: awaitDone, events: shortStreamEvents},
 		{name: "entries-killed", run: killEntries, events: shortStreamEvents},
 		{name: "entries-stopped-long-streams", run: stopEntries, events: longStreamEvents},
+		{name: "entries-stopped", run: stopEntries, events: shortStreamEvents},
+		{name: "entries-frozen", run: freezeEntries, events: shortStreamEvents},
 		{name: "upstreams-killed", run: killUpstreams, events: shortStreamEvents},
+		{name: "upstreams-draining-stopped", run: stopAnnouncedUpstreams, events: shortStreamEvents},
+		{name: "upstreams-stopped", run: stopUpstreams, events: shortStreamEvents},
+		{name: "upstreams-frozen", run: freezeUpstreams, events: shortStreamEvents},
+		{name: "upstreams-reset-streams", run: awaitDone, events: shortStreamEvents, resetEvery: resetEvery},
+		{name: "upstreams-reset-connections", run: awaitDone, events: shortStreamEvents, maxConns: fewConns},
 	}
 }
 
@@ -65,6 +81,46 @@
 	})
 }
 
+// stopUpstreams stops and starts one upstream after another. They finish the answers that are
+// on their way. The store does not say that they stop.
+func stopUpstreams(ctx context.Context, f *wholeFleet) {
+	f.inTurn(ctx, func(i int) {
+		u := f.upstreams[i%len(f.upstreams)]
+		u.terminate(syscall.SIGTERM)
+		f.restartUpstream(u)
+	})
+}
+
+// stopAnnouncedUpstreams is [stopUpstreams], but the store says that they stop.
+func stopAnnouncedUpstreams(ctx context.Context, f *wholeFleet) {
+	f.inTurn(ctx, func(i int) {
+		u := f.upstreams[i%len(f.upstreams)]
+		u.register("draining")
+		time.Sleep(time.Duration(f.random.Int64N(int64(outagePause))))
+		u.terminate(syscall.SIGTERM)
+		f.restartUpstream(u)
+	})
+}
+
+// freezeEntries pauses one entry after another.
+func freezeEntries(ctx context.Context, f *wholeFleet) {
+	f.inTurn(ctx, func(i int) { f.freeze(&f.entries[i%len(f.entries)].process) })
+}
+
+// freezeUpstreams pauses one upstream after another.
+func freezeUpstreams(ctx context.Context, f *wholeFleet) {
+	f.inTurn(ctx, func(i int) { f.freeze(&f.upstreams[i%len(f.upstreams)].process) })
+}
+
+// freeze pauses a process for a random time.
+func (f *wholeFleet) freeze(p *process) {
+	end := p.beginOutage(time.Now())
+	defer end()
+	p.signal(syscall.SIGSTOP)
+	time.Sleep(minFreeze + time.Duration(f.random.Int64N(int64(maxFreeze-minFreeze))))
+	p.signal(syscall.SIGCONT)
+}
+
 // restartUpstream starts an upstream that has ended, at the same or another address.
 func (f *wholeFleet) restartUpstream(u *upstreamProcess) {
 	time.Sleep(restartPause)
--- a/internal/process/soaker/whole_answers_test.go
+++ b/internal/process/soaker/whole_answers_test.go
@@ -89,6 +89,7 @@
 	for i := range wholeUpstreamCount {
 		f.upstreams = append(f.upstreams, newUpstreamProcess(f.fleet, upstreamSpec{
 			ID: fmt.Sprint("i-", i), Seed: seed, Framings: m.framings, Events: d.events, Interval: wholeInterval,
+			ResetEvery: d.resetEvery, MaxConns: d.maxConns,
 		}))
 	}
 	for _, r := range []map[string]any{
