Soak upstreams that are lost after the last event of a stream

The upstreams of TestAnswersEndWholeOrCut now pause between the last event and the end of an answer. If they are lost there, a resumable stream is cut after its last event, though the upstreams of the next attempts answer that nothing is left.

--- a/internal/process/soaker/stream_upstream_test.go
+++ b/internal/process/soaker/stream_upstream_test.go
@@ -136,6 +136,8 @@
 		return a
 	}
 	a.addEvents(f, id, firstEvent(req), u.Events, interval)
+	// An upstream may be lost between the last event and the end of the answer.
+	a.pauses = append(a.pauses, pause{offset: a.end, duration: u.Interval})
 	if u.ResetEvery > 0 && len(a.pauses) > 1 && random.IntN(u.ResetEvery) == 0 {
 		a.pauses[1+random.IntN(len(a.pauses)-1)].resets = true
 	}
