--- a/internal/process/soaker/whole_answers_test.go
+++ b/internal/process/soaker/whole_answers_test.go
@@ -210,6 +210,7 @@
 		t.Run("whole-"+name, func(t *testing.T) { assertSentArrived(t, f, d, of, runs) })
 	}
 	t.Run("runs-bounded", func(t *testing.T) { assertRunsBounded(t, requests, runs) })
+	t.Run("refusals-true", func(t *testing.T) { assertRefusedNotRun(t, requests, runs) })
 }
 
 // logOutcomes logs the number of requests with each outcome, a line for each kind of answer,
@@ -295,3 +296,14 @@
 		t.Errorf("%s was sent whole, but is %v, status %d, %d bytes\n\truns: %s", describe(r), o, r.status, len(r.body), describeRuns(runs[r.id]))
 	}
 }
+
+// assertRefusedNotRun checks that no request that may not run twice ran although its caller
+// was told that it has not.
+func assertRefusedNotRun(t *testing.T, requests []pieceRequest, runs map[string][]upstreamRun) {
+	t.Helper()
+	for _, r := range requests {
+		if r.kind == "hold" && r.ending == endingAnswered && isRefusal(r.status) && len(runs[r.id]) > 0 {
+			t.Errorf("%s was refused with status %d\n\truns: %s", describe(r), r.status, describeRuns(runs[r.id]))
+		}
+	}
+}
