--- a/internal/process/soaker/piece_caller_test.go
+++ b/internal/process/soaker/piece_caller_test.go
@@ -93,6 +93,9 @@
 	deadline time.Duration
 	// protocol is the version of HTTP that the caller speaks.
 	protocol string
+	// readPause is the pause before each read of at most smallSocketBytes. Without one, the
+	// caller reads what has arrived at once.
+	readPause time.Duration
 
 	conn         *net.TCPConn
 	reader       *bufio.Reader
@@ -121,9 +124,24 @@
 		return false
 	}
 	c.conn, c.entry, c.reader = conn.(*net.TCPConn), e, bufio.NewReader(conn)
+	if c.readPause > 0 {
+		_ = c.conn.SetReadBuffer(smallSocketBytes)
+		c.reader = bufio.NewReaderSize(slowReader{conn, c.readPause}, smallSocketBytes)
+	}
 	return true
 }
 
+// slowReader is a connection that waits before each read.
+type slowReader struct {
+	net.Conn
+	pause time.Duration
+}
+
+func (r slowReader) Read(b []byte) (int, error) {
+	time.Sleep(r.pause)
+	return r.Conn.Read(b[:min(len(b), smallSocketBytes)])
+}
+
 func (c *pieceCaller) close() {
 	if c.conn != nil {
 		_ = c.conn.Close()
