Reset the connection of an answer without framing that is cut off

Callers of answers without a length or chunks, and callers that speak HTTP/1.0, got an orderly end of the connection in the midst of an answer when the entry was killed, or when it reached its exit with a stream in flight.

Cause: the kernel closes the sockets of a process that ends in the same way as the process would. At the exit, Drainer.Stop closes the connections before receiver.cutOff resets those of cut answers.

Change: closer.Guard wraps the handlers of both front ends. From the head of such an answer on it sets the linger time of the socket to zero, so that any close is a reset: one by the server, after a panic, and by the kernel when the process is killed. The option is removed at the close after the handler has returned. receiver.cutOff, which took the connection over to reset it, is not needed any more.

--- a/internal/connection/closer/closer.go
+++ b/internal/connection/closer/closer.go
@@ -10,10 +10,13 @@
 // is closed only while there are none, and after one more look at what has arrived. If a
 // request has begun to arrive, the connection stays open until it is answered.
 //
+// An answer without a length or chunks ends with its connection. [Guard] resets the
+// connection of one that is cut off, also when the process is killed.
+//
 // # Usage
 //
 //	c := &closer.Conn{Conn: accepted, OnClose: forget}
-//	srv := &http.Server{Handler: closer.FollowHandler(h), ConnContext: closer.WithConn, ConnState: closer.FollowState}
+//	srv := &http.Server{Handler: closer.Guard(h), ConnState: closer.FollowState, ConnContext: closer.WithConn}
 //	// srv serves c
 //	c.Drain()
 package closer
@@ -82,8 +85,10 @@
 	// handled is true while a handler runs that has not taken the connection over. Nobody
 	// else should close the connection meanwhile.
 	handled bool
-	// reset is true once the connection is to be closed by a reset.
-	reset bool
+	// unframed is true while only the close of the connection marks the end of the
+	// answer, and whole once that answer has ended. See [Guard].
+	unframed bool
+	whole    bool
 }
 
 // Read reads from the connection. If the deadline passes while it is idle, as on a draining
@@ -175,8 +180,10 @@
 // although its handler has not ended, unless the caller has closed the connection before.
 func (c *Conn) Close() error {
 	c.mu.Lock()
-	first, phase, unserved, handled, reset := !c.closed, c.phase, c.unserved, c.handled, c.reset
+	first, phase, unserved, handled := !c.closed, c.phase, c.unserved, c.handled
 	c.closed = true
+	c.unguard()
+	reset := c.unframed
 	c.mu.Unlock()
 	if !first {
 		return c.Conn.Close()
@@ -212,6 +219,7 @@
 func (c *Conn) CloseWrite() error {
 	c.mu.Lock()
 	c.phase = phaseEnded
+	c.unguard()
 	c.mu.Unlock()
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return w.CloseWrite()
@@ -219,18 +227,6 @@
 	return nil
 }
 
-// Reset closes the connection in a way that the caller cannot take for the end of an
-// answer.
-func (c *Conn) Reset() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	c.mu.Lock()
-	c.reset = true
-	c.mu.Unlock()
-	return c.Close()
-}
-
 // FollowState is the hook of [http.Server] by which a connection knows whether the server
 // is serving a request on it.
 func FollowState(conn net.Conn, s http.ConnState) {
@@ -247,6 +243,7 @@
 		c.phase, c.unserved = phaseRequest, 0
 	case http.StateIdle:
 		c.phase, c.awaited = phaseIdle, false
+		c.unguard()
 	case http.StateHijacked:
 		c.handled = false
 	}
--- a/internal/process/drainer/drainer.go
+++ b/internal/process/drainer/drainer.go
@@ -73,8 +73,8 @@
 	stopping atomic.Bool
 }
 
-// Serve starts to serve connections that l accepts. It sets the hooks
-// ConnContext and ConnState of srv and wraps its handler.
+// Serve starts to serve connections that l accepts. It wraps the handler of srv and sets its
+// hooks ConnState and ConnContext.
 func Serve(srv *http.Server, l net.Listener) *Drainer {
 	d := &Drainer{
 		server: srv, listener: l,
@@ -82,7 +82,8 @@
 		accepted: make(chan struct{}),
 		done:     make(chan struct{}),
 	}
-	srv.Handler, srv.ConnContext, srv.ConnState = closer.FollowHandler(srv.Handler), closer.WithConn, closer.FollowState
+	srv.Handler = closer.Guard(srv.Handler)
+	srv.ConnState, srv.ConnContext = closer.FollowState, closer.WithConn
 	go func() {
 		defer close(d.done)
 		d.run()
--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -29,7 +29,6 @@
 	"k8s.io/klog/v2"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/carrier"
-	"magnoliafront.dev/magnoliafront/internal/connection/closer"
 	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
 	"magnoliafront.dev/magnoliafront/internal/process/drainer"
 	"magnoliafront.dev/magnoliafront/internal/process/forwarder"
@@ -166,7 +165,9 @@
 	defer func() { r.requests.ended[end].Add(1) }()
 	end = r.answer(w, req)
 	if end == endingCutOff || end == endingCallerLeft {
-		cutOff(w, req)
+		// The connection closes without the end of the answer, by a reset if its end
+		// would look like that of the answer; see closer.Guard.
+		panic(http.ErrAbortHandler)
 	}
 }
 
@@ -212,24 +213,6 @@
 	return endingCutOff
 }
 
-// cutOff closes the connection without the end of the answer. If only the end of the
-// connection marks that of the answer, as for callers that speak HTTP/1.0, it resets the
-// connection, since a closed one would make the part that was sent look complete.
-func cutOff(w http.ResponseWriter, req *http.Request) {
-	if req.ProtoAtLeast(1, 1) && w.Header().Get("Transfer-Encoding") != "identity" {
-		panic(http.ErrAbortHandler)
-	}
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	if c, ok := conn.(*closer.Conn); ok {
-		_ = c.Reset()
-		return
-	}
-	_ = conn.Close()
-}
-
 // readBody reads the body of a request and returns a failure if it is too large or
 // incomplete.
 func (r *Receiver) readBody(w http.ResponseWriter, req *http.Request, now time.Time) ([]byte, *admitter.Failure) {
--- a/internal/request/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -28,6 +28,7 @@
 
 	"github.com/go-faster/errors"
 
+	"magnoliafront.dev/magnoliafront/internal/connection/closer"
 	"magnoliafront.dev/magnoliafront/internal/process/reserver"
 	"magnoliafront.dev/magnoliafront/internal/request/admitter"
 	"magnoliafront.dev/magnoliafront/pkg/buffer"
@@ -123,6 +124,9 @@
 			return &Error{Op: "write", Kind: ErrorBroken, Err: errors.New("another response follows the beginning of one")}
 		}
 		begun = true
+		if r.CloseDelimited && r.Kind != KindEnd {
+			closer.EndWithConnection(ctx, w.Header())
+		}
 		switch r.Kind {
 		case KindComplete:
 			return writeComplete(w, r)
@@ -197,10 +201,6 @@
 			to[name] = nil
 		}
 	}
-	if r.CloseDelimited {
-		// net/http then marks the end of the response by closing the connection.
-		to.Set("Transfer-Encoding", "identity")
-	}
 	return to
 }
 
--- a/internal/request/responder/responder.go
+++ b/internal/request/responder/responder.go
@@ -23,6 +23,7 @@
 
 	"github.com/go-faster/errors"
 
+	"magnoliafront.dev/magnoliafront/internal/connection/closer"
 	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
 	"magnoliafront.dev/magnoliafront/internal/request/admitter"
 	"magnoliafront.dev/magnoliafront/pkg/buffer"
@@ -205,7 +206,7 @@
 	w.Header().Set(OutcomeHeader, string(admitter.OutcomeRan))
 	switch {
 	case r.Response.CloseDelimited:
-		endWithConnection(w.Header())
+		closer.EndWithConnection(ctx, w.Header())
 	case len(r.Response.Body) > 0:
 		w.Header().Set("Content-Length", strconv.Itoa(len(r.Response.Body)))
 	}
@@ -216,9 +217,6 @@
 	return nil
 }
 
-// endWithConnection makes net/http mark the end of a response by closing the connection.
-func endWithConnection(h http.Header) { h.Set("Transfer-Encoding", "identity") }
-
 // WriteModels writes the list of models in the format of OpenAI.
 func WriteModels(ctx context.Context, w http.ResponseWriter, replies *Ring) error {
 	r, ok, err := firstReply(ctx, w, replies)
