Probe an upstream at the end of an answer without length and chunks

Cause: only the end of the connection marks the end of such an answer, and the kernel ends the connections of a process that was killed or crashed in the same orderly way. The entry took each end between two events, and any end of a buffered body, for that of the answer.

Change: the connection has ended, so that the next request needs another one. It is now dialled at once, before the end of the answer is relayed. If the upstream accepts it and keeps it open, the answer is whole, and the connection serves the next request. If it accepts none, the other connections to it decide: a process that ends closes all of them, one in a planned stop closes its listener and goes on with its answers. An upstream that has ended counts as lost within its answer: the request goes on at another upstream where the route allows it, else its caller gets a failure or a cut connection.

What it cannot tell: an upstream that lives and gives up one answer between two events, and whether the last answer of a stopping upstream, of which nothing else is seen, was finished. The latter counts as cut off.

--- a/internal/connection/carrier/attempt.go
+++ b/internal/connection/carrier/attempt.go
@@ -42,6 +42,9 @@
 	headBytes int
 	// skipped is true if a mismatched response was skipped.
 	skipped bool
+	// replaced is true if the connection of the response has ended and a new one has taken
+	// its place.
+	replaced bool
 	// keepAliveTimeout is the timeout in the Keep-Alive header of the response.
 	keepAliveTimeout time.Duration
 }
--- a/internal/connection/carrier/carrier.go
+++ b/internal/connection/carrier/carrier.go
@@ -28,6 +28,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"magnoliafront.dev/magnoliafront/internal/process/recoverer"
@@ -153,6 +154,10 @@
 	// for the caller. It relays nothing until [Conn.PermitRelay] and is then no longer
 	// contested, or until its context is cancelled. Ended is false.
 	Ready bool
+	// Unconfirmed is true if a response has ended that only the end of its connection
+	// marks, and the upstream accepts no other connection, as Err says. The call waits for
+	// [Conn.Confirm]. Ended is false.
+	Unconfirmed bool
 
 	Outcome Outcome
 	// Status is the HTTP status of the response, if there was one. It is zero for
@@ -178,10 +183,12 @@
 	// ClosedByPeer is true if the upstream closed or reset the connection.
 	ClosedByPeer bool
 	Err          error
-	// Reusable is true if the connection can carry another call. KeepAliveTimeout
+	// Reusable is true if the connection can carry another call. Replaced is true if it is
+	// a new one, since that of the response has ended. KeepAliveTimeout
 	// is the time for which the upstream keeps it open while it is idle, zero if
 	// the response did not specify it.
 	Reusable         bool
+	Replaced         bool
 	KeepAliveTimeout time.Duration
 }
 
@@ -190,6 +197,8 @@
 	// Address is the IP address and port of the upstream.
 	Address string
 	Clock   timer.Clock
+	// Dial connects to Address. If it is nil, the connection is one of [Dialer].
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Report is called on the goroutine of the connection with the progress and
 	// the result of each call.
 	Report func(Report)
@@ -206,6 +215,12 @@
 	options Options
 	calls   *buffer.Ring[Call, buffer.Reject]
 	permits *buffer.Ring[struct{}, buffer.Reject]
+	// confirmations tell the call whether the upstream is still there.
+	confirmations *buffer.Ring[bool, buffer.Reject]
+	// socket is conn for other goroutines, which ask only whether it is open.
+	socket atomic.Pointer[net.Conn]
+	// confirming is true while the end of a response is confirmed.
+	confirming atomic.Bool
 
 	// The fields below are used only by the goroutine of the connection.
 	conn     net.Conn
@@ -226,6 +241,8 @@
 		options: o,
 		calls:   buffer.New[Call, buffer.Reject]("carrier_calls", 1),
 		permits: buffer.New[struct{}, buffer.Reject]("carrier_permits", 1),
+
+		confirmations: buffer.New[bool, buffer.Reject]("carrier_confirmations", 1),
 	}
 	go func() {
 		for {
@@ -261,6 +278,7 @@
 // ends with [OutcomeStale].
 func (c *Conn) closeConn() {
 	if c.conn != nil {
+		c.socket.Store(nil)
 		_ = c.conn.Close()
 		c.conn = nil
 	}
--- a/internal/connection/carrier/dial.go
+++ b/internal/connection/carrier/dial.go
@@ -1,7 +1,6 @@
 package carrier
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"syscall"
@@ -49,20 +48,28 @@
 	return optionErr
 }
 
-// dial connects to the upstream within the dial timeout and the deadline of the
-// call.
+// dial connects to the upstream for a call.
 func (c *Conn) dial(call Call) error {
-	ctx, cancel := context.WithDeadline(call.Context, earlier(call.Deadline, c.options.Clock.Now().Add(call.DialTimeout)))
-	defer cancel()
-	conn, err := Dialer().DialContext(ctx, "tcp", c.options.Address)
+	conn, err := c.connect(call.Context, call)
 	if err != nil {
 		return errors.Wrap(err, "connect")
 	}
-	c.conn, c.received = conn, &limitedConn{Conn: conn}
-	c.reader = bufio.NewReaderSize(c.received, readBufferBytes)
+	c.adopt(conn)
 	return nil
 }
 
+// connect returns a network connection to the upstream. It takes at most the dial timeout
+// of the call and the time until its deadline.
+func (c *Conn) connect(ctx context.Context, call Call) (net.Conn, error) {
+	ctx, cancel := context.WithDeadline(ctx, earlier(call.Deadline, c.options.Clock.Now().Add(call.DialTimeout)))
+	defer cancel()
+	dial := c.options.Dial
+	if dial == nil {
+		dial = Dialer().DialContext
+	}
+	return dial(ctx, "tcp", c.options.Address)
+}
+
 // dialOutcome returns the outcome of a call whose dial failed with err.
 func dialOutcome(call Call, err error) Outcome {
 	if call.Context.Err() != nil || errors.Is(err, context.Canceled) {
--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -291,14 +291,20 @@
 	if !whole {
 		return c.relayOversized(a, resp, body)
 	}
+	// A caller that has received a part of a stream cannot get another response.
+	failed := resp.StatusCode >= http.StatusInternalServerError || a.begun
+	if !failed {
+		if err := c.confirmEnd(a, resp); err != nil {
+			return c.classifyError(a, err)
+		}
+	}
 	reply := a.reserveFor(relayer.Reply{
 		Kind: relayer.KindComplete, Status: resp.StatusCode, Header: resp.Header, CloseDelimited: isCloseDelimited(resp), Bytes: body,
 	})
 	r := a.newReport(OutcomeAnswered, nil)
 	r.Status = resp.StatusCode
 	r.Elapsed = c.options.Clock.Now().Sub(a.start)
-	if resp.StatusCode >= http.StatusInternalServerError || a.begun {
-		// A caller that has received a part of a stream cannot get another response.
+	if failed {
 		r.Outcome, r.ErrorResponse = OutcomeFailed, reply
 	} else if !a.relay(reply) {
 		r.Outcome = OutcomeCancelled
@@ -322,7 +328,7 @@
 		n, err := resp.Body.Read(b)
 		ok = n == 0 || a.relayBody(b[:n])
 		if errors.Is(err, io.EOF) {
-			return c.relayEnd(a, resp)
+			return c.endOversized(a, resp)
 		}
 		if err != nil {
 			return c.classifyError(a, errors.Wrap(err, "read the body"))
@@ -331,7 +337,16 @@
 	return a.newReport(OutcomeCancelled, nil)
 }
 
-// relayEnd marks the end of a response that was relayed in parts.
+// endOversized ends a response whose last byte was relayed.
+func (c *Conn) endOversized(a *attempt, resp *http.Response) Report {
+	if err := c.confirmEnd(a, resp); err != nil {
+		return c.classifyError(a, err)
+	}
+	return c.relayEnd(a, resp)
+}
+
+// relayEnd marks the end of a response that was relayed in parts, and whose end is
+// confirmed.
 func (c *Conn) relayEnd(a *attempt, resp *http.Response) Report {
 	r := a.newReport(OutcomeAnswered, nil)
 	r.Status = resp.StatusCode
@@ -366,7 +381,13 @@
 // setReusable sets in the report whether the connection can be reused. Err is the
 // error of reading the response to its end.
 func (c *Conn) setReusable(a *attempt, r *Report, resp *http.Response, err error) {
-	r.Reusable = err == nil && a.requestWritten() && !resp.Close && !isCloseDelimited(resp) && c.reader.Buffered() == 0 && r.Outcome != OutcomeCancelled
+	if isCloseDelimited(resp) {
+		// The connection of the response has ended. A new one may have taken its place.
+		r.Replaced = a.replaced
+		r.Reusable = a.replaced && r.Outcome != OutcomeCancelled
+	} else {
+		r.Reusable = err == nil && a.requestWritten() && !resp.Close && c.reader.Buffered() == 0 && r.Outcome != OutcomeCancelled
+	}
 	r.KeepAliveTimeout = a.keepAliveTimeout
 }
 
--- a/internal/connection/carrier/fuzz_test.go
+++ b/internal/connection/carrier/fuzz_test.go
@@ -3,15 +3,18 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"magnoliafront.dev/magnoliafront/internal/request/relayer"
+	"magnoliafront.dev/magnoliafront/pkg/buffer"
 	"magnoliafront.dev/magnoliafront/pkg/timer"
 )
 
@@ -26,6 +29,11 @@
 func (bytesConn) SetWriteDeadline(time.Time) error { return nil }
 func (bytesConn) SetDeadline(time.Time) error      { return nil }
 func (bytesConn) Write(b []byte) (int, error)      { return len(b), nil }
+func (bytesConn) Close() error                     { return nil }
+
+func refuseDial(context.Context, string, string) (net.Conn, error) {
+	return nil, syscall.ECONNREFUSED
+}
 
 // Any bytes of an upstream must end a call without a panic. The head of an answer must
 // be relayed at most once, and nothing after its end.
@@ -70,7 +78,16 @@
 func readAnswerFrom(t *testing.T, received io.Reader, change func(*Call)) (Report, []relayer.Reply) {
 	t.Helper()
 	conn := &limitedConn{Conn: bytesConn{received: received}}
-	c := &Conn{options: Options{Clock: timer.System{}, Report: func(Report) {}}, conn: conn, received: conn, reader: bufio.NewReaderSize(conn, readBufferBytes)}
+	c := &Conn{
+		conn: conn, received: conn, reader: bufio.NewReaderSize(conn, readBufferBytes),
+		confirmations: buffer.New[bool, buffer.Reject]("confirmations", 1),
+	}
+	// The upstream accepts no other connection, and is there.
+	c.options = Options{Clock: timer.System{}, Dial: refuseDial, Report: func(r Report) {
+		if r.Unconfirmed {
+			c.Confirm(true)
+		}
+	}}
 	head, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://desk.example/x", nil)
 	is.New(t).NoErr(err)
 	replies := relayer.NewRing()
--- a/internal/connection/carrier/stream.go
+++ b/internal/connection/carrier/stream.go
@@ -74,6 +74,11 @@
 		return c.classifyError(a, errors.New("the framed stream ends within an event"))
 	case !errors.Is(err, io.EOF):
 		return c.classifyError(a, errors.Wrap(err, "read the stream"))
+	}
+	if err := c.confirmEnd(a, resp); err != nil {
+		return c.classifyError(a, err)
+	}
+	switch {
 	case a.isEmptyContinuation():
 		// Whether the stream that broke off was complete is as unknown as before.
 		r := a.newReport(OutcomeFailed, errors.New("the answer holds no event after the last one of the stream"))
--- a/internal/connection/peeker/peeker.go
+++ b/internal/connection/peeker/peeker.go
@@ -66,6 +66,31 @@
 	return state
 }
 
+// IsOpen reports whether conn is open and its peer has not closed it, also if there are
+// bytes to read. Where the kernel does not tell, a connection with bytes to read counts as
+// open.
+func IsOpen(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	if raw.Control(func(fd uintptr) {
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	}) != nil {
+		return false
+	}
+	if infoErr != nil {
+		return Peek(conn) != Ended
+	}
+	return info.State == unix.BPF_TCP_ESTABLISHED
+}
+
 // HasWaiting reports whether a connection waits at l to be accepted. It returns false if l
 // is not a socket.
 func HasWaiting(l net.Listener) bool {
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -111,6 +111,7 @@
 			},
 		})
 	}
+	t.pool.busy[c] = struct{}{}
 	c.Send(t.call)
 }
 
@@ -118,6 +119,11 @@
 // attempt only return the connection to its pool, unless that attempt is suspended: it
 // may have a part of its answer, and must not be resumed once it has ended.
 func (f *Forwarder) handleReport(now time.Time, p *pool, r carrier.Report) {
+	p.observe(now, r)
+	if r.Unconfirmed {
+		p.confirm(r.Conn)
+		return
+	}
 	t := f.inFlight[r.Request]
 	current := t != nil && t.number == r.Attempt
 	suspended := t != nil && t.suspended != nil && t.suspended.number == r.Attempt
--- a/internal/process/forwarder/pool.go
+++ b/internal/process/forwarder/pool.go
@@ -1,11 +1,14 @@
 package forwarder
 
 import (
+	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/carrier"
+	"magnoliafront.dev/magnoliafront/internal/connection/prober"
 	"magnoliafront.dev/magnoliafront/internal/process/registrar"
 )
 
@@ -24,10 +27,16 @@
 	// idle is a stack of the idle connections. The most recently used one is reused
 	// first, so that the others expire when the load decreases.
 	idle []idleConn
+	// busy holds the connections with a call.
+	busy map[*carrier.Conn]struct{}
 	// connections is the number of idle and busy connections.
 	connections int
 	// removed is true once the upstream gets no more requests.
 	removed bool
+	// refusedAt is the time at which the upstream first refused a connection, and
+	// progressAt that of its last progress with an answer.
+	refusedAt  time.Time
+	progressAt time.Time
 }
 
 // idleConn is an idle connection and the time at which it must be closed.
@@ -52,17 +61,51 @@
 // put returns a connection to the pool after a call, or closes it if it cannot be
 // reused.
 func (p *pool) put(now time.Time, r carrier.Report) {
+	delete(p.busy, r.Conn)
 	timeout := defaultIdleTimeout
 	if r.KeepAliveTimeout > 0 {
 		timeout = r.KeepAliveTimeout
 	}
-	if !r.Reusable || p.removed || timeout <= idleTimeoutMargin {
+	// A replacement that is not needed takes the place of a connection of another entry.
+	unneeded := r.Replaced && len(p.idle) > 0
+	if !r.Reusable || unneeded || p.removed || timeout <= idleTimeoutMargin {
 		p.closeConn(r.Conn)
 		return
 	}
 	p.idle = append(p.idle, idleConn{r.Conn, now.Add(timeout - idleTimeoutMargin)})
 }
 
+// observe records what a report shows of the upstream.
+func (p *pool) observe(now time.Time, r carrier.Report) {
+	if p.refusedAt.IsZero() && errors.Is(r.Err, syscall.ECONNREFUSED) {
+		p.refusedAt = now
+	}
+	if r.Events > 0 && !r.Ended {
+		// The events of a last report may have been read some time ago.
+		p.progressAt = now
+	}
+}
+
+// confirm tells a call whether the upstream, which accepts no connections, is still there.
+func (p *pool) confirm(c *carrier.Conn) { c.Confirm(prober.IsThere(p.evidenceBeside(c))) }
+
+// evidenceBeside returns what the calls beside that of c show of the upstream.
+func (p *pool) evidenceBeside(c *carrier.Conn) prober.Evidence {
+	e := prober.Evidence{Finishing: prober.IsFinishing(p.refusedAt, p.progressAt)}
+	for other := range p.busy {
+		if other == c {
+			continue
+		}
+		switch open, ended := other.State(); {
+		case open:
+			e.Open++
+		case ended:
+			e.Ended++
+		}
+	}
+	return e
+}
+
 // expire closes the idle connections that have expired.
 func (p *pool) expire(now time.Time) {
 	remaining := p.idle[:0]
@@ -112,7 +155,7 @@
 		p = nil
 	}
 	if p == nil {
-		p = &pool{upstream: u}
+		p = &pool{upstream: u, busy: map[*carrier.Conn]struct{}{}}
 		f.pools[id] = p
 	}
 	return p
