--- a/internal/connection/carrier/endless_test.go
+++ b/internal/connection/carrier/endless_test.go
@@ -32,6 +32,8 @@
 	closes bool
 	// clock is the clock of the calls, or nil for that of the system.
 	clock timer.Clock
+	// dial connects to the upstream; see [Options].
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 func newRawUpstream(t *testing.T, once, repeated string, pause time.Duration) *rawUpstream {
@@ -99,7 +101,7 @@
 func (u *rawUpstream) callAndTake(t *testing.T, change func(*Call), take func(relayer.Reply)) Report {
 	t.Helper()
 	reports := make(chan Report, 1)
-	c := New(Options{Address: u.address, Clock: cmp.Or[timer.Clock](u.clock, timer.System{}), Report: func(r Report) {
+	c := New(Options{Address: u.address, Clock: cmp.Or[timer.Clock](u.clock, timer.System{}), Dial: u.dial, Report: func(r Report) {
 		if r.Ready {
 			u.ready <- struct{}{}
 		}
--- a/internal/connection/carrier/late_test.go
+++ b/internal/connection/carrier/late_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -89,11 +90,14 @@
 	}
 }
 
+// starvation is for how long a starved process gets no processor time. It is longer than
+// the time until the deadline of a call.
+const starvation = 2 * time.Hour
+
 // starvedClock is the clock of a process that gets no processor time from the moment at
 // which an upstream has begun to answer until the deadline of its call has passed.
 type starvedClock struct {
 	timer.System
-	deadline time.Time
 	// answering is true from before the answer on, and answered is closed after it.
 	answering atomic.Bool
 	answered  chan struct{}
@@ -102,11 +106,32 @@
 func (c *starvedClock) Now() time.Time {
 	if c.answering.Load() {
 		<-c.answered
-		time.Sleep(time.Until(c.deadline) + time.Millisecond)
+		return time.Now().Add(starvation)
 	}
 	return time.Now()
 }
 
+// dial returns a connection whose read deadlines are times of the clock.
+func (c *starvedClock) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := Dialer().DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &starvedConn{TCPConn: conn.(*net.TCPConn), clock: c}, nil
+}
+
+type starvedConn struct {
+	*net.TCPConn
+	clock timer.Clock
+}
+
+func (c *starvedConn) SetReadDeadline(t time.Time) error {
+	if !t.IsZero() && !t.After(c.clock.Now()) {
+		t = time.Unix(1, 0)
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
 // An answer that had arrived in time was given up without a look at it if the process
 // first came to read after the deadline.
 func TestAnswerThatArrivedBeforeFirstReadIsRelayed(t *testing.T) {
@@ -114,7 +139,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	t.Cleanup(func() { _ = l.Close() })
-	clock := &starvedClock{deadline: time.Now().Add(2 * time.Second), answered: make(chan struct{})}
+	clock := &starvedClock{answered: make(chan struct{})}
 	go func() {
 		conn, err := l.Accept()
 		if err != nil {
@@ -125,11 +150,11 @@
 		_, _ = io.WriteString(conn, "HTTP/1.1 413 Too Large\r\nContent-Length: 4\r\n\r\nfull")
 		close(clock.answered)
 	}()
-	u := &rawUpstream{address: l.Addr().String(), clock: clock}
+	u := &rawUpstream{address: l.Addr().String(), clock: clock, dial: clock.dial}
 	r, replies := u.call(t, func(c *Call) {
 		// The body does not fit into the buffers of the connection, so that it is being
 		// written when the answer arrives.
-		c.Body, c.Deadline = make([]byte, 64<<20), clock.deadline
+		c.Body = make([]byte, 64<<20)
 	})
 	is.Equal(r.Outcome, OutcomeAnswered)
 	is.Equal(string(replies[0].Bytes), "full")
