End a stream after which two upstreams have nothing

Change: if an attempt finds nothing after the last event, and its answer is a whole event stream with status 200, the next attempt ends the stream if it finds nothing either. A first empty continuation decides nothing, as before; a route whose max_attempts is 2 allows no second one.

--- a/internal/connection/carrier/carrier.go
+++ b/internal/connection/carrier/carrier.go
@@ -92,6 +92,9 @@
 	Stream    bool
 	Begun     bool
 	LastEvent string
+	// EndIfEmpty is true if another upstream had no event after LastEvent. If this one has
+	// none either, the stream was whole.
+	EndIfEmpty bool
 	// Classify classifies a response by its head. It must not read the body.
 	Classify func(*http.Response) Verdict
 	// DecodeNotice returns what the head of a response says about its upstream. It
@@ -180,6 +183,9 @@
 	LongestPause time.Duration
 	// ErrorResponse is set for OutcomeFailed.
 	ErrorResponse relayer.Reply
+	// Empty is true if the response to a call that resumes a stream is a whole stream
+	// without an event after Call.LastEvent. The outcome is OutcomeFailed.
+	Empty bool
 	// ClosedByPeer is true if the upstream closed or reset the connection.
 	ClosedByPeer bool
 	Err          error
--- a/internal/connection/carrier/resume_test.go
+++ b/internal/connection/carrier/resume_test.go
@@ -74,6 +74,36 @@
 	})
 }
 
+// Two upstreams that have no event after the last one of a stream agree that it was whole.
+// Their answers must be streams, and whole themselves.
+func TestSecondEmptyContinuationEndsStream(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	for _, c := range []struct {
+		name, response string
+		empty, ends    bool
+	}{
+		{"empty body", head + "Content-Length: 0\r\n\r\n", true, true},
+		{"no chunk", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true, true},
+		{"closed connection", head + "\r\n", true, true},
+		{"events that the caller has", head + "Content-Length: 26\r\n\r\nid: 1\ndata:\n\nid: 2\ndata:\n\n", true, true},
+		{"cut within a chunk", head + "Transfer-Encoding: chunked\r\n\r\n", false, false},
+		{"text", "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 0\r\n\r\n", false, false},
+		{"failure", "HTTP/1.1 500 Failed\r\nContent-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n", false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r, _ := newClosingUpstream(t, c.response).call(t, resume)
+			is.Equal(r.Empty, c.empty)
+			r, replies := newClosingUpstream(t, c.response).call(t, func(call *Call) {
+				resume(call)
+				call.EndIfEmpty = true
+			})
+			is.Equal(r.Outcome == OutcomeAnswered, c.ends)
+			is.Equal(len(replies) == 1 && replies[0].Kind == relayer.KindEnd, c.ends)
+		})
+	}
+}
+
 // A part of an answer that no upstream can go on with was followed by the events of
 // another answer. The report must say so, and only then.
 func TestReportSaysWhetherAnswerCanBeResumed(t *testing.T) {
--- a/internal/connection/carrier/stream.go
+++ b/internal/connection/carrier/stream.go
@@ -79,10 +79,10 @@
 		return c.classifyError(a, err)
 	}
 	switch {
-	case a.isEmptyContinuation():
-		// Whether the stream that broke off was complete is as unknown as before.
+	case a.isEmptyContinuation() && !a.call.EndIfEmpty:
+		// One upstream may be wrong about the end of a stream that broke off at another.
 		r := a.newReport(OutcomeFailed, errors.New("the answer holds no event after the last one of the stream"))
-		r.Status = resp.StatusCode
+		r.Status, r.Empty = resp.StatusCode, resp.StatusCode == http.StatusOK
 		return r
 	case a.contested && a.endsBeforeEvent(resp):
 		return c.classifyError(a, errors.Wrap(io.ErrUnexpectedEOF, "the stream ends before its first event"))
--- a/internal/process/dispatcher/event.go
+++ b/internal/process/dispatcher/event.go
@@ -126,6 +126,9 @@
 	Begun       bool
 	LastEvent   string
 	Unresumable bool
+	// Empty is true if the answer to an attempt that resumes a stream is whole and has no
+	// event after LastEvent.
+	Empty bool
 
 	// Upstream and RetryAfter are set for EventHeldBack.
 	Upstream   registrar.Upstream
@@ -206,8 +209,11 @@
 	Contested bool
 	Begun     bool
 	LastEvent string
-	Failure   *admitter.Failure
-	Strikes   []detector.Strike
+	// EndIfEmpty is true if an earlier attempt to resume the stream had no event after
+	// LastEvent.
+	EndIfEmpty bool
+	Failure    *admitter.Failure
+	Strikes    []detector.Strike
 	// Received is true if the strikes of ActionSendStrikes came from another entry.
 	Received bool
 	// Report is set for ActionSendLoad.
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -65,7 +65,9 @@
 	tried     []string
 	begun     bool
 	lastEvent string
-	summary   Summary
+	// foundEmpty is true if an upstream had no event after lastEvent.
+	foundEmpty bool
+	summary    Summary
 }
 
 // run is an attempt of a request at one upstream.
@@ -176,7 +178,7 @@
 		Kind: ActionSend, ID: f.request.ID, Attempt: f.attempt, Upstream: s.upstreams[id], CacheSource: s.upstreams[source].Address,
 		Priority: f.admission.Priority, Organisation: f.admission.Organisation,
 		Deadline: f.deadline, IdleTimeout: idleTimeout(f, remaining), DialTimeout: min(maxDialTimeout, remaining/3),
-		Stream: f.admission.Route.Kind == matcher.Streaming, Contested: f.suspended != nil, Begun: f.begun, LastEvent: f.lastEvent,
+		Stream: f.admission.Route.Kind == matcher.Streaming, Contested: f.suspended != nil, Begun: f.begun, LastEvent: f.lastEvent, EndIfEmpty: f.foundEmpty,
 		Summary: f.summary,
 	}}
 }
--- a/internal/process/dispatcher/outcome.go
+++ b/internal/process/dispatcher/outcome.go
@@ -46,6 +46,7 @@
 		// The caller has a part of this answer, which another one must not follow.
 		out = d.abandonSuspended(now, f, reasonPart)
 	}
+	f.foundEmpty = f.foundEmpty && e.LastEvent == f.lastEvent || e.Empty
 	f.begun, f.lastEvent = e.Begun, e.LastEvent
 	f.state.Repeatable = f.state.Repeatable && !e.Unresumable
 	out = append(out, d.recordOutcome(now, f, e)...)
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -86,7 +86,7 @@
 		Request: a.ID, Attempt: a.Attempt, Context: ctx,
 		Head: f.options.Codec.Encode(t.job, a, a.Deadline.Sub(now)), Body: t.job.Body,
 		DialTimeout: a.DialTimeout, Deadline: a.Deadline.Add(dispatcher.DeadlineGrace), IdleTimeout: a.IdleTimeout,
-		Contested: a.Contested, Stream: a.Stream, Begun: a.Begun, LastEvent: a.LastEvent,
+		Contested: a.Contested, Stream: a.Stream, Begun: a.Begun, LastEvent: a.LastEvent, EndIfEmpty: a.EndIfEmpty,
 		Classify:     f.options.Codec.ClassifyResponse(a.ID), //nolint:bodyclose // the function reads only the head
 		DecodeNotice: f.options.Codec.DecodeNotice,
 		Replies:      t.job.Replies,
@@ -162,7 +162,7 @@
 	}
 	f.dispatch(now, dispatcher.Event{
 		Kind: dispatcher.EventEnded, ID: r.Request, Attempt: r.Attempt, Outcome: attemptOutcome(r),
-		Begun: r.Begun, LastEvent: r.LastEvent, Unresumable: r.Unresumable, Elapsed: r.Elapsed,
+		Begun: r.Begun, LastEvent: r.LastEvent, Unresumable: r.Unresumable, Elapsed: r.Elapsed, Empty: r.Empty,
 	})
 	f.cleanUpPool(p)
 }
