--- a/internal/process/server/server_test.go
+++ b/internal/process/server/server_test.go
@@ -9,12 +9,14 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
 	"magnoliafront.dev/magnoliafront/internal/process/recorder"
 	"magnoliafront.dev/magnoliafront/internal/process/router"
+	"magnoliafront.dev/magnoliafront/internal/request/decoder"
 	"magnoliafront.dev/magnoliafront/pkg/timer"
 )
 
@@ -40,6 +42,27 @@
 	is.NoErr(s.Stop(context.Background()))
 }
 
+// A caller whose body was too large, and who waited for the answer before sending the rest,
+// got none: the server waited for the rest first.
+func TestTooLargeBodyIsAnsweredBeforeItsRest(t *testing.T) {
+	s, err := New(Options{Listen: "127.0.0.1:0", Clock: timer.System{}})
+	is := is.New(t)
+	is.NoErr(err)
+	defer func() { _ = s.Stop(context.Background()) }()
+	conn, err := net.Dial("tcp", s.Address())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	is.NoErr(conn.SetDeadline(time.Now().Add(20 * time.Second)))
+	_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: desk\r\nAuthorization: Bearer key\r\nContent-Length: %d\r\n\r\n%s",
+		decoder.MaxBodyBytes+2, make([]byte, decoder.MaxBodyBytes+1))
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err) // there is no answer
+	is.NoErr(resp.Body.Close())
+	is.Equal(resp.StatusCode, http.StatusRequestEntityTooLarge)
+	is.True(resp.Close)
+}
+
 // getModels requests the list of models over conn and returns the response.
 func getModels(t *testing.T, conn net.Conn, reader *bufio.Reader) *http.Response {
 	t.Helper()
