--- a/internal/connection/carrier/confirm_test.go
+++ b/internal/connection/carrier/confirm_test.go
@@ -157,8 +157,7 @@
 			is.Equal(r.Outcome, OutcomeAnswered)
 			is.True(!r.Reusable)
 			is.True(whole)
-			waits := prober.Waits()
-			is.Equal(k.unconfirmed, len(waits))
+			is.Equal(k.unconfirmed, len(prober.Waits()))
 		})
 	}
 }
--- a/internal/connection/prober/prober.go
+++ b/internal/connection/prober/prober.go
@@ -80,7 +80,7 @@
 // Waits are the times after which the other connections of an upstream that accepts none
 // should be looked at. Those of a process that ends may be open for a moment, so that only
 // the last look shows that it is there. Any of them may show that it is not.
-func Waits() [2]time.Duration { return [...]time.Duration{firstLook, closeSkew} }
+func Waits() []time.Duration { return []time.Duration{firstLook, closeSkew} }
 
 // Probe connects with dial, which bounds the time of one try. It returns the connection, or
 // nil if the upstream does not accept one or does not keep it open.
