Reset an unframed answer whose end is unsent at the exit

Callers who read slowly could get an orderly end of the connection in place of the last part of an answer without a length or chunks, if the entry reached its exit just then.

Cause: closer.Guard takes an answer for ended when its handler returns. The last 4 KB may be in the buffer of the server then, and wait for a caller who does not read. Drainer.Stop closes the connection meanwhile, and the close of such an answer is an orderly one.

Change: before Drainer.Stop closes what is left, it marks these connections, so that their close is a reset unless the answer has been followed by its own close or another request. Connections are asked for SetLinger by an interface, as for CloseWrite, so that tests can wrap them.

--- a/internal/connection/closer/closer.go
+++ b/internal/connection/closer/closer.go
@@ -86,9 +86,11 @@
 	// else should close the connection meanwhile.
 	handled bool
 	// unframed is true while only the close of the connection marks the end of the
-	// answer, and whole once that answer has ended. See [Guard].
+	// answer, and whole once that answer has ended. See [Guard]. cutOff is true once the
+	// connection is closed whatever is in flight on it.
 	unframed bool
 	whole    bool
+	cutOff   bool
 }
 
 // Read reads from the connection. If the deadline passes while it is idle, as on a draining
--- a/internal/connection/closer/guard.go
+++ b/internal/connection/closer/guard.go
@@ -75,10 +75,18 @@
 	c.whole = true
 }
 
+// CutOff announces that the connection will be closed, whatever is in flight on it. The end
+// of an answer may still be in the buffer of the server after its handler has returned.
+func (c *Conn) CutOff() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cutOff = true
+}
+
 // unguard makes the next close an orderly one if the answer has ended. The caller holds the
 // lock.
 func (c *Conn) unguard() {
-	if c.unframed && c.whole {
+	if c.unframed && c.whole && !c.cutOff {
 		c.unframed = false
 		c.setLinger(-1)
 	}
@@ -87,7 +95,7 @@
 // setLinger sets what a close does with the data that was sent: 0 drops it and resets the
 // connection, a negative value delivers it before the end.
 func (c *Conn) setLinger(seconds int) {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(seconds)
+	if l, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		_ = l.SetLinger(seconds)
 	}
 }
--- a/internal/process/drainer/drainer.go
+++ b/internal/process/drainer/drainer.go
@@ -50,14 +50,16 @@
 	eventClosed
 	eventDrain
 	eventAwaitIdle
+	eventCutOff
 )
 
 // event is an input of the goroutine. Only the fields of its kind are set.
 type event struct {
 	kind eventKind
 	conn *closer.Conn
-	// idle is closed once no connection is open.
-	idle chan struct{}
+	// idle is closed once no connection is open, and handled once the event is handled.
+	idle    chan struct{}
+	handled chan struct{}
 }
 
 // Drainer is a running HTTP server and its open connections.
@@ -123,6 +125,7 @@
 	case <-d.Idle():
 	case <-ctx.Done():
 		err = context.Cause(ctx)
+		d.cutOff()
 	}
 	_ = d.server.Close()
 	d.events.Close()
@@ -159,6 +162,11 @@
 			}
 		case eventAwaitIdle:
 			awaiting = append(awaiting, e.idle)
+		case eventCutOff:
+			for c := range open {
+				c.CutOff()
+			}
+			close(e.handled)
 		}
 		if len(open) > 0 {
 			continue
@@ -174,6 +182,14 @@
 	}
 }
 
+// cutOff makes the answers that have not ended look cut off when their connections close.
+func (d *Drainer) cutOff() {
+	handled := make(chan struct{})
+	if d.put(event{kind: eventCutOff, handled: handled}) {
+		<-handled
+	}
+}
+
 func (d *Drainer) put(e event) bool { return d.events.Put(context.Background(), e) }
 
 // stopAccepting ends the goroutine that accepts connections after it has accepted those
