Do not take a failed probe for a crash or for the deadline of the call

An upstream that did not respond to the probe after an answer without a length or chunks, or closed it, counted as crashed, which is a strike against the content of the request. Now only a refused connection says that it has ended; after another failure the answer is lost, as before, without a strike. The error is flattened, since a timeout of the probe is not one of the call.

TestErrorOfProbeDecidesOutcome does not build without the change.

--- a/internal/connection/carrier/confirm.go
+++ b/internal/connection/carrier/confirm.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -14,9 +15,9 @@
 	"magnoliafront.dev/magnoliafront/internal/connection/prober"
 )
 
-// errUpstreamEnded means that an answer was cut off by the end of its upstream. The upstream
-// has closed the connection, as [io.ErrUnexpectedEOF] says.
-var errUpstreamEnded = errors.Wrap(io.ErrUnexpectedEOF, "the upstream has ended at the end of an answer without a length or chunks")
+// unconfirmedReason is the reason why an answer counts as cut off that ended with its
+// connection.
+const unconfirmedReason = "the upstream is not there after an answer without a length or chunks"
 
 // confirmEnd checks whether the end of a response is that of the answer. Only the close of
 // the connection marks the end of a close-delimited one, and the connections of an upstream
@@ -45,12 +46,22 @@
 		case !ok:
 			return context.Cause(a.call.Context)
 		case !there:
-			return errors.Wrap(errUpstreamEnded, err.Error())
+			return unconfirmedError(err)
 		}
 	}
 	return nil
 }
 
+// unconfirmedError returns the error of a call whose upstream is not there, after another
+// connection to it failed with err. If that was refused, the upstream closed the connection of
+// the call because it ended, as [io.ErrUnexpectedEOF] says. A timeout is not that of the call.
+func unconfirmedError(err error) error {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return errors.Wrapf(io.ErrUnexpectedEOF, "%s: %v", unconfirmedReason, err)
+	}
+	return errors.Errorf("%s: %v", unconfirmedReason, err)
+}
+
 // askOwner asks the owner of the connection whether an upstream is there to which another
 // connection failed with err. It reports false if the call was cancelled.
 func (c *Conn) askOwner(a *attempt, err error) (there, ok bool) {
--- a/internal/connection/carrier/confirm_test.go
+++ b/internal/connection/carrier/confirm_test.go
@@ -6,10 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/prober"
@@ -162,6 +165,28 @@
 	}
 }
 
+// The error of a probe must not be taken for that of the call: an upstream that does not
+// respond to it has not crashed, and the time of the call has not passed.
+func TestErrorOfProbeDecidesOutcome(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		err          error
+		closedByPeer bool
+	}{
+		{"refused", errors.Wrap(syscall.ECONNREFUSED, "connect"), true},
+		{"timeout", errors.Wrap(os.ErrDeadlineExceeded, "connect"), false},
+		{"closed", errors.New("closed"), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := &attempt{sent: 1, call: Call{Context: t.Context()}}
+			r := new(Conn).classifyError(a, unconfirmedError(c.err))
+			is := is.New(t)
+			is.Equal(r.Outcome, OutcomeLost)
+			is.Equal(r.ClosedByPeer, c.closedByPeer)
+		})
+	}
+}
+
 // A caller who leaves while the upstream is probed must end the call.
 func TestCallerWhoLeavesEndsProbe(t *testing.T) {
 	u := newEndingUpstream(t, unframedAnswers[0].text, true)
--- a/internal/connection/prober/prober.go
+++ b/internal/connection/prober/prober.go
@@ -18,8 +18,8 @@
 //
 // # Usage
 //
-//	conn, accepts := prober.Probe(ctx, dial, clock)
-//	if !prober.IsThere(prober.Evidence{Accepts: accepts, Open: open, Ended: ended}) {
+//	conn, err := prober.Probe(ctx, dial, clock)
+//	if !prober.IsThere(prober.Evidence{Accepts: err == nil, Open: open, Ended: ended}) {
 //		// the answer was cut off
 //	}
 package prober
