Probe an upstream also after the deadline of its call

After a freeze of the entry, callers lost answers without a length or chunks that had arrived in time: the call ended as lost, and counted as a crash of a sound upstream, which can put sound content into quarantine. Before the probe such an answer was relayed, as one of a stated length still is.

Cause: the probe connected by the deadline of the call. Once that had passed, each try failed at once, and the upstream counted as one that accepts nothing.

The clock of the test now bounds dials and read deadlines, too.

Change: each try of the probe has the dial timeout of the call, whatever is left until the deadline.

--- a/internal/connection/carrier/confirm.go
+++ b/internal/connection/carrier/confirm.go
@@ -32,7 +32,8 @@
 	// It frees a descriptor of this process and a place at the upstream.
 	c.closeConn()
 	conn, err := prober.Probe(a.call.Context, func(ctx context.Context) (net.Conn, error) {
-		return c.connect(ctx, a.call)
+		// The deadline of the call may have passed, and the answer have arrived in time.
+		return c.connect(ctx, c.options.Clock.Now().Add(a.call.DialTimeout))
 	}, c.options.Clock)
 	if err == nil {
 		c.adopt(conn)
--- a/internal/connection/carrier/dial.go
+++ b/internal/connection/carrier/dial.go
@@ -50,7 +50,7 @@
 
 // dial connects to the upstream for a call.
 func (c *Conn) dial(call Call) error {
-	conn, err := c.connect(call.Context, call)
+	conn, err := c.connect(call.Context, earlier(call.Deadline, c.options.Clock.Now().Add(call.DialTimeout)))
 	if err != nil {
 		return errors.Wrap(err, "connect")
 	}
@@ -58,10 +58,9 @@
 	return nil
 }
 
-// connect returns a network connection to the upstream. It takes at most the dial timeout
-// of the call and the time until its deadline.
-func (c *Conn) connect(ctx context.Context, call Call) (net.Conn, error) {
-	ctx, cancel := context.WithDeadline(ctx, earlier(call.Deadline, c.options.Clock.Now().Add(call.DialTimeout)))
+// connect returns a network connection to the upstream that is established by a deadline.
+func (c *Conn) connect(ctx context.Context, deadline time.Time) (net.Conn, error) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	dial := c.options.Dial
 	if dial == nil {
--- a/internal/connection/carrier/endless_test.go
+++ b/internal/connection/carrier/endless_test.go
@@ -105,6 +105,9 @@
 		if r.Ready {
 			u.ready <- struct{}{}
 		}
+		if r.Unconfirmed {
+			r.Conn.Confirm(false)
+		}
 		if r.Ended || r.Silent {
 			select {
 			case reports <- r:
--- a/internal/connection/carrier/late_test.go
+++ b/internal/connection/carrier/late_test.go
@@ -111,8 +111,11 @@
 	return time.Now()
 }
 
-// dial returns a connection whose read deadlines are times of the clock.
+// dial returns a connection whose read deadlines are times of the clock, as is that of ctx.
 func (c *starvedClock) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if until, ok := ctx.Deadline(); ok && !until.After(c.Now()) {
+		return nil, context.DeadlineExceeded
+	}
 	conn, err := Dialer().DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
@@ -126,15 +129,28 @@
 }
 
 func (c *starvedConn) SetReadDeadline(t time.Time) error {
-	if !t.IsZero() && !t.After(c.clock.Now()) {
-		t = time.Unix(1, 0)
+	if !t.IsZero() {
+		t = time.Now().Add(t.Sub(c.clock.Now()))
 	}
 	return c.TCPConn.SetReadDeadline(t)
 }
 
 // An answer that had arrived in time was given up without a look at it if the process
-// first came to read after the deadline.
+// first came to read after the deadline. One that ends with its connection was, since the
+// upstream was then connected to after the deadline, and taken for one that had ended.
 func TestAnswerThatArrivedBeforeFirstReadIsRelayed(t *testing.T) {
+	for _, c := range []struct{ name, answer string }{
+		{"stated length", "HTTP/1.1 413 Too Large\r\nContent-Length: 4\r\n\r\nfull"},
+		{"end of the connection", "HTTP/1.1 413 Too Large\r\n\r\nfull"},
+	} {
+		t.Run(c.name, func(t *testing.T) { assertLateAnswerIsRelayed(t, c.answer) })
+	}
+}
+
+// assertLateAnswerIsRelayed checks that a call relays an answer with the body "full" that is
+// read after the deadline of the call.
+func assertLateAnswerIsRelayed(t *testing.T, answer string) {
+	t.Helper()
 	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
@@ -147,7 +163,9 @@
 		}
 		_, _ = http.ReadRequest(bufio.NewReader(conn))
 		clock.answering.Store(true)
-		_, _ = io.WriteString(conn, "HTTP/1.1 413 Too Large\r\nContent-Length: 4\r\n\r\nfull")
+		_, _ = io.WriteString(conn, answer)
+		// Unlike Close, this does not reset the connection, whose request was not read.
+		_ = conn.(*net.TCPConn).CloseWrite()
 		close(clock.answered)
 	}()
 	u := &rawUpstream{address: l.Addr().String(), clock: clock, dial: clock.dial}
