State the length of each JSON answer

Callers: a completion, a list of models or a failure above 2 KB had no length.

Cause: writeJSON encoded into the ResponseWriter. net/http adds a length only if the whole body fits into its buffer of 2 KB.

Change: the object is encoded first and written with Content-Length.

--- a/internal/request/responder/error.go
+++ b/internal/request/responder/error.go
@@ -12,7 +12,7 @@
 	// ErrorOverrun means that the ring of replies was closed before the last
 	// reply, because the caller reads too slowly or the entry stopped.
 	ErrorOverrun
-	// ErrorEncoding means that an event could not be encoded as JSON.
+	// ErrorEncoding means that an event or an answer could not be encoded as JSON.
 	ErrorEncoding
 )
 
--- a/internal/request/responder/responder.go
+++ b/internal/request/responder/responder.go
@@ -391,10 +391,18 @@
 	return errorResponse{Error: errorDetails{Code: f.Code, Type: kind, Message: f.Message, Outcome: string(f.Outcome)}}
 }
 
+// writeJSON writes v with its length. Without one, a caller of HTTP/1.0 could not tell a part
+// of a large answer from the whole.
 func writeJSON(w http.ResponseWriter, status int, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return &Error{Op: "encode", Kind: ErrorEncoding, Err: err}
+	}
+	data = append(data, '\n')
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	w.WriteHeader(status)
-	if err := json.NewEncoder(w).Encode(v); err != nil {
+	if _, err := w.Write(data); err != nil {
 		return &Error{Op: "write", Kind: ErrorDisconnected, Err: err}
 	}
 	return nil
--- a/internal/request/responder/responder_test.go
+++ b/internal/request/responder/responder_test.go
@@ -1,10 +1,8 @@
 package responder
 
 import (
-	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -36,24 +34,11 @@
 // writtenResponse returns what a caller gets for a response of a service.
 func writtenResponse(t *testing.T, method, protocol string, r messenger.Response) *http.Response {
 	t.Helper()
-	is := is.New(t)
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+	return answerTo(t, method, protocol, func(w http.ResponseWriter, q *http.Request) {
 		replies := NewRing()
 		replies.Put(q.Context(), Reply{Kind: KindResponse, Response: &r})
 		_ = WriteResponse(q.Context(), w, replies)
-	}))
-	t.Cleanup(s.Close)
-	conn, err := net.Dial("tcp", s.Listener.Addr().String())
-	is.NoErr(err)
-	t.Cleanup(func() { _ = conn.Close() })
-	_, err = fmt.Fprintf(conn, "%s / %s\r\nHost: desk.example\r\n\r\n", method, protocol)
-	is.NoErr(err)
-	q, err := http.NewRequestWithContext(t.Context(), method, "/", nil)
-	is.NoErr(err)
-	resp, err := http.ReadResponse(bufio.NewReader(conn), q)
-	is.NoErr(err)
-	t.Cleanup(func() { _ = resp.Body.Close() })
-	return resp
+	})
 }
 
 // The first part of a response that its service would have ended with the connection got a
