Take a reset that a write of the agent got for a lost answer

Callers: a plain service that answers early without a length and is reset while the agent still writes the request (a large body, a crash) had its answer passed on as whole.

Cause: the kernel reports a reset to one call. net/http writes the request on a goroutine of its own; if that write gets the reset, the read of the answer finds an orderly end, which ends an answer without a length.

Change: reader.NewClient dials connections that keep a reset which a write got, and return it in place of the orderly end. EPIPE is no reset: the service had closed its side before. A write that is blocked at that moment is ended, since nobody awaits the rest of the request.

--- a/internal/process/starter/agent.go
+++ b/internal/process/starter/agent.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/fx"
 
+	"magnoliafront.dev/magnoliafront/internal/connection/reader"
 	"magnoliafront.dev/magnoliafront/internal/process/accessor"
 	"magnoliafront.dev/magnoliafront/internal/process/exchanger"
 	"magnoliafront.dev/magnoliafront/internal/process/executor"
@@ -21,7 +22,7 @@
 func newExecutor(lc fx.Lifecycle, s loader.Agent, c timer.Clock, rec *recorder.Recorder, e *exchanger.Exchanger) *executor.Executor {
 	x := executor.New(executor.Options{
 		Upstream: s.Upstream, URL: s.UpstreamURL, Clock: c, Recorder: rec, OnNewerRevision: e.HintRevision,
-		Client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		Client: reader.NewClient(),
 	})
 	lc.Append(fx.StopHook(x.Stop))
 	return x
