--- a/internal/connection/carrier/carrier.go
+++ b/internal/connection/carrier/carrier.go
@@ -28,6 +28,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"magnoliafront.dev/magnoliafront/internal/process/recoverer"
@@ -91,6 +92,9 @@
 	Stream    bool
 	Begun     bool
 	LastEvent string
+	// EndIfEmpty is true if another upstream had no event after LastEvent. If this one has
+	// none either, the stream was whole.
+	EndIfEmpty bool
 	// Classify classifies a response by its head. It must not read the body.
 	Classify func(*http.Response) Verdict
 	// DecodeNotice returns what the head of a response says about its upstream. It
@@ -153,6 +157,10 @@
 	// for the caller. It relays nothing until [Conn.PermitRelay] and is then no longer
 	// contested, or until its context is cancelled. Ended is false.
 	Ready bool
+	// Unconfirmed is true if a response has ended that only the end of its connection
+	// marks, and the upstream accepts no other connection, as Err says. The call waits for
+	// [Conn.Confirm]. Ended is false.
+	Unconfirmed bool
 
 	Outcome Outcome
 	// Status is the HTTP status of the response, if there was one. It is zero for
@@ -175,13 +183,18 @@
 	LongestPause time.Duration
 	// ErrorResponse is set for OutcomeFailed.
 	ErrorResponse relayer.Reply
+	// Empty is true if the response to a call that resumes a stream is a whole stream
+	// without an event after Call.LastEvent. The outcome is OutcomeFailed.
+	Empty bool
 	// ClosedByPeer is true if the upstream closed or reset the connection.
 	ClosedByPeer bool
 	Err          error
-	// Reusable is true if the connection can carry another call. KeepAliveTimeout
+	// Reusable is true if the connection can carry another call. Replaced is true if it is
+	// a new one, since that of the response has ended. KeepAliveTimeout
 	// is the time for which the upstream keeps it open while it is idle, zero if
 	// the response did not specify it.
 	Reusable         bool
+	Replaced         bool
 	KeepAliveTimeout time.Duration
 }
 
@@ -190,6 +203,8 @@
 	// Address is the IP address and port of the upstream.
 	Address string
 	Clock   timer.Clock
+	// Dial connects to Address. If it is nil, the connection is one of [Dialer].
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Report is called on the goroutine of the connection with the progress and
 	// the result of each call.
 	Report func(Report)
@@ -206,6 +221,12 @@
 	options Options
 	calls   *buffer.Ring[Call, buffer.Reject]
 	permits *buffer.Ring[struct{}, buffer.Reject]
+	// confirmations tell the call whether the upstream is still there.
+	confirmations *buffer.Ring[bool, buffer.Reject]
+	// socket is conn for other goroutines, which ask only whether it is open.
+	socket atomic.Pointer[net.Conn]
+	// confirming is true while the end of a response is confirmed.
+	confirming atomic.Bool
 
 	// The fields below are used only by the goroutine of the connection.
 	conn     net.Conn
@@ -226,6 +247,8 @@
 		options: o,
 		calls:   buffer.New[Call, buffer.Reject]("carrier_calls", 1),
 		permits: buffer.New[struct{}, buffer.Reject]("carrier_permits", 1),
+
+		confirmations: buffer.New[bool, buffer.Reject]("carrier_confirmations", 1),
 	}
 	go func() {
 		for {
@@ -261,6 +284,7 @@
 // ends with [OutcomeStale].
 func (c *Conn) closeConn() {
 	if c.conn != nil {
+		c.socket.Store(nil)
 		_ = c.conn.Close()
 		c.conn = nil
 	}
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -86,7 +86,7 @@
 		Request: a.ID, Attempt: a.Attempt, Context: ctx,
 		Head: f.options.Codec.Encode(t.job, a, a.Deadline.Sub(now)), Body: t.job.Body,
 		DialTimeout: a.DialTimeout, Deadline: a.Deadline.Add(dispatcher.DeadlineGrace), IdleTimeout: a.IdleTimeout,
-		Contested: a.Contested, Stream: a.Stream, Begun: a.Begun, LastEvent: a.LastEvent,
+		Contested: a.Contested, Stream: a.Stream, Begun: a.Begun, LastEvent: a.LastEvent, EndIfEmpty: a.EndIfEmpty,
 		Classify:     f.options.Codec.ClassifyResponse(a.ID), //nolint:bodyclose // the function reads only the head
 		DecodeNotice: f.options.Codec.DecodeNotice,
 		Replies:      t.job.Replies,
@@ -111,6 +111,7 @@
 			},
 		})
 	}
+	t.pool.busy[c] = struct{}{}
 	c.Send(t.call)
 }
 
@@ -118,6 +119,11 @@
 // attempt only return the connection to its pool, unless that attempt is suspended: it
 // may have a part of its answer, and must not be resumed once it has ended.
 func (f *Forwarder) handleReport(now time.Time, p *pool, r carrier.Report) {
+	p.observe(now, r)
+	if r.Unconfirmed {
+		p.confirm(r.Conn)
+		return
+	}
 	t := f.inFlight[r.Request]
 	current := t != nil && t.number == r.Attempt
 	suspended := t != nil && t.suspended != nil && t.suspended.number == r.Attempt
@@ -156,7 +162,7 @@
 	}
 	f.dispatch(now, dispatcher.Event{
 		Kind: dispatcher.EventEnded, ID: r.Request, Attempt: r.Attempt, Outcome: attemptOutcome(r),
-		Begun: r.Begun, LastEvent: r.LastEvent, Unresumable: r.Unresumable, Elapsed: r.Elapsed,
+		Begun: r.Begun, LastEvent: r.LastEvent, Unresumable: r.Unresumable, Elapsed: r.Elapsed, Empty: r.Empty,
 	})
 	f.cleanUpPool(p)
 }
