Test that answers of the own front end that break off do not look whole

Callers of the own front end who speak HTTP/1.0, with and without "Connection: keep-alive", get streams that end with their connection. When the entry was killed within one, or gave it up, the connection ended in an orderly way.

Answers of plain services (512 KB at most) could not be shown cut by a kill: an entry holds the whole before it writes, and the kernel took 500,000 bytes in one write from callers who did not read; it delivers them after the end of the process.

--- a/internal/process/server/server_test.go
+++ b/internal/process/server/server_test.go
@@ -7,13 +7,15 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
+	"magnoliafront.dev/magnoliafront/internal/connection/closer"
+	"magnoliafront.dev/magnoliafront/internal/process/drainer"
 	"magnoliafront.dev/magnoliafront/internal/process/recorder"
 	"magnoliafront.dev/magnoliafront/internal/process/router"
 	"magnoliafront.dev/magnoliafront/internal/request/decoder"
@@ -76,43 +78,73 @@
 }
 
 // An answer that broke off ended with its last chunk, and one of which nothing was
-// written became an empty answer with status 200, so that both looked complete.
+// written became an empty answer with status 200, so that both looked complete. Without
+// chunks it ended with its connection, like a complete one.
 func TestBrokenAnswerDoesNotLookComplete(t *testing.T) {
+	for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0", "HTTP/1.0 keep-alive"} {
+		for _, c := range []struct {
+			name, written string
+			unframed      bool
+			err           error
+		}{
+			{"nothing written", "", false, errors.New("broken")},
+			{"a part written", "data: x\n\n", false, errors.New("broken")},
+			{"a part without framing written", "data: x\n\n", true, errors.New("broken")},
+			{"whole answer", "data: [DONE]\n\n", false, nil},
+			{"whole answer without framing", "data: [DONE]\n\n", true, nil},
+		} {
+			t.Run(protocol+" "+c.name, func(t *testing.T) {
+				address := serveAnswer(t, func(s *Server, w http.ResponseWriter, req *http.Request) {
+					if c.unframed {
+						closer.EndWithConnection(req.Context(), w.Header())
+					}
+					if c.written != "" {
+						_, _ = w.Write([]byte(c.written))
+						_ = http.NewResponseController(w).Flush()
+					}
+					s.abandonOnError("r1", c.err)
+				})
+				is.New(t).Equal(readAnswer(t, address, protocol) == nil, c.err == nil)
+			})
+		}
+	}
+}
+
+// serveAnswer serves the answers that write writes, as [New] does, and returns its address.
+func serveAnswer(t *testing.T, write func(*Server, http.ResponseWriter, *http.Request)) string {
+	t.Helper()
 	rec := recorder.New(recorder.Options{Clock: timer.System{}})
-	defer rec.Stop()
+	t.Cleanup(rec.Stop)
 	r := router.New(router.Options{Clock: timer.System{}, Recorder: rec})
-	defer r.Stop()
+	t.Cleanup(r.Stop)
 	s := &Server{options: Options{Router: r}}
-	for _, c := range []struct {
-		name, written string
-		err           error
-		complete      bool
-	}{
-		{"nothing written", "", errors.New("broken"), false},
-		{"a part written", "data: x\n\n", errors.New("broken"), false},
-		{"whole answer", "data: [DONE]\n\n", nil, true},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				if c.written != "" {
-					_, _ = w.Write([]byte(c.written))
-					_ = http.NewResponseController(w).Flush()
-				}
-				s.abandonOnError("r1", c.err)
-			}))
-			defer h.Close()
-			is := is.New(t)
-			conn, err := net.Dial("tcp", h.Listener.Addr().String())
-			is.NoErr(err)
-			defer func() { _ = conn.Close() }()
-			_, err = fmt.Fprint(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: desk\r\nContent-Length: 0\r\n\r\n")
-			is.NoErr(err)
-			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-			if err == nil {
-				_, err = io.ReadAll(resp.Body)
-				_ = resp.Body.Close()
-			}
-			is.Equal(err == nil, c.complete)
-		})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	h := http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { write(s, w, req) })
+	d := drainer.Serve(&http.Server{Handler: h}, l)
+	t.Cleanup(func() { _ = d.Stop(context.Background()) })
+	return l.Addr().String()
+}
+
+// readAnswer sends a request and returns the error with which its answer ends, if any. A
+// protocol of "HTTP/1.0 keep-alive" asks for a connection that stays open.
+func readAnswer(t *testing.T, address, protocol string) error {
+	t.Helper()
+	is := is.New(t)
+	conn, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	version, connection, _ := strings.Cut(protocol, " ")
+	if connection != "" {
+		connection = "Connection: " + connection + "\r\n"
+	}
+	_, err = fmt.Fprintf(conn, "POST /v1/chat/completions %s\r\nHost: desk\r\n%sContent-Length: 0\r\n\r\n", version, connection)
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return err
 	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.ReadAll(resp.Body)
+	return err
 }
