Check that a plain service is there at the end of an unframed response

Callers: a plain service that was killed within a response without a length or chunks left a part of it, which the agent passed on as the whole, and which was stored with an idempotency key and replayed as the answer.

Cause: only the end of the connection marks the end of such a response, and the kernel ends the connections of a killed process in the same orderly way.

Change: at the end of such a response the reader connects to the service again (prober, as in the gateway). If the service accepts the connection and keeps it open, the response is whole. If not, the reader asks the executor, which knows the agent's other calls: a process that ends has ended them all, one in a planned stop goes on with them. A service that has ended counts as lost within its response, so that the call is repeated where it may be, else its outcome is unknown, and its key stays claimed.

What it cannot tell: a service that lives and gives up one response; whether the last response of a stopping service was finished, which counts as lost; and a service that listens again within a few milliseconds.

--- a/internal/connection/reader/cut_test.go
+++ b/internal/connection/reader/cut_test.go
@@ -62,7 +62,7 @@
 		for _, end := range [...]string{"closed", "reset"} {
 			path := fmt.Sprintf("/%d/%s", k, end)
 			events := make(chan Event, 1)
-			NewService(client, url, Job{Key: scheduler.Key{Request: "r"}, Call: &messenger.Call{Method: http.MethodPost, Path: path}}, func(e Event) { events <- e })
+			NewService(client, timer.System{}, url, Job{Key: scheduler.Key{Request: "r"}, Call: &messenger.Call{Method: http.MethodPost, Path: path}}, func(e Event) { events <- e })
 			e := <-events
 			if e.Kind != EventResponse {
 				is.New(t).Equal(e.Kind, EventLost) // event of path
--- a/internal/connection/reader/reader.go
+++ b/internal/connection/reader/reader.go
@@ -31,12 +31,14 @@
 	"net/http"
 	"net/http/httptrace"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
 	"magnoliafront.dev/magnoliafront/internal/process/scheduler"
+	"magnoliafront.dev/magnoliafront/pkg/buffer"
 	"magnoliafront.dev/magnoliafront/pkg/timer"
 )
 
@@ -86,6 +88,10 @@
 	// EventLost means that the answer is incomplete, malformed or missing. The
 	// upstream may have run the request.
 	EventLost
+	// EventUnconfirmed asks whether the upstream, which accepts no connections, is still
+	// there. The response ends with its connection, so that the end of the upstream would
+	// look like that of the response. [Reader.Confirm] answers it.
+	EventUnconfirmed
 	// EventSilent follows an EventLost if the upstream accepts connections but does not
 	// answer.
 	EventSilent
@@ -118,33 +124,46 @@
 // Reader performs one request.
 type Reader struct {
 	client *http.Client
+	clock  timer.Clock
 	url    string
 	job    Job
 	emit   func(Event)
 	cancel context.CancelFunc
+	// confirmations receives the answers to EventUnconfirmed.
+	confirmations *buffer.Ring[bool, buffer.Reject]
+	// socket is the connection of a call of a plain service, nil while there is none.
+	// confirming is true while its end is checked.
+	socket     atomic.Pointer[net.Conn]
+	confirming atomic.Bool
+}
+
+func newReader(client *http.Client, c timer.Clock, url string, job Job, emit func(Event)) (*Reader, context.Context) {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Reader{
+		client: client, clock: c, url: url, job: job, emit: emit, cancel: cancel,
+		confirmations: buffer.New[bool, buffer.Reject]("reader_confirmations", 1),
+	}, ctx
 }
 
 // NewEngine starts a request to the model engine at url. The last event of the request is
 // EventFinished, EventRejected or EventLost.
 func NewEngine(client *http.Client, c timer.Clock, url string, job Job, emit func(Event)) *Reader {
-	ctx, cancel := context.WithCancel(context.Background())
-	r := &Reader{client: client, url: url, job: job, emit: emit, cancel: cancel}
+	r, ctx := newReader(client, c, url, job, emit)
 	go func() {
-		defer cancel()
-		if err := r.streamWithStallTimeout(ctx, c); err != nil {
+		defer r.cancel()
+		if err := r.streamWithStallTimeout(ctx); err != nil {
 			r.emitFailure(ctx, err)
 		}
 	}()
 	return r
 }
 
-// NewService starts a request to the plain service at url. It emits exactly one
-// event about it: EventResponse, EventRejected or EventLost.
-func NewService(client *http.Client, url string, job Job, emit func(Event)) *Reader {
-	ctx, cancel := context.WithCancel(context.Background())
-	r := &Reader{client: client, url: url, job: job, emit: emit, cancel: cancel}
+// NewService starts a request to the plain service at url. Its events are any number of
+// EventUnconfirmed, and then one of EventResponse, EventRejected or EventLost.
+func NewService(client *http.Client, c timer.Clock, url string, job Job, emit func(Event)) *Reader {
+	r, ctx := newReader(client, c, url, job, emit)
 	go func() {
-		defer cancel()
+		defer r.cancel()
 		if err := r.callService(ctx); err != nil {
 			r.emitFailure(ctx, err)
 		}
@@ -225,13 +244,13 @@
 // streamWithStallTimeout runs streamCompletion and cancels it if no line arrives
 // for stallTimeout. An engine that hangs keeps its connections open, so that the
 // read alone would not fail.
-func (r *Reader) streamWithStallTimeout(ctx context.Context, c timer.Clock) error {
+func (r *Reader) streamWithStallTimeout(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	progress, stalled := make(chan struct{}, 1), make(chan struct{})
 	go func() {
 		for {
-			wake, stop := c.After(stallTimeout)
+			wake, stop := r.clock.After(stallTimeout)
 			select {
 			case <-progress:
 				stop()
@@ -343,24 +362,27 @@
 	if len(data) > maxResponseBytes {
 		return &Error{Op: "read", Kind: ErrorMalformed, Err: errors.Errorf("response over %d bytes", maxResponseBytes)}
 	}
+	closeDelimited := isCloseDelimited(resp)
+	if closeDelimited {
+		if err := r.confirmEnd(ctx); err != nil {
+			return &Error{Op: "read", Kind: ErrorBroken, Err: err}
+		}
+	}
 	r.emitEvent(Event{Kind: EventResponse, Response: &messenger.Response{
-		Status: resp.StatusCode, Header: resp.Header, Body: data, CloseDelimited: isCloseDelimited(resp),
+		Status: resp.StatusCode, Header: resp.Header, Body: data, CloseDelimited: closeDelimited,
 	}})
 	return nil
 }
 
-// isCloseDelimited reports whether the end of a response is marked only by the end of the
-// connection. A compressed response that net/http has decompressed marks its own end.
-func isCloseDelimited(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed
-}
-
 // sendOnce sends req without retries. The error has the kind [ErrorUnreachable]
 // if no connection was established, so that no byte was sent. Redirects are
 // returned to the caller, since following one would be a second call.
 func (r *Reader) sendOnce(req *http.Request) (*http.Response, error) {
 	kind := ErrorUnreachable
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { kind = ErrorBroken }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		kind = ErrorBroken
+		r.follow(info.Conn)
+	}}
 	client := *r.client
 	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	resp, err := client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
--- a/internal/connection/reader/replay_test.go
+++ b/internal/connection/reader/replay_test.go
@@ -77,7 +77,7 @@
 	is := is.New(t)
 	is.NoErr(ping(t.Context(), client, url, probeTimeout))
 	events := make(chan Event, 1)
-	NewService(client, url, Job{Call: &messenger.Call{Method: http.MethodPost, Path: "/hold"}}, func(e Event) { events <- e })
+	NewService(client, timer.System{}, url, Job{Call: &messenger.Call{Method: http.MethodPost, Path: "/hold"}}, func(e Event) { events <- e })
 	e := <-events
 	is.Equal(e.Kind, EventResponse)
 	is.Equal(e.Response.Status, http.StatusOK)
--- a/internal/connection/reader/reset_test.go
+++ b/internal/connection/reader/reset_test.go
@@ -14,6 +14,7 @@
 
 	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
 	"magnoliafront.dev/magnoliafront/internal/process/scheduler"
+	"magnoliafront.dev/magnoliafront/pkg/timer"
 )
 
 const (
@@ -64,7 +65,7 @@
 	for i := range resetTries {
 		events := make(chan Event, 2)
 		call := &messenger.Call{Method: http.MethodPost, Path: "/holds", Body: body}
-		NewService(client, url, Job{Key: scheduler.Key{Request: fmt.Sprint("r", i)}, Call: call}, func(e Event) { events <- e })
+		NewService(client, timer.System{}, url, Job{Key: scheduler.Key{Request: fmt.Sprint("r", i)}, Call: call}, func(e Event) { events <- e })
 		if e := <-events; e.Kind == EventResponse {
 			answered++
 		}
--- a/internal/process/executor/executor_test.go
+++ b/internal/process/executor/executor_test.go
@@ -83,25 +83,33 @@
 
 func newEngineFixture(t *testing.T, u descriptor.Upstream) *engineFixture {
 	t.Helper()
-	is := is.New(t)
 	b := &engineFixture{
 		t: t, clock: timer.NewManual(time.Unix(1000, 0)), engine: &scriptedEngine{make(chan struct{}), make(chan int, 10), make(chan string), make(chan struct{}, 10)},
 		frames: make(chan messenger.Frame, 100), notices: make(chan struct{}, 100), pending: map[string][]messenger.Frame{},
 	}
 	server := httptest.NewServer(b.engine)
 	t.Cleanup(server.Close)
-	rec := recorder.New(recorder.Options{Clock: b.clock})
-	t.Cleanup(rec.Stop)
-	x := New(Options{Upstream: "u", URL: server.URL, Client: server.Client(), Clock: b.clock, Recorder: rec})
+	b.entry = startExecutor(t, Options{Upstream: "u", URL: server.URL, Client: server.Client(), Clock: b.clock}, u, b.handle)
+	return b
+}
+
+// startExecutor starts an executor for the upstream u and returns the connection of an entry
+// to it, whose messages go to handle.
+func startExecutor(t *testing.T, o Options, u descriptor.Upstream, handle messenger.Handler) *messenger.Conn {
+	t.Helper()
+	is := is.New(t)
+	o.Recorder = recorder.New(recorder.Options{Clock: o.Clock})
+	t.Cleanup(o.Recorder.Stop)
+	x := New(o)
 	t.Cleanup(x.Stop)
 	a, err := acceptor.New("127.0.0.1:0", messenger.Options{}, acceptor.Routes{"": x.Handle, messenger.MethodSubmit: x.Handle, messenger.MethodNotice: x.Handle})
 	is.NoErr(err)
 	t.Cleanup(a.Stop)
-	b.entry, err = messenger.Dial(t.Context(), a.Address(), messenger.Options{Handle: b.handle})
+	entry, err := messenger.Dial(t.Context(), a.Address(), messenger.Options{Handle: handle})
 	is.NoErr(err)
-	t.Cleanup(func() { b.entry.Close() })
+	t.Cleanup(func() { entry.Close() })
 	x.Apply(&compiler.Snapshot{Upstreams: map[string]descriptor.Upstream{"u": u}})
-	return b
+	return entry
 }
 
 func (b *engineFixture) handle(_ *messenger.Conn, m messenger.Message) (any, error) {
--- a/internal/process/executor/run.go
+++ b/internal/process/executor/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
+	"magnoliafront.dev/magnoliafront/internal/connection/prober"
 	"magnoliafront.dev/magnoliafront/internal/connection/reader"
 	"magnoliafront.dev/magnoliafront/internal/process/estimator"
 	"magnoliafront.dev/magnoliafront/internal/process/scheduler"
@@ -170,7 +171,7 @@
 		x.input.Put(context.Background(), event{kind: eventReader, reader: e})
 	}
 	if r.submit.Call != nil {
-		r.reader = reader.NewService(x.options.Client, x.options.URL, job, emit)
+		r.reader = reader.NewService(x.options.Client, x.options.Clock, x.options.URL, job, emit)
 		return
 	}
 	r.reader = reader.NewEngine(x.options.Client, x.options.Clock, x.options.URL, job, emit)
@@ -235,6 +236,8 @@
 		x.forwardTokens(r, e)
 		x.stepScheduler(scheduler.Event{Kind: scheduler.EventAdvanced, Key: e.Key, Tokens: len(e.Tokens)})
 		return
+	case reader.EventUnconfirmed:
+		r.reader.Confirm(prober.IsThere(x.evidenceBeside(e.Key)))
 	case reader.EventResponse:
 		x.endRun(e.Key, r, tracer.KindFinished, "", messenger.Frame{Kind: messenger.FrameResponse, Response: e.Response})
 	case reader.EventFinished:
@@ -254,6 +257,23 @@
 	}
 }
 
+// evidenceBeside returns what the calls beside that of a run show of the upstream.
+func (x *Executor) evidenceBeside(k scheduler.Key) prober.Evidence {
+	var e prober.Evidence
+	for other, r := range x.runs {
+		if other == k || r.reader == nil {
+			continue
+		}
+		switch open, ended := r.reader.State(); {
+		case open:
+			e.Open++
+		case ended:
+			e.Ended++
+		}
+	}
+	return e
+}
+
 func (x *Executor) forwardTokens(r *run, e reader.Event) {
 	if r.nextToken == r.submit.ResumeFrom {
 		x.trace(tracer.KindFirstToken, e.Key, r, "")
