Count an engine that ends within a line of its stream as crashed

Callers: content that crashes engines got no strike if the engine ended within a line of its stream, so that it crashed more of them before it was quarantined.

Cause: the scanner hands out the rest of a stream as a line when the connection ends. It was decoded, and the failure reported as a malformed event, which is no crash.

Change: a line without its end is dropped, unless it is "data: [DONE]", and the attempt is lost by the end of its connection. No stream without [DONE] was or is finished (TestCutStreamOfEngineIsNotFinished).

--- a/internal/connection/reader/cut_test.go
+++ b/internal/connection/reader/cut_test.go
@@ -122,3 +122,24 @@
 		})
 	}
 }
+
+// An engine that crashed within a line of its stream counted as one that had sent a malformed
+// event, so that the content that crashed it got no strike.
+func TestEngineEndedWithinLineHasCrashed(t *testing.T) {
+	const stream = "data: {\"choices\":[{\"delta\":{\"content\":\"x\"}}]}\n\ndata: [DONE]\n\n"
+	const head = "HTTP/1.1 200 OK\r\n\r\n"
+	url, client := cuttingUpstream(t, head+stream), newClient(t)
+	for k := len(head); k < len(head)+strings.Index(stream, "[DONE]"); k++ {
+		for _, end := range [...]string{"closed", "reset"} {
+			events := make(chan Event, 8)
+			NewEngine(client, timer.System{}, fmt.Sprintf("%s/%d/%s", url, k, end), Job{Body: []byte(`{}`)}, func(e Event) { events <- e })
+			last := <-events
+			for last.Kind == EventTokens {
+				last = <-events
+			}
+			if last.Kind != EventLost || !last.Crashed {
+				t.Errorf("%s after %d bytes of the stream: event %d, crashed %t, %v", end, k-len(head), last.Kind, last.Crashed, last.Err)
+			}
+		}
+	}
+}
--- a/internal/connection/reader/events.go
+++ b/internal/connection/reader/events.go
@@ -10,6 +10,9 @@
 	"github.com/go-faster/errors"
 )
 
+// doneLine ends an answer.
+const doneLine = "data: [DONE]"
+
 // chunk holds the fields of a chat completion chunk that the reader uses.
 type chunk struct {
 	Choices []struct {
@@ -43,6 +46,10 @@
 	lines.Split(func(data []byte, atEOF bool) (int, []byte, error) {
 		n, line, err := bufio.ScanLines(data, atEOF)
 		lineWaits = bytes.IndexByte(data[n:], '\n') >= 0
+		if isCutLine(data, n) && string(line) != doneLine {
+			// The engine has ended within it, which is not an invalid event.
+			return n, nil, nil
+		}
 		return n, line, err
 	})
 	a := answer{next: r.job.ResumeFrom}
@@ -69,6 +76,9 @@
 	return &Error{Op: "read", Kind: ErrorBroken, Err: io.ErrUnexpectedEOF}
 }
 
+// isCutLine reports whether the first n bytes of data are a line without its end.
+func isCutLine(data []byte, n int) bool { return n > 0 && data[n-1] != '\n' }
+
 // emitTokens emits the tokens that have been read and not emitted.
 func (r *Reader) emitTokens(a *answer) {
 	if len(a.tokens) == 0 {
@@ -80,12 +90,12 @@
 
 // readLine reads a line of the event stream.
 func (a *answer) readLine(line string) error {
-	data, ok := strings.CutPrefix(line, "data: ")
-	if !ok {
+	if line == doneLine {
+		a.done = true
 		return nil
 	}
-	if data == "[DONE]" {
-		a.done = true
+	data, ok := strings.CutPrefix(line, "data: ")
+	if !ok {
 		return nil
 	}
 	var c chunk
