Confirm the end of a failure without length and chunks

Cause: relayComplete confirmed the end only of what it relays itself. The body of a failure is passed on by the dispatcher, and was taken for whole.

Evidence: an answer with status 500 of an upstream that ends (now TestFailureCutOffByEndOfUpstreamIsLost) had OutcomeFailed before the change, and has OutcomeLost.

Change: the end of each buffered answer is confirmed. A lost failure counts as the loss of its upstream, like any other lost answer.

--- a/internal/connection/carrier/confirm_test.go
+++ b/internal/connection/carrier/confirm_test.go
@@ -136,6 +136,14 @@
 	}
 }
 
+// A part of a failure was taken for the whole, and forwarded as such where no other upstream
+// may get the request.
+func TestFailureCutOffByEndOfUpstreamIsLost(t *testing.T) {
+	k := newConfirmingConn(t, newEndingUpstream(t, "HTTP/1.1 500 Failed\r\n\r\nout of", true), false)
+	r, _ := k.call(t, false)
+	is.New(t).Equal(r.Outcome, OutcomeLost)
+}
+
 // Answers of an upstream that goes on must not be cut off.
 func TestAnswerOfUpstreamThatIsThereIsWhole(t *testing.T) {
 	for _, a := range unframedAnswers {
--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -291,12 +291,8 @@
 	if !whole {
 		return c.relayOversized(a, resp, body)
 	}
-	// A caller that has received a part of a stream cannot get another response.
-	failed := resp.StatusCode >= http.StatusInternalServerError || a.begun
-	if !failed {
-		if err := c.confirmEnd(a, resp); err != nil {
-			return c.classifyError(a, err)
-		}
+	if err := c.confirmEnd(a, resp); err != nil {
+		return c.classifyError(a, err)
 	}
 	reply := a.reserveFor(relayer.Reply{
 		Kind: relayer.KindComplete, Status: resp.StatusCode, Header: resp.Header, CloseDelimited: isCloseDelimited(resp), Bytes: body,
@@ -304,7 +300,8 @@
 	r := a.newReport(OutcomeAnswered, nil)
 	r.Status = resp.StatusCode
 	r.Elapsed = c.options.Clock.Now().Sub(a.start)
-	if failed {
+	if resp.StatusCode >= http.StatusInternalServerError || a.begun {
+		// A caller that has received a part of a stream cannot get another response.
 		r.Outcome, r.ErrorResponse = OutcomeFailed, reply
 	} else if !a.relay(reply) {
 		r.Outcome = OutcomeCancelled
