Do not count a probe as a part of the time of an answer

The picker and the metrics learn how busy an upstream is from the time of its buffered answers. Those without a length or chunks seemed 50 ms slower, the time for which the probe watches the new connection.

TestProbeIsNoPartOfTheTimeOfAnAnswer fails with the former place of the measurement and passes.

--- a/internal/connection/carrier/confirm_test.go
+++ b/internal/connection/carrier/confirm_test.go
@@ -144,6 +144,17 @@
 	is.New(t).Equal(r.Outcome, OutcomeLost)
 }
 
+// The time of a probe was counted as that of the answer, so that the upstream seemed busier.
+func TestProbeIsNoPartOfTheTimeOfAnAnswer(t *testing.T) {
+	const text = "HTTP/1.1 200 OK\r\n\r\nhold 12"
+	k := newConfirmingConn(t, newEndingUpstream(t, text, false), false)
+	start := time.Now()
+	r, _ := k.call(t, false)
+	is := is.New(t)
+	is.True(r.Elapsed > 0)
+	is.True(time.Since(start)-r.Elapsed >= prober.Waits()[1])
+}
+
 // Answers of an upstream that goes on must not be cut off.
 func TestAnswerOfUpstreamThatIsThereIsWhole(t *testing.T) {
 	for _, a := range unframedAnswers {
--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -291,6 +291,8 @@
 	if !whole {
 		return c.relayOversized(a, resp, body)
 	}
+	// The time of the answer tells how busy its upstream is, and not how long a probe takes.
+	elapsed := c.options.Clock.Now().Sub(a.start)
 	if err := c.confirmEnd(a, resp); err != nil {
 		return c.classifyError(a, err)
 	}
@@ -299,7 +301,7 @@
 	})
 	r := a.newReport(OutcomeAnswered, nil)
 	r.Status = resp.StatusCode
-	r.Elapsed = c.options.Clock.Now().Sub(a.start)
+	r.Elapsed = elapsed
 	if resp.StatusCode >= http.StatusInternalServerError || a.begun {
 		// A caller that has received a part of a stream cannot get another response.
 		r.Outcome, r.ErrorResponse = OutcomeFailed, reply
