Share the confirmation of an end between the gateway and the agent

The connection to an upstream, its state and the two looks at the other connections stood in carrier and in reader. prober.Socket has them now. No behaviour changes.

--- a/internal/connection/carrier/carrier.go
+++ b/internal/connection/carrier/carrier.go
@@ -28,9 +28,9 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
+	"magnoliafront.dev/magnoliafront/internal/connection/prober"
 	"magnoliafront.dev/magnoliafront/internal/process/recoverer"
 	"magnoliafront.dev/magnoliafront/internal/request/relayer"
 	"magnoliafront.dev/magnoliafront/pkg/buffer"
@@ -223,10 +223,8 @@
 	permits *buffer.Ring[struct{}, buffer.Reject]
 	// confirmations tell the call whether the upstream is still there.
 	confirmations *buffer.Ring[bool, buffer.Reject]
-	// socket is conn for other goroutines, which ask only whether it is open.
-	socket atomic.Pointer[net.Conn]
-	// confirming is true while the end of a response is confirmed.
-	confirming atomic.Bool
+	// socket is conn for other goroutines, which ask only for its state.
+	socket prober.Socket
 
 	// The fields below are used only by the goroutine of the connection.
 	conn     net.Conn
@@ -284,7 +282,7 @@
 // ends with [OutcomeStale].
 func (c *Conn) closeConn() {
 	if c.conn != nil {
-		c.socket.Store(nil)
+		c.socket.Set(nil)
 		_ = c.conn.Close()
 		c.conn = nil
 	}
--- a/internal/connection/carrier/confirm_test.go
+++ b/internal/connection/carrier/confirm_test.go
@@ -197,8 +197,10 @@
 		{"closed", errors.New("closed"), false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			dial := func(context.Context) (net.Conn, error) { return nil, c.err }
+			_, err := new(prober.Socket).Confirm(t.Context(), timer.System{}, dial, func(error) (there, ok bool) { return false, true })
 			a := &attempt{sent: 1, call: Call{Context: t.Context()}}
-			r := new(Conn).classifyError(a, unconfirmedError(c.err))
+			r := new(Conn).classifyError(a, err)
 			is := is.New(t)
 			is.Equal(r.Outcome, OutcomeLost)
 			is.Equal(r.ClosedByPeer, c.closedByPeer)
--- a/internal/connection/prober/prober.go
+++ b/internal/connection/prober/prober.go
@@ -18,10 +18,17 @@
 //
 // # Usage
 //
-//	conn, err := prober.Probe(ctx, dial, clock)
-//	if !prober.IsThere(prober.Evidence{Accepts: err == nil, Open: open, Ended: ended}) {
+//	var s prober.Socket
+//	s.Set(conn)
+//	// the upstream ends conn at the end of an answer
+//	next, err := s.Confirm(ctx, clock, dial, ask)
+//	if err != nil {
 //		// the answer was cut off
 //	}
+//
+// The owner of all connections to the upstream is asked:
+//
+//	there := prober.IsThere(prober.Evidence{Open: open, Ended: ended})
 package prober
 
 import (
@@ -82,9 +89,12 @@
 // the last look shows that it is there. Any of them may show that it is not.
 func Waits() []time.Duration { return []time.Duration{firstLook, closeSkew} }
 
-// Probe connects with dial, which bounds the time of one try. It returns the connection, or
+// Dial connects to an upstream. It bounds the time of one try.
+type Dial func(context.Context) (net.Conn, error)
+
+// Probe connects with dial. It returns the connection, or
 // nil if the upstream does not accept one or does not keep it open.
-func Probe(ctx context.Context, dial func(context.Context) (net.Conn, error), c timer.Clock) (net.Conn, error) {
+func Probe(ctx context.Context, dial Dial, c timer.Clock) (net.Conn, error) {
 	var last error
 	for range maxDials {
 		conn, err := dial(ctx)
--- a/internal/connection/reader/reader.go
+++ b/internal/connection/reader/reader.go
@@ -31,12 +31,12 @@
 	"net/http"
 	"net/http/httptrace"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
+	"magnoliafront.dev/magnoliafront/internal/connection/prober"
 	"magnoliafront.dev/magnoliafront/internal/process/scheduler"
 	"magnoliafront.dev/magnoliafront/pkg/buffer"
 	"magnoliafront.dev/magnoliafront/pkg/timer"
@@ -131,10 +131,8 @@
 	cancel context.CancelFunc
 	// confirmations receives the answers to EventUnconfirmed.
 	confirmations *buffer.Ring[bool, buffer.Reject]
-	// socket is the connection of a call of a plain service, nil while there is none.
-	// confirming is true while its end is checked.
-	socket     atomic.Pointer[net.Conn]
-	confirming atomic.Bool
+	// socket is the connection of a call of a plain service.
+	socket prober.Socket
 }
 
 func newReader(client *http.Client, c timer.Clock, url string, job Job, emit func(Event)) (*Reader, context.Context) {
