Do not trust that a stopping upstream finishes its last answer

Others were cut though they were whole, if answers of such an upstream ended one after the other.

Cause: once an upstream was known to go on after it had refused connections, no other connection was needed beside the last answer. And each connection whose end was being checked counted as one that had ended with it, for 55 ms or more.

Change: a connection that is open after 50 ms must show that the upstream is there, whatever it did before. Only connections that ended within 50 ms of each other count against it, as the kernel closes those of a process.

--- a/internal/connection/carrier/carrier.go
+++ b/internal/connection/carrier/carrier.go
@@ -218,13 +218,13 @@
 
 // Conn is a connection to an upstream.
 type Conn struct {
+	// Socket is the network connection for other goroutines, which ask only for its state.
+	Socket  prober.Socket
 	options Options
 	calls   *buffer.Ring[Call, buffer.Reject]
 	permits *buffer.Ring[struct{}, buffer.Reject]
 	// confirmations tell the call whether the upstream is still there.
 	confirmations *buffer.Ring[bool, buffer.Reject]
-	// socket is conn for other goroutines, which ask only for its state.
-	socket prober.Socket
 
 	// The fields below are used only by the goroutine of the connection.
 	conn     net.Conn
@@ -282,7 +282,7 @@
 // ends with [OutcomeStale].
 func (c *Conn) closeConn() {
 	if c.conn != nil {
-		c.socket.Set(nil)
+		c.Socket.Set(nil)
 		_ = c.conn.Close()
 		c.conn = nil
 	}
--- a/internal/connection/carrier/confirm.go
+++ b/internal/connection/carrier/confirm.go
@@ -17,7 +17,7 @@
 	}
 	// It frees a descriptor of this process and a place at the upstream.
 	c.closeConn()
-	conn, err := c.socket.Confirm(a.call.Context, c.options.Clock, func(ctx context.Context) (net.Conn, error) {
+	conn, err := c.Socket.Confirm(a.call.Context, c.options.Clock, func(ctx context.Context) (net.Conn, error) {
 		// The deadline of the call may have passed, and the answer have arrived in time.
 		return c.connect(ctx, c.options.Clock.Now().Add(a.call.DialTimeout))
 	}, func(err error) (there, ok bool) { return c.askOwner(a, err) })
@@ -41,14 +41,10 @@
 // there.
 func (c *Conn) Confirm(there bool) { c.confirmations.Put(context.Background(), there) }
 
-// State returns whether the network connection is established, and whether the upstream has
-// ended it; see [prober.Socket.State].
-func (c *Conn) State() (open, ended bool) { return c.socket.State() }
-
 // adopt makes conn the network connection of c.
 func (c *Conn) adopt(conn net.Conn) {
 	c.conn, c.received = conn, &limitedConn{Conn: conn}
 	c.reader = bufio.NewReaderSize(c.received, readBufferBytes)
 	c.refused = nil
-	c.socket.Set(conn)
+	c.Socket.Set(conn)
 }
--- a/internal/connection/closer/closer.go
+++ b/internal/connection/closer/closer.go
@@ -85,12 +85,12 @@
 	// handled is true while a handler runs that has not taken the connection over. Nobody
 	// else should close the connection meanwhile.
 	handled bool
-	// unframed is true while only the close of the connection marks the end of the
-	// answer, and whole once that answer has ended. See [Guard]. cutOff is true once the
-	// connection is closed whatever is in flight on it.
-	unframed bool
-	whole    bool
-	cutOff   bool
+	// unframed is true while only the close of the connection may mark the end of the
+	// answer, and handlerReturned once its handler has. See [Guard]. cutOff is true once
+	// the connection is closed whatever is in flight on it.
+	unframed        bool
+	handlerReturned bool
+	cutOff          bool
 }
 
 // Read reads from the connection. If the deadline passes while it is idle, as on a draining
--- a/internal/connection/closer/guard.go
+++ b/internal/connection/closer/guard.go
@@ -19,7 +19,7 @@
 // any close before the handler returns resets the connection: one by the server, after a
 // panic of the handler, and by the kernel when the process ends. The caller cannot take the
 // part that it has for the whole then. Answers to requests of HTTP/1.0 are guarded from the
-// start, others from [EndWithConnection] on.
+// start, also those with a length, others from [EndWithConnection] on.
 func Guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		c, ok := connOf(req.Context())
@@ -63,16 +63,16 @@
 func (c *Conn) beginUnframedAnswer() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unframed, c.whole = true, false
+	c.unframed, c.handlerReturned = true, false
 	c.setLinger(0)
 }
 
-// endAnswer marks the answer as whole. The rest of it may still be in the buffer of the
+// endAnswer notes that the handler has returned. The rest of the answer may still be in the buffer of the
 // server, so that a process that ends resets the connection until it is closed or idle.
 func (c *Conn) endAnswer() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.whole = true
+	c.handlerReturned = true
 }
 
 // CutOff announces that the connection will be closed, whatever is in flight on it. The end
@@ -86,7 +86,7 @@
 // unguard makes the next close an orderly one if the answer has ended. The caller holds the
 // lock.
 func (c *Conn) unguard() {
-	if c.unframed && c.whole && !c.cutOff {
+	if c.unframed && c.handlerReturned && !c.cutOff {
 		c.unframed = false
 		c.setLinger(-1)
 	}
--- a/internal/connection/prober/prober.go
+++ b/internal/connection/prober/prober.go
@@ -28,7 +28,9 @@
 //
 // The owner of all connections to the upstream is asked:
 //
-//	there := prober.IsThere(prober.Evidence{Open: open, Ended: ended})
+//	var e prober.Evidence
+//	e.Add(&s, &other)
+//	there := prober.IsThere(e)
 package prober
 
 import (
@@ -50,19 +52,21 @@
 	// Open and Ended count the other connections on which it is answering requests: those
 	// that are open, and those that it has ended at about the same time.
 	Open, Ended int
-	// Finishing is true if it has gone on with answers after it had refused connections.
-	Finishing bool
 }
 
 // IsThere decides whether the process of an upstream is still there. One that does not
 // accept connections is if it has kept most of the others open: a process that ends, ends
-// all of them. If it is known to finish its answers, one is enough, and there is none beside
-// the last one.
-func IsThere(e Evidence) bool {
-	if e.Finishing {
-		return e.Accepts || e.Open > 0 || e.Ended == 0
+// all of them. The last answer of a planned stop looks like one that was cut off.
+func IsThere(e Evidence) bool { return e.Accepts || e.Open > e.Ended }
+
+// Add adds what the connection other shows after the end of the connection s.
+func (e *Evidence) Add(s, other *Socket) {
+	switch {
+	case other.isOpen():
+		e.Open++
+	case other.hasEndedWith(s):
+		e.Ended++
 	}
-	return e.Accepts || e.Open > e.Ended
 }
 
 const (
@@ -77,13 +81,6 @@
 	firstLook = 5 * time.Millisecond
 )
 
-// IsFinishing decides whether an upstream finishes its answers in a planned stop: it has
-// made progress with one at a time at which a process that ended when it refused a
-// connection would have closed all others.
-func IsFinishing(refused, progress time.Time) bool {
-	return !refused.IsZero() && progress.Sub(refused) > closeSkew
-}
-
 // Waits are the times after which the other connections of an upstream that accepts none
 // should be looked at. Those of a process that ends may be open for a moment, so that only
 // the last look shows that it is there. Any of them may show that it is not.
--- a/internal/connection/prober/socket.go
+++ b/internal/connection/prober/socket.go
@@ -20,8 +20,10 @@
 // Socket is a connection to an upstream, of whose state other goroutines may ask. The zero
 // value has no connection.
 type Socket struct {
-	conn    atomic.Pointer[net.Conn]
-	probing atomic.Bool
+	conn atomic.Pointer[net.Conn]
+	// endedAt is the time at which the upstream ended the connection, in nanoseconds since
+	// the Unix epoch, while the upstream is probed, else zero.
+	endedAt atomic.Int64
 }
 
 // Set makes conn the connection. Nil means that there is none.
@@ -33,26 +35,28 @@
 	s.conn.Store(&conn)
 }
 
-// State returns whether the connection is established, and whether the upstream has ended it,
-// which lasts until a probe of the upstream has ended. Neither is true while there is none.
-func (s *Socket) State() (open, ended bool) {
-	if s.probing.Load() {
-		return false, true
-	}
+// isOpen reports whether the connection is established and the upstream has not ended it.
+func (s *Socket) isOpen() bool {
 	conn := s.conn.Load()
-	if conn == nil {
-		return false, false
+	return conn != nil && peeker.IsOpen(*conn)
+}
+
+// hasEndedWith reports whether the upstream has ended the connection at about the same time
+// as other. An end that has not been read yet is a late one.
+func (s *Socket) hasEndedWith(other *Socket) bool {
+	at := s.endedAt.Load()
+	if at == 0 {
+		return s.conn.Load() != nil && !s.isOpen()
 	}
-	open = peeker.IsOpen(*conn)
-	return open, !open
+	return time.Duration(max(at, other.endedAt.Load())-min(at, other.endedAt.Load())) <= closeSkew
 }
 
 // Confirm checks whether the upstream is there after it has ended the connection, with which
 // an answer ended. It returns a new connection, or nil if only the other connections show
 // that. Whether they do is what ask returns, unless ctx has ended; err is that of the probe.
 func (s *Socket) Confirm(ctx context.Context, c timer.Clock, dial Dial, ask func(err error) (there, ok bool)) (net.Conn, error) {
-	s.probing.Store(true)
-	defer s.probing.Store(false)
+	s.endedAt.Store(c.Now().UnixNano())
+	defer s.endedAt.Store(0)
 	conn, err := Probe(ctx, dial, c)
 	if err == nil {
 		return conn, nil
--- a/internal/connection/reader/confirm.go
+++ b/internal/connection/reader/confirm.go
@@ -18,7 +18,7 @@
 // connections of a service that was killed or crashed end in the same way. It returns an
 // error if the service has ended.
 func (r *Reader) confirmEnd(ctx context.Context) error {
-	conn, err := r.socket.Confirm(ctx, r.clock, r.dialAgain, func(err error) (there, ok bool) {
+	conn, err := r.Socket.Confirm(ctx, r.clock, r.dialAgain, func(err error) (there, ok bool) {
 		r.emitEvent(Event{Kind: EventUnconfirmed, Err: err})
 		return r.confirmations.Take(ctx)
 	})
@@ -45,14 +45,10 @@
 // Confirm answers an EventUnconfirmed: there is true if the upstream is still there.
 func (r *Reader) Confirm(there bool) { r.confirmations.Put(context.Background(), there) }
 
-// State returns whether the connection of the request is established, and whether the
-// upstream has ended it; see [prober.Socket.State].
-func (r *Reader) State() (open, ended bool) { return r.socket.State() }
-
 // follow makes conn the connection whose state [Reader.State] returns.
 func (r *Reader) follow(conn net.Conn) {
 	if c, ok := conn.(*requestConn); ok {
 		conn = c.Conn
 	}
-	r.socket.Set(conn)
+	r.Socket.Set(conn)
 }
--- a/internal/connection/reader/reader.go
+++ b/internal/connection/reader/reader.go
@@ -123,6 +123,8 @@
 
 // Reader performs one request.
 type Reader struct {
+	// Socket is the connection of a call of a plain service.
+	Socket prober.Socket
 	client *http.Client
 	clock  timer.Clock
 	url    string
@@ -131,8 +133,6 @@
 	cancel context.CancelFunc
 	// confirmations receives the answers to EventUnconfirmed.
 	confirmations *buffer.Ring[bool, buffer.Reject]
-	// socket is the connection of a call of a plain service.
-	socket prober.Socket
 }
 
 func newReader(client *http.Client, c timer.Clock, url string, job Job, emit func(Event)) (*Reader, context.Context) {
--- a/internal/process/executor/run.go
+++ b/internal/process/executor/run.go
@@ -261,14 +261,8 @@
 func (x *Executor) evidenceBeside(k scheduler.Key) prober.Evidence {
 	var e prober.Evidence
 	for other, r := range x.runs {
-		if other == k || r.reader == nil {
-			continue
-		}
-		switch open, ended := r.reader.State(); {
-		case open:
-			e.Open++
-		case ended:
-			e.Ended++
+		if other != k && r.reader != nil {
+			e.Add(&x.runs[k].reader.Socket, &r.reader.Socket)
 		}
 	}
 	return e
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -119,7 +119,6 @@
 // attempt only return the connection to its pool, unless that attempt is suspended: it
 // may have a part of its answer, and must not be resumed once it has ended.
 func (f *Forwarder) handleReport(now time.Time, p *pool, r carrier.Report) {
-	p.observe(now, r)
 	if r.Unconfirmed {
 		p.confirm(r.Conn)
 		return
--- a/internal/process/forwarder/pool.go
+++ b/internal/process/forwarder/pool.go
@@ -1,10 +1,8 @@
 package forwarder
 
 import (
-	"syscall"
 	"time"
 
-	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/carrier"
@@ -33,10 +31,6 @@
 	connections int
 	// removed is true once the upstream gets no more requests.
 	removed bool
-	// refusedAt is the time at which the upstream first refused a connection, and
-	// progressAt that of its last progress with an answer.
-	refusedAt  time.Time
-	progressAt time.Time
 }
 
 // idleConn is an idle connection and the time at which it must be closed.
@@ -75,32 +69,15 @@
 	p.idle = append(p.idle, idleConn{r.Conn, now.Add(timeout - idleTimeoutMargin)})
 }
 
-// observe records what a report shows of the upstream.
-func (p *pool) observe(now time.Time, r carrier.Report) {
-	if p.refusedAt.IsZero() && errors.Is(r.Err, syscall.ECONNREFUSED) {
-		p.refusedAt = now
-	}
-	if r.Events > 0 && !r.Ended {
-		// The events of a last report may have been read some time ago.
-		p.progressAt = now
-	}
-}
-
 // confirm tells a call whether the upstream, which accepts no connections, is still there.
 func (p *pool) confirm(c *carrier.Conn) { c.Confirm(prober.IsThere(p.evidenceBeside(c))) }
 
 // evidenceBeside returns what the calls beside that of c show of the upstream.
 func (p *pool) evidenceBeside(c *carrier.Conn) prober.Evidence {
-	e := prober.Evidence{Finishing: prober.IsFinishing(p.refusedAt, p.progressAt)}
+	var e prober.Evidence
 	for other := range p.busy {
-		if other == c {
-			continue
-		}
-		switch open, ended := other.State(); {
-		case open:
-			e.Open++
-		case ended:
-			e.Ended++
+		if other != c {
+			e.Add(&c.Socket, &other.Socket)
 		}
 	}
 	return e
--- a/internal/process/starter/gateway_ended_upstream_test.go
+++ b/internal/process/starter/gateway_ended_upstream_test.go
@@ -200,3 +200,23 @@
 		})
 	}
 }
+
+// An upstream in a planned stop had finished an answer, and ended within the last one. The
+// caller got that part as the whole.
+func TestGatewayLastAnswerOfEndedStoppingUpstreamDoesNotLookWhole(t *testing.T) {
+	forEachProtocol(t, 1, func(t *testing.T, g *gateway, u []*mortalUpstream, protocol string) {
+		first, second := g.beginCall("/stream/brief/1", protocol), g.beginCall("/stream/brief/2", protocol)
+		<-u[0].begun
+		<-u[0].begun
+		u[0].stopListening()
+		u[0].goOn <- struct{}{}
+		last := first
+		select {
+		case <-first:
+			last = second
+		case <-second:
+		}
+		u[0].end()
+		is.New(t).True((<-last).err != nil)
+	})
+}
