Close the connection of a probe to a server of HTTP/1.0

Servers that answer with HTTP/1.0 are likely to be such ones; those of HTTP/1.1 keep connections open anyway.

TestConnectionToServerOfHTTP10IsNotKept failed before the change.

--- a/internal/connection/carrier/confirm.go
+++ b/internal/connection/carrier/confirm.go
@@ -21,9 +21,14 @@
 		// The deadline of the call may have passed, and the answer have arrived in time.
 		return c.connect(ctx, c.options.Clock.Now().Add(a.call.DialTimeout))
 	}, func(err error) (there, ok bool) { return c.askOwner(a, err) })
-	if conn != nil {
+	switch {
+	case conn == nil:
+	case resp.ProtoAtLeast(1, 1):
 		c.adopt(conn)
 		a.replaced = true
+	default:
+		// A server of HTTP/1.0 may serve one connection at a time, and wait for a request.
+		_ = conn.Close()
 	}
 	return err
 }
--- a/internal/connection/carrier/confirm_test.go
+++ b/internal/connection/carrier/confirm_test.go
@@ -208,6 +208,17 @@
 	}
 }
 
+// A server of HTTP/1.0 that serves one connection at a time waited for a request on the
+// connection of the probe, and served nobody else.
+func TestConnectionToServerOfHTTP10IsNotKept(t *testing.T) {
+	k := newConfirmingConn(t, newEndingUpstream(t, "HTTP/1.0 200 OK\r\n\r\nhold 12", false), false)
+	r, whole := k.call(t, false)
+	is := is.New(t)
+	is.Equal(r.Outcome, OutcomeAnswered)
+	is.True(whole)
+	is.True(!r.Reusable)
+}
+
 // A caller who leaves while the upstream is probed must end the call.
 func TestCallerWhoLeavesEndsProbe(t *testing.T) {
 	u := newEndingUpstream(t, unframedAnswers[0].text, true)
