Test that whole answers keep the connections of HTTP/1.0 open

The guard of unframed answers sets a socket option on each connection of a caller of HTTP/1.0. A caller who asks for keep-alive must get further answers on the same connection after one whose end is known: a JSON answer, one to HEAD, 204 and 304.

--- a/internal/process/server/server_test.go
+++ b/internal/process/server/server_test.go
@@ -18,7 +18,9 @@
 	"magnoliafront.dev/magnoliafront/internal/process/drainer"
 	"magnoliafront.dev/magnoliafront/internal/process/recorder"
 	"magnoliafront.dev/magnoliafront/internal/process/router"
+	"magnoliafront.dev/magnoliafront/internal/request/admitter"
 	"magnoliafront.dev/magnoliafront/internal/request/decoder"
+	"magnoliafront.dev/magnoliafront/internal/request/responder"
 	"magnoliafront.dev/magnoliafront/pkg/timer"
 )
 
@@ -148,3 +150,35 @@
 	_, err = io.ReadAll(resp.Body)
 	return err
 }
+
+// An answer whose end is known without its connection must not end the connection of a caller
+// of HTTP/1.0 who asks for it to stay open, nor be reset as a part of an answer.
+func TestConnectionOfHTTP10StaysOpenAfterWholeAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name, method string
+		write        func(http.ResponseWriter)
+	}{
+		{"failure", http.MethodPost, func(w http.ResponseWriter) { responder.WriteFailure(w, admitter.OverloadedFailure()) }},
+		{"HEAD", http.MethodHead, func(w http.ResponseWriter) { w.WriteHeader(http.StatusOK) }},
+		{"no content", http.MethodPost, func(w http.ResponseWriter) { w.WriteHeader(http.StatusNoContent) }},
+		{"not modified", http.MethodGet, func(w http.ResponseWriter) { w.WriteHeader(http.StatusNotModified) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			address := serveAnswer(t, func(_ *Server, w http.ResponseWriter, _ *http.Request) { c.write(w) })
+			conn, err := net.Dial("tcp", address)
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			lines := bufio.NewReader(conn)
+			for range 3 {
+				_, err := fmt.Fprintf(conn, "%s /holds HTTP/1.0\r\nHost: desk\r\nConnection: keep-alive\r\n\r\n", c.method)
+				is.NoErr(err)
+				resp, err := http.ReadResponse(lines, &http.Request{Method: c.method})
+				is.NoErr(err)
+				_, err = io.ReadAll(resp.Body)
+				is.NoErr(err)
+				is.True(!resp.Close)
+			}
+		})
+	}
+}
