--- a/internal/connection/messenger/messenger_test.go
+++ b/internal/connection/messenger/messenger_test.go
@@ -103,6 +103,21 @@
 	return Hello{Peer: Peer{Role: RoleEntry, Identity: "entry-1"}, MinVersion: MinVersion, MaxVersion: MaxVersion, Nonce: []byte("0123456789abcdef")}
 }
 
+// A message that was cut off by the end of its sender, even between its last byte and the end
+// of its line, must not be delivered: a frame with the end of an answer would count.
+func TestCutMessageIsNotDelivered(t *testing.T) {
+	const line = `{"jsonrpc":"2.0","method":"frame","params":{"request":"r","attempt":1,"kind":"finished"}}`
+	for k := 1; k <= len(line); k++ {
+		s := startTestServer(t)
+		peer := s.dialRaw(t)
+		peer.completeHandshake(t)
+		_, _ = peer.Write([]byte(line[:k]))
+		is.New(t).NoErr(peer.Close())
+		// The end of a connection is delivered as an empty message.
+		is.New(t).Equal((<-s.messages).Method, "")
+	}
+}
+
 // A protocol violation must close the connection, increment the refusal counter
 // once, call no handler and leak no goroutine.
 func TestProtocolViolationClosesConnection(t *testing.T) {
--- a/internal/process/router/claim_test.go
+++ b/internal/process/router/claim_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"magnoliafront.dev/magnoliafront/internal/process/claimer"
 	"magnoliafront.dev/magnoliafront/internal/process/picker"
 	"magnoliafront.dev/magnoliafront/internal/request/admitter"
+	"magnoliafront.dev/magnoliafront/internal/request/responder"
 	"magnoliafront.dev/magnoliafront/internal/version/compiler"
 	"magnoliafront.dev/magnoliafront/pkg/tracer"
 )
@@ -175,6 +177,18 @@
 		r.startAgent("http://" + l.Addr().String())
 		r.assertFailed(r.awaitReply(r.post(r.startEntry("entry-1", nil), "k", body)), http.StatusServiceUnavailable, admitter.OutcomeNotRun)
 	})
+	// A part of a response was stored as the answer of the key, and replayed.
+	t.Run("service is killed within an unframed response: unknown outcome and the key stays claimed", func(t *testing.T) {
+		r := newTestRig(t)
+		url, killed := startServiceKilledInResponse(t)
+		r.startAgent(url)
+		e := r.startEntry("entry-1", nil)
+		replies := r.post(e, "k", body)
+		r.awaitSignal(killed)
+		r.advanceUntilReply(replies)
+		r.assertFailed(r.awaitReply(replies), http.StatusBadGateway, admitter.OutcomeUnknown)
+		r.assertFailed(r.awaitReply(r.post(e, "k", body)), http.StatusConflict, admitter.OutcomeUnknown)
+	})
 	// net/http retries a request with an Idempotency-Key header when a reused
 	// connection breaks.
 	t.Run("service closes a reused connection after the run: unknown outcome and no retry", func(t *testing.T) {
@@ -197,6 +211,35 @@
 	})
 }
 
+// startServiceKilledInResponse starts a service that begins a response without a length or
+// chunks and closes its sockets, as the kernel does for a process that is killed. It returns
+// its URL and a channel that is closed when it has begun.
+func startServiceKilledInResponse(t *testing.T) (string, <-chan struct{}) {
+	t.Helper()
+	killed := make(chan struct{})
+	var s *httptest.Server
+	s = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Transfer-Encoding", "identity")
+		_, _ = w.Write([]byte("hold"))
+		_ = s.Listener.Close()
+		close(killed)
+	}))
+	t.Cleanup(s.Close)
+	return s.URL, killed
+}
+
+// advanceUntilReply advances the clock, for which the agent waits between two looks at its
+// service, until a reply has arrived.
+func (r *testRig) advanceUntilReply(replies *responder.Ring) {
+	r.t.Helper()
+	for start := time.Now(); replies.Stats().Depth == 0; time.Sleep(time.Millisecond) {
+		r.clock.Advance(time.Millisecond)
+		if time.Since(start) > waitTimeout {
+			r.t.Fatalf("no reply within %v", waitTimeout)
+		}
+	}
+}
+
 // Entries forward claims to the preferred writer of the shard. An entry that cannot
 // reach it writes the claim itself.
 func TestClaimsAreForwardedToPreferredWriter(t *testing.T) {
