Test an upstream that ends again after a restart at its address

Callers of the gateway get a part of an unframed stream as the whole if its upstream had refused a connection once, was started again at the same address, and later ends within its only answer.

Cause (not mended here): the pool of the forwarder keeps the time of the first refusal for as long as the upstream is registered at its address. Any progress after it makes the upstream one that finishes its answers in a planned stop, for which the end of a single answer counts as that of the whole.

A connection that the upstream has accepted since the refusal would show that it is not stopping.

--- a/internal/process/starter/gateway_ended_upstream_test.go
+++ b/internal/process/starter/gateway_ended_upstream_test.go
@@ -32,18 +32,7 @@
 	is.New(r.t).NoErr(err)
 	u := &mortalUpstream{listener: l, begun: make(chan struct{}, 8), goOn: make(chan struct{}, 8)}
 	r.t.Cleanup(u.end)
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			u.mu.Lock()
-			u.conns = append(u.conns, conn)
-			u.mu.Unlock()
-			go u.answer(conn)
-		}
-	}()
+	go u.serve(l)
 	r.store.Put("servers", name, map[string]any{
 		"service": "desk", "address": l.Addr().String(), "zone": "z", "version": "v1", "slots": 8,
 		"state": "ready", "warmup_left_ms": 0, "sequence": 1, "born": 1,
@@ -51,6 +40,19 @@
 	return u
 }
 
+func (u *mortalUpstream) serve(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		u.mu.Lock()
+		u.conns = append(u.conns, conn)
+		u.mu.Unlock()
+		go u.answer(conn)
+	}
+}
+
 func (u *mortalUpstream) answer(conn net.Conn) {
 	req, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
