Resume a stream behind the last event that was relayed

Callers of resumable streams could miss events: if a read completed an event and the attempt then ended for want of memory, before the event was relayed, the next attempt went on behind it (ORDER).

Cause: reports took the ID of the last event that was parsed.

Evidence: TestOnlyRelayedEventsCountForNextAttempt failed in two of two cases ("4 != 3" where the budget for answers is used up, "3 != 2" where an event without an ID follows, after which no attempt is made) and passes.

Change: an attempt keeps the ID of the last event that it relayed, and reports that one.

--- a/internal/connection/carrier/attempt.go
+++ b/internal/connection/carrier/attempt.go
@@ -14,7 +14,10 @@
 	call     Call
 	start    time.Time
 	splitter splitter
-	begun    bool
+	// lastEvent is the ID of the last event that was relayed, in this attempt or an
+	// earlier one.
+	lastEvent string
+	begun     bool
 	// opaque is true if the caller has a part of a response that is no event stream.
 	opaque bool
 	// contested is true while another attempt may relay to the caller.
@@ -52,7 +55,7 @@
 // newReport returns the report of a call that ended with the outcome o.
 func (a *attempt) newReport(o Outcome, err error) Report {
 	return Report{
-		Outcome: o, Err: err, Begun: a.begun, LastEvent: a.splitter.lastID, Unresumable: a.isUnresumable(),
+		Outcome: o, Err: err, Begun: a.begun, LastEvent: a.lastEvent, Unresumable: a.isUnresumable(),
 		Events: a.unreportedEvents, FirstEvent: a.firstEvent, LongestPause: a.longestPause,
 		Framing: a.framing, RelayedEvents: a.relayedEvents,
 	}
@@ -66,7 +69,7 @@
 func (a *attempt) interimReport() Report {
 	return Report{
 		Conn: a.conn, Request: a.call.Request, Attempt: a.call.Attempt,
-		Begun: a.begun, LastEvent: a.splitter.lastID, Unresumable: a.isUnresumable(),
+		Begun: a.begun, LastEvent: a.lastEvent, Unresumable: a.isUnresumable(),
 		Framing: a.framing, RelayedEvents: a.relayedEvents,
 	}
 }
--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -41,7 +41,7 @@
 	}
 	a := &attempt{conn: c, call: call, start: c.options.Clock.Now(), begun: call.Begun, contested: call.Contested, firstReport: true}
 	defer a.release()
-	a.splitter.lastID = call.LastEvent
+	a.splitter.lastID, a.lastEvent = call.LastEvent, call.LastEvent
 	if !c.options.Clock.Now().Before(call.Deadline) {
 		return a.newReport(OutcomeExpired, nil)
 	}
--- a/internal/connection/carrier/fuzz_test.go
+++ b/internal/connection/carrier/fuzz_test.go
@@ -101,7 +101,7 @@
 		},
 	}}
 	change(&a.call)
-	a.begun, a.splitter.lastID = a.call.Begun, a.call.LastEvent
+	a.begun, a.splitter.lastID, a.lastEvent = a.call.Begun, a.call.LastEvent, a.call.LastEvent
 	done := make(chan []relayer.Reply)
 	go func() {
 		var all []relayer.Reply
--- a/internal/connection/carrier/resume_test.go
+++ b/internal/connection/carrier/resume_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"magnoliafront.dev/magnoliafront/internal/process/reserver"
 	"magnoliafront.dev/magnoliafront/internal/request/relayer"
 )
 
@@ -104,6 +105,43 @@
 	}
 }
 
+// A read that brought whole events and then ended the attempt was not relayed. Its events
+// counted as relayed, so that the next attempt went on behind them and the caller missed
+// them.
+func TestOnlyRelayedEventsCountForNextAttempt(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	t.Run("an event without an ID follows", func(t *testing.T) {
+		u := newClosingUpstream(t, head+"Content-Length: 27\r\n\r\nid: 3\ndata:\n\ndata: failed\n\n")
+		r, replies := u.call(t, resume)
+		assertLastEventIsRelayed(t, r, replies, "2")
+	})
+	t.Run("the budget is used up", func(t *testing.T) {
+		small, large := "id: 3\ndata:\n\n", "id: 4\ndata: "+strings.Repeat("x", bodyReadBytes-30)+"\n\nid: 5\ndata: "+strings.Repeat("x", bodyReadBytes)
+		account := reserver.NewBudget(0).Open()
+		defer account.Close()
+		u := newClosingUpstream(t, head+"Content-Length: 99999\r\n\r\n"+small+large)
+		r, replies := u.call(t, func(c *Call) {
+			resume(c)
+			c.Replies = relayer.NewLimitedRing(account)
+		})
+		assertLastEventIsRelayed(t, r, replies, "")
+	})
+}
+
+// assertLastEventIsRelayed checks that the last event of a lost attempt is the last one in
+// its replies, and want unless that is empty.
+func assertLastEventIsRelayed(t *testing.T, r Report, replies []relayer.Reply, want string) {
+	t.Helper()
+	is := is.New(t)
+	is.Equal(r.Outcome, OutcomeLost)
+	s := splitter{lastID: "2"}
+	for _, reply := range replies {
+		_, _, _ = s.split(reply.Bytes)
+	}
+	is.Equal(r.LastEvent, s.lastID)
+	is.True(want == "" || r.LastEvent == want)
+}
+
 // A part of an answer that no upstream can go on with was followed by the events of
 // another answer. The report must say so, and only then.
 func TestReportSaysWhetherAnswerCanBeResumed(t *testing.T) {
--- a/internal/connection/carrier/stream.go
+++ b/internal/connection/carrier/stream.go
@@ -39,6 +39,7 @@
 		if len(whole) > 0 && a.isWorthRelaying(resp, events, ended) && (!a.relayHead(resp) || !a.relayBody(whole)) {
 			return a.newReport(OutcomeCancelled, nil)
 		}
+		a.lastEvent = a.splitter.lastID
 		c.reportProgress(a, events)
 		if events > 0 && err == nil {
 			// Only new events show progress. A stalled upstream may still send bytes.
@@ -112,7 +113,7 @@
 	}
 	c.options.Report(Report{
 		Conn: c, Request: a.call.Request, Attempt: a.call.Attempt, First: a.firstReport,
-		Events: a.unreportedEvents, Elapsed: now.Sub(since), Begun: true, LastEvent: a.splitter.lastID,
+		Events: a.unreportedEvents, Elapsed: now.Sub(since), Begun: true, LastEvent: a.lastEvent,
 		Framing: a.framing, RelayedEvents: a.relayedEvents,
 	})
 	a.firstReport, a.unreportedEvents, a.lastReport = false, 0, now
