--- a/internal/process/dispatcher/empty_test.go
+++ b/internal/process/dispatcher/empty_test.go
@@ -4,20 +4,13 @@
 	"testing"
 
 	"github.com/matryer/is"
-
-	"magnoliafront.dev/magnoliafront/internal/version/matcher"
 )
 
 // brokenChat returns a dispatcher whose stream broke off after event 7, and whose second
 // attempt was sent.
 func brokenChat(t *testing.T) *Dispatcher {
 	t.Helper()
-	d := newDispatcher()
-	all := routes()
-	all[0].MaxAttempts = 3
-	d.Step(testTime(), Event{Kind: EventConfigured, Table: matcher.New(matcher.Configuration{
-		Version: 2, Routes: all, Organisations: []matcher.Organisation{{Name: "guides", Keys: []string{"key"}}},
-	})})
+	d := newThreeAttemptDispatcher()
 	d.Step(testTime(), Event{Kind: EventArrived, Request: request("/chat/1")})
 	second := assertSent(t, endAttempt(d, 1, Event{Outcome: OutcomeLost, Begun: true, LastEvent: "7"}), 2)
 	is.New(t).True(!second.EndIfEmpty)
--- a/internal/process/dispatcher/silence_order_test.go
+++ b/internal/process/dispatcher/silence_order_test.go
@@ -31,18 +31,24 @@
 	}
 }
 
+// newThreeAttemptDispatcher returns a dispatcher that sends chats to up to three upstreams.
+func newThreeAttemptDispatcher() *Dispatcher {
+	d := newDispatcher()
+	all := routes()
+	all[0].MaxAttempts = 3
+	d.Step(testTime(), Event{Kind: EventConfigured, Table: matcher.New(matcher.Configuration{
+		Version: 2, Routes: all, Organisations: []matcher.Organisation{{Name: "guides", Keys: []string{"key"}}},
+	})})
+	return d
+}
+
 // When the other attempt fell silent too, the first one was forgotten but not ended, and
 // the entry went on with the wrong one: the request never ended. Later the first one was
 // ended, though the other had shown nothing. Now the other one ends.
 func TestSecondSilenceEndsOtherAttempt(t *testing.T) {
 	begin := func(t *testing.T) *Dispatcher {
 		t.Helper()
-		d := newDispatcher()
-		all := routes()
-		all[0].MaxAttempts = 3
-		d.Step(testTime(), Event{Kind: EventConfigured, Table: matcher.New(matcher.Configuration{
-			Version: 2, Routes: all, Organisations: []matcher.Organisation{{Name: "guides", Keys: []string{"key"}}},
-		})})
+		d := newThreeAttemptDispatcher()
 		d.Step(testTime(), Event{Kind: EventArrived, Request: request("/chat/1")})
 		assertSent(t, d.Step(testTime(), Event{Kind: EventSilent, ID: "r1", Attempt: 1, Begun: true, LastEvent: "7"}), 2)
 		next := d.Step(testTime(), Event{Kind: EventSilent, ID: "r1", Attempt: 2, Begun: true, LastEvent: "7"})
