Do not let the tests of final answers depend on the speed of the machine

TestRequestInFlightIsAnsweredBeforeExit hung once in a run beside load. Its manual clock stood at the time at which it was made, and a connection sets the deadlines of its socket from that clock, the first for a write 50 ms later. Once as much real time had passed, each write failed at once and the call repeated it until its context ended. TestFinalAnswerDoesNotWaitForCallerThatDoesNotRead had the same clock.

The clock of both tests is now an hour ahead of that of the system, so that no deadline of a socket passes while a test runs, and still moves only as the tests say. The requests are received at the time of that clock. What the tests check is as before.

Evidence, with -race: with a sleep of 60 ms after the clock is made, the tests did not end within 100 s before the change; they pass after it, with 60 ms and with 2 s. TestRequestInFlightIsAnsweredBeforeExit fails if no final answers are given, and if they are given at the exit deadline instead of 200 ms before it; TestFinalAnswerDoesNotWaitForCallerThatDoesNotRead fails if Ring.End waits for room.

The other tests of packages forwarder and carrier with a manual clock do not depend on it: one has no socket, the others use a clock in the past, with which each dial fails at once, as the tests expect.

--- a/internal/process/forwarder/forwarder_test.go
+++ b/internal/process/forwarder/forwarder_test.go
@@ -80,13 +80,13 @@
 			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 			defer cancel()
 			for i := range 2 {
-				_, ok := submitAt(ctx, t, f, "bad").Take(ctx)
+				_, ok := submitAt(ctx, t, f, "bad", time.Unix(1000, 0), time.Minute).Take(ctx)
 				is := is.New(t)
 				is.True(!ok)
 				is.NoErr(ctx.Err())
 				is.Equal(r.Panics.Load(), uint64(i+1))
 			}
-			reply, ok := submitAt(ctx, t, f, "good").Take(ctx)
+			reply, ok := submitAt(ctx, t, f, "good", time.Unix(1000, 0), time.Minute).Take(ctx)
 			is := is.New(t)
 			is.True(ok)
 			// Nothing listens at the addresses of the upstreams.
@@ -116,17 +116,6 @@
 	return f
 }
 
-// submitAt starts a request at the time of the manual clock and returns the ring of its
-// replies.
-func submitAt(ctx context.Context, t *testing.T, f *forwarder.Forwarder, id string) *relayer.Ring {
-	t.Helper()
-	replies := relayer.NewRing()
-	is.New(t).True(f.Submit(ctx, forwarder.Job{Request: dispatcher.Request{
-		ID: id, Received: time.Unix(1000, 0), Query: matcher.Query{Host: "h", Path: "/x", RequestID: id},
-	}, Context: ctx, Replies: replies}))
-	return replies
-}
-
 // awaitConfigured waits until f has handled a configuration, and with it all earlier
 // events.
 func awaitConfigured(f *forwarder.Forwarder) {
--- a/internal/process/forwarder/silence_test.go
+++ b/internal/process/forwarder/silence_test.go
@@ -105,9 +105,16 @@
 // submit starts a request and returns the ring of its replies.
 func submit(ctx context.Context, t *testing.T, f *forwarder.Forwarder, id string, deadline time.Duration) *relayer.Ring {
 	t.Helper()
-	replies, now := relayer.NewRing(), time.Now()
+	return submitAt(ctx, t, f, id, time.Now(), deadline)
+}
+
+// submitAt does the same for a request that was received at the given time of the clock of
+// the forwarder.
+func submitAt(ctx context.Context, t *testing.T, f *forwarder.Forwarder, id string, received time.Time, deadline time.Duration) *relayer.Ring {
+	t.Helper()
+	replies := relayer.NewRing()
 	is.New(t).True(f.Submit(ctx, forwarder.Job{Request: dispatcher.Request{
-		ID: id, Received: now, Deadline: now.Add(deadline), Query: matcher.Query{Host: "h", Path: "/x", RequestID: id},
+		ID: id, Received: received, Deadline: received.Add(deadline), Query: matcher.Query{Host: "h", Path: "/x", RequestID: id},
 	}, Context: ctx, Replies: replies}))
 	return replies
 }
--- a/internal/process/forwarder/stop_test.go
+++ b/internal/process/forwarder/stop_test.go
@@ -19,6 +19,11 @@
 	"magnoliafront.dev/magnoliafront/pkg/timer"
 )
 
+// newLeadingClock returns a manual clock that is an hour ahead of the system clock. The
+// deadlines of sockets are times of the clock, and the kernel compares them with the system
+// clock: on a manual clock that stands at the present, they pass while a slow test runs.
+func newLeadingClock() *timer.Manual { return timer.NewManual(time.Now().Add(time.Hour)) }
+
 // newStoppableForwarder returns a forwarder with one upstream that serves connections
 // with serve, and a route whose requests must not run twice.
 func newStoppableForwarder(t *testing.T, clock timer.Clock, c forwarder.Codec, serve func(net.Conn)) *forwarder.Forwarder {
@@ -56,7 +61,7 @@
 // At the exit of an entry, requests in flight ended without a reply while their upstreams
 // still worked on them.
 func TestRequestInFlightIsAnsweredBeforeExit(t *testing.T) {
-	clock := timer.NewManual(time.Now())
+	clock := newLeadingClock()
 	reached, disconnected := make(chan struct{}), make(chan struct{})
 	f := newStoppableForwarder(t, clock, faultyCodec{}, func(conn net.Conn) {
 		close(reached)
@@ -65,7 +70,7 @@
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
-	replies := submit(ctx, t, f, "r1", time.Minute)
+	replies := submitAt(ctx, t, f, "r1", clock.Now(), time.Minute)
 	<-reached
 	f.BeginStop(dispatcher.Stop{NoticeEnd: clock.Now().Add(time.Second), ExitDeadline: clock.Now().Add(2 * time.Second)})
 	// An event after BeginStop is in force, so BeginStop is too.
@@ -80,7 +85,7 @@
 // begun, waited for room in its ring. The forwarder stood still meanwhile, and with it all
 // other requests.
 func TestFinalAnswerDoesNotWaitForCallerThatDoesNotRead(t *testing.T) {
-	clock := timer.NewManual(time.Now())
+	clock := newLeadingClock()
 	f := newStoppableForwarder(t, clock, faultyCodec{}, func(conn net.Conn) {
 		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n")
 		for err == nil {
@@ -89,7 +94,7 @@
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
-	unread := submit(t.Context(), t, f, "unread", time.Minute)
+	unread := submitAt(t.Context(), t, f, "unread", clock.Now(), time.Minute)
 	for unread.Stats().Depth < unread.Stats().Capacity {
 		time.Sleep(time.Millisecond)
 	}
@@ -103,7 +108,7 @@
 	case <-ctx.Done():
 		t.Fatal("the forwarder waits for the caller")
 	}
-	assertFailure(ctx, t, submit(ctx, t, f, "next", time.Minute), http.StatusServiceUnavailable)
+	assertFailure(ctx, t, submitAt(ctx, t, f, "next", clock.Now(), time.Minute), http.StatusServiceUnavailable)
 }
 
 // blockingCodec blocks the goroutine of the forwarder in its first call of Encode until
