Ask another upstream for the end of a framed stream that goes on without framing

Callers of resumable streams in chunks were told that a stream had failed after they had got all of it: its first upstream was lost, and the next one sent the rest in an answer that ended with its connection.

Cause: such an end must not end a framed stream, since an upstream that lives may give up an answer between two events. The relayer cut the stream, and no other upstream was asked although max_attempts allowed it. After that had been found, two further faults: an empty continuation counted as a failure of its upstream in the picker, and foundEmpty stayed set if further events had been reported before the attempt ended, so that a fourth attempt could end a stream on the word of one upstream.

Change: the carrier knows whether the framing of the head that the caller has marks an end (Call.Framed), and reports an unframed end as "nothing left, as one upstream says" (Report.Empty). The dispatcher sends the next attempt, if one is allowed, with EndIfEmpty, as after an empty continuation. Only a framed answer ends the stream; if that is empty, two upstreams agree, and if it has events, the stream would have been short. Without a further attempt or upstream, or if the third answer is unframed too, the stream is cut as before. Empty answers are no failures of their upstreams, and foundEmpty is reset by progress.

Cost: one more request, within max_attempts, if a resumable framed stream was lost and its rest had no framing. Routes with max_attempts 2 gain nothing. While that request waits, the caller waits with it, at most until its deadline, where the stream was cut at once.

Evidence: TestUnframedEndOfFramedStreamIsLeftToAnotherUpstream fails without the new case (answered and not failed, in three of seven subtests); TestSecondEmptyContinuationMayEndStream (events reported before the end) and TestEmptyContinuationIsNoFailureOfUpstream failed before the change; TestGatewayThirdUpstreamConfirmsUnframedEndOfFramedStream has the whole path. TestGatewayUnframedContinuationDoesNotEndFramedStream and TestCloseDelimitedEndDoesNotEndFramedAnswer pass unchanged.

--- a/internal/connection/carrier/carrier.go
+++ b/internal/connection/carrier/carrier.go
@@ -92,6 +92,9 @@
 	Stream    bool
 	Begun     bool
 	LastEvent string
+	// Framed is true if the caller has the head of a response whose framing marks its end.
+	// A response whose end is marked only by that of its connection cannot end it.
+	Framed bool
 	// EndIfEmpty is true if another upstream had no event after LastEvent. If this one has
 	// none either, the stream was whole.
 	EndIfEmpty bool
@@ -112,8 +115,8 @@
 	// OutcomeAnswered means that the whole response was relayed.
 	OutcomeAnswered Outcome = iota
 	// OutcomeFailed means that the upstream returned an error response, or a
-	// response that does not continue the stream that the call resumes. The
-	// response was not relayed and is in Report.ErrorResponse, unless it was too
+	// response that does not continue or cannot end the stream that the call resumes. An
+	// error response was not relayed and is in Report.ErrorResponse, unless it was too
 	// large to buffer.
 	OutcomeFailed
 	// OutcomeRefused means that the upstream did not run the request.
@@ -183,8 +186,10 @@
 	LongestPause time.Duration
 	// ErrorResponse is set for OutcomeFailed.
 	ErrorResponse relayer.Reply
-	// Empty is true if the response to a call that resumes a stream is a whole stream
-	// without an event after Call.LastEvent. The outcome is OutcomeFailed.
+	// Empty is true if the response to a call that resumes a stream has ended and has no
+	// event after LastEvent, which another upstream is to confirm: it has none at all, or
+	// it cannot end the response that the caller has; see Call.Framed. The outcome is
+	// OutcomeFailed.
 	Empty bool
 	// ClosedByPeer is true if the upstream closed or reset the connection.
 	ClosedByPeer bool
--- a/internal/connection/carrier/framing.go
+++ b/internal/connection/carrier/framing.go
@@ -30,6 +30,10 @@
 	return names[f]
 }
 
+// MarksEnd reports whether the end of a response is marked apart from that of its
+// connection.
+func (f Framing) MarksEnd() bool { return f == FramingLength || f == FramingChunks }
+
 // framingOf returns the framing of a response by its head.
 func framingOf(resp *http.Response) Framing {
 	switch {
--- a/internal/connection/carrier/resume_test.go
+++ b/internal/connection/carrier/resume_test.go
@@ -104,6 +104,42 @@
 	}
 }
 
+// A stream in chunks whose rest came whole, in an answer that ended with its connection, was
+// cut at once: its end was not known, and no other upstream was asked for it.
+func TestUnframedEndOfFramedStreamIsLeftToAnotherUpstream(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n" + streamHead
+	chunks := head + "Transfer-Encoding: chunked\r\n\r\n"
+	for _, c := range []struct {
+		name, response     string
+		framed, endIfEmpty bool
+		want               Outcome
+		empty              bool
+		events             int
+	}{
+		{"unframed rest of a framed stream", head + "\r\n" + streamText, true, false, OutcomeFailed, true, 2},
+		{"unframed rest, and another had none", head + "\r\n" + streamText, true, true, OutcomeFailed, true, 2},
+		{"no unframed rest, and another had none", head + "\r\n", true, true, OutcomeFailed, true, 0},
+		{"no framed rest, and another had none", chunks + "0\r\n\r\n", true, true, OutcomeAnswered, false, 0},
+		{"framed rest of a framed stream", chunks + chunked(streamText), true, false, OutcomeAnswered, false, 2},
+		{"unframed rest of an unframed stream", head + "\r\n" + streamText, false, false, OutcomeAnswered, false, 2},
+		{"unframed rest that ends within an event", head + "\r\n" + streamText + "id: 5", true, false, OutcomeLost, false, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r, replies := newClosingUpstream(t, c.response).call(t, func(call *Call) {
+				resume(call)
+				call.Framed, call.EndIfEmpty = c.framed, c.endIfEmpty
+			})
+			is := is.New(t)
+			is.Equal(r.Outcome, c.want)
+			is.Equal(r.Empty, c.empty)
+			is.Equal(r.RelayedEvents, c.events)
+			is.True(!r.Unresumable)
+			ended := len(replies) > 0 && replies[len(replies)-1].Kind == relayer.KindEnd
+			is.Equal(ended, c.want == OutcomeAnswered)
+		})
+	}
+}
+
 // A part of an answer that no upstream can go on with was followed by the events of
 // another answer. The report must say so, and only then.
 func TestReportSaysWhetherAnswerCanBeResumed(t *testing.T) {
--- a/internal/connection/carrier/stream.go
+++ b/internal/connection/carrier/stream.go
@@ -81,17 +81,27 @@
 	switch {
 	case a.isEmptyContinuation() && !a.call.EndIfEmpty:
 		// One upstream may be wrong about the end of a stream that broke off at another.
-		r := a.newReport(OutcomeFailed, errors.New("the answer holds no event after the last one of the stream"))
-		r.Status, r.Empty = resp.StatusCode, resp.StatusCode == http.StatusOK
-		return r
+		return c.newEmptyReport(a, resp, errors.New("the answer holds no event after the last one of the stream"))
 	case a.contested && a.endsBeforeEvent(resp):
 		return c.classifyError(a, errors.Wrap(io.ErrUnexpectedEOF, "the stream ends before its first event"))
+	case a.call.Begun && a.call.Framed && isCloseDelimited(resp):
+		// The upstream is there, but may have given up this answer between two events.
+		return c.newEmptyReport(a, resp, errors.New("only the end of a connection marks the end of the framed stream"))
 	case !a.relayHead(resp):
 		return a.newReport(OutcomeCancelled, nil)
 	}
 	return c.relayEnd(a, resp)
 }
 
+// newEmptyReport returns the report of a response that has ended, and after which another
+// upstream is to say whether an event is left.
+func (c *Conn) newEmptyReport(a *attempt, resp *http.Response, err error) Report {
+	r := a.newReport(OutcomeFailed, err)
+	r.Status, r.Empty = resp.StatusCode, resp.StatusCode == http.StatusOK
+	c.setReusable(a, &r, resp, nil)
+	return r
+}
+
 // reportProgress counts events of a stream. It reports the first ones immediately
 // and later ones at most once per progressInterval.
 func (c *Conn) reportProgress(a *attempt, events int) {
--- a/internal/process/dispatcher/empty_test.go
+++ b/internal/process/dispatcher/empty_test.go
@@ -36,6 +36,7 @@
 		{"the upstream failed", Event{Outcome: OutcomeFailed, Begun: true, LastEvent: "7"}, false},
 		{"the upstream was lost", Event{Outcome: OutcomeLost, Begun: true, LastEvent: "7"}, false},
 		{"further events", Event{Outcome: OutcomeLost, Begun: true, LastEvent: "8"}, false},
+		{"further events and nothing after them", Event{Outcome: OutcomeFailed, Begun: true, LastEvent: "9", Empty: true}, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			third := assertSent(t, endAttempt(brokenChat(t), 2, c.second), 3)
@@ -49,4 +50,29 @@
 		endAttempt(d, 3, Event{Outcome: OutcomeLost, Begun: true, LastEvent: "8"})
 		is.New(t).True(!f.foundEmpty)
 	})
+	t.Run("further events that were reported before the end", func(t *testing.T) {
+		d := brokenChat(t)
+		f := d.inFlight["r1"]
+		assertSent(t, endAttempt(d, 2, Event{Outcome: OutcomeFailed, Begun: true, LastEvent: "7", Empty: true}), 3)
+		d.Step(testTime(), Event{Kind: EventProgress, ID: "r1", Attempt: 3, First: true, Events: 1, Begun: true, LastEvent: "8"})
+		is.New(t).True(!f.foundEmpty)
+		endAttempt(d, 3, Event{Outcome: OutcomeLost, Begun: true, LastEvent: "8"})
+		is.New(t).True(!f.foundEmpty)
+	})
+}
+
+// An upstream whose answer has nothing after the last event of a stream has not failed, and
+// must not be avoided for it.
+func TestEmptyContinuationIsNoFailureOfUpstream(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		empty bool
+	}{{"nothing is left", true}, {"the upstream failed", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			d := brokenChat(t)
+			upstream := d.inFlight["r1"].upstream
+			endAttempt(d, 2, Event{Outcome: OutcomeFailed, Begun: true, LastEvent: "7", Empty: c.empty})
+			is.New(t).Equal(d.service("desk").picker.Upstream(upstream).FailureRate == 0, c.empty)
+		})
+	}
 }
--- a/internal/process/dispatcher/event.go
+++ b/internal/process/dispatcher/event.go
@@ -126,8 +126,8 @@
 	Begun       bool
 	LastEvent   string
 	Unresumable bool
-	// Empty is true if the answer to an attempt that resumes a stream is whole and has no
-	// event after LastEvent.
+	// Empty is true if the answer to an attempt that resumes a stream has ended and has no
+	// event after LastEvent, which another upstream is to confirm.
 	Empty bool
 
 	// Upstream and RetryAfter are set for EventHeldBack.
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -231,6 +231,12 @@
 	return idle
 }
 
+// recordPart records the part of the answer that the caller has according to e.
+func (f *inFlightRequest) recordPart(e Event) {
+	f.foundEmpty = f.foundEmpty && e.LastEvent == f.lastEvent
+	f.begun, f.lastEvent = e.Begun, e.LastEvent
+}
+
 // recordProgress handles events of an answer.
 func (d *Dispatcher) recordProgress(now time.Time, e Event) []Action {
 	f := d.inFlight[e.ID]
@@ -238,7 +244,7 @@
 		return nil
 	}
 	s := d.service(f.admission.Service.Name)
-	f.begun, f.lastEvent = e.Begun, e.LastEvent
+	f.recordPart(e)
 	if e.First {
 		s.picker.Step(now, picker.Event{Kind: picker.EventFirstToken, Upstream: f.upstream, Elapsed: e.Elapsed, PromptTokens: f.pendingTokens})
 		f.pendingTokens = 0
--- a/internal/process/dispatcher/outcome.go
+++ b/internal/process/dispatcher/outcome.go
@@ -46,8 +46,8 @@
 		// The caller has a part of this answer, which another one must not follow.
 		out = d.abandonSuspended(now, f, reasonPart)
 	}
-	f.foundEmpty = f.foundEmpty && e.LastEvent == f.lastEvent || e.Empty
-	f.begun, f.lastEvent = e.Begun, e.LastEvent
+	f.recordPart(e)
+	f.foundEmpty = f.foundEmpty || e.Empty
 	f.state.Repeatable = f.state.Repeatable && !e.Unresumable
 	out = append(out, d.recordOutcome(now, f, e)...)
 	switch e.Outcome {
@@ -109,7 +109,7 @@
 	case OutcomeCancelled:
 		p.Kind = picker.EventWithdrawn
 	case OutcomeFailed:
-		p.Failed = true
+		p.Failed = !e.Empty
 	case OutcomeAnswered:
 		p.Elapsed = now.Sub(f.sentAt)
 		s.separator.Step(now, separator.Event{Kind: separator.EventEnded, Request: f.admission.Route.Name, Elapsed: p.Elapsed})
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -87,6 +87,7 @@
 		Head: f.options.Codec.Encode(t.job, a, a.Deadline.Sub(now)), Body: t.job.Body,
 		DialTimeout: a.DialTimeout, Deadline: a.Deadline.Add(dispatcher.DeadlineGrace), IdleTimeout: a.IdleTimeout,
 		Contested: a.Contested, Stream: a.Stream, Begun: a.Begun, LastEvent: a.LastEvent, EndIfEmpty: a.EndIfEmpty,
+		Framed:       t.headFraming.MarksEnd(),
 		Classify:     f.options.Codec.ClassifyResponse(a.ID), //nolint:bodyclose // the function reads only the head
 		DecodeNotice: f.options.Codec.DecodeNotice,
 		Replies:      t.job.Replies,
@@ -127,7 +128,7 @@
 	t := f.inFlight[r.Request]
 	current := t != nil && t.number == r.Attempt
 	suspended := t != nil && t.suspended != nil && t.suspended.number == r.Attempt
-	t.recordEvents(r)
+	t.recordAnswer(r)
 	if !r.Ended {
 		if current || suspended && r.Ready {
 			f.dispatch(now, t.interimEvent(r))
--- a/internal/process/forwarder/request.go
+++ b/internal/process/forwarder/request.go
@@ -22,6 +22,9 @@
 	// the longest time between its events. They are logged.
 	firstEvent   time.Duration
 	longestPause time.Duration
+	// headFraming is the framing of the answer whose head the caller has, FramingNone if it
+	// has none.
+	headFraming carrier.Framing
 	// framing is that of the answer to the last call, and events holds the number of
 	// events that each attempt has relayed, by its number. They are logged.
 	framing carrier.Framing
@@ -49,10 +52,16 @@
 	}
 }
 
-// recordEvents updates the number of events that the attempt of r has relayed. A request
-// that is not in flight has none.
-func (t *inFlightRequest) recordEvents(r carrier.Report) {
-	if t == nil || r.RelayedEvents == 0 {
+// recordAnswer updates what the attempt of r has relayed: the head, unless an earlier
+// attempt has, and a number of events. A request that is not in flight has none.
+func (t *inFlightRequest) recordAnswer(r carrier.Report) {
+	if t == nil {
+		return
+	}
+	if r.Begun && t.headFraming == carrier.FramingNone {
+		t.headFraming = r.Framing
+	}
+	if r.RelayedEvents == 0 {
 		return
 	}
 	if t.events == nil {
--- a/internal/process/starter/gateway_cut_test.go
+++ b/internal/process/starter/gateway_cut_test.go
@@ -34,6 +34,8 @@
 	// framingResumedUnframed is chunked and ends within the second event. The answer that
 	// goes on with the stream is unframed and ends after the number of bytes.
 	framingResumedUnframed = "resumed-unframed"
+	// framingConfirmed is the same, but an answer after the last event is chunked.
+	framingConfirmed = "confirmed"
 )
 
 // startCuttingUpstream registers an upstream that ends each connection after a number of
@@ -72,7 +74,7 @@
 	path := strings.Split(req.URL.Path, "/")
 	framing, end := path[len(path)-3], path[len(path)-1]
 	text := cutAnswer(req, framing)
-	if framing == framingResumedUnframed && req.Header.Get("Last-Event-Id") == "" {
+	if (framing == framingResumedUnframed || framing == framingConfirmed) && req.Header.Get("Last-Event-Id") == "" {
 		text = text[:strings.Index(text, "id: 2")+1]
 	} else if k, err := strconv.Atoi(path[len(path)-2]); err == nil && k < len(text) {
 		text = text[:k]
@@ -93,8 +95,10 @@
 	switch {
 	case framing == framingLength:
 		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
-	case framing == framingUnframed, framing == framingResumedUnframed && last != "":
+	case framing == framingUnframed, framing == framingResumedUnframed && last != "", framing == framingConfirmed && last != "" && body != "":
 		return head + "\r\n" + body
+	case body == "":
+		return head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
 	}
 	return fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
 }
@@ -217,3 +221,32 @@
 	boundary := strings.Index(cutAnswer(req, framingResumedUnframed), "id: 3")
 	assertNoCutAnswerLooksWhole(t, g, prefix, framingResumedUnframed, boundary-12, boundary+12)
 }
+
+// A stream in chunks whose rest had arrived without framing was cut although a further
+// attempt was allowed, and a third upstream could have said that nothing was left.
+func TestGatewayThirdUpstreamConfirmsUnframedEndOfFramedStream(t *testing.T) {
+	const prefix = "/stream/chat/"
+	for _, c := range []struct {
+		name, framing string
+		attempts      int
+		whole         bool
+	}{
+		{"the third answer is framed", framingConfirmed, 3, true},
+		{"the third answer is unframed", framingResumedUnframed, 3, false},
+		{"no third attempt", framingConfirmed, 2, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newGatewayFixture(t, 0)
+			r.configure(func(v map[string]any) { v["routes"].([]any)[0].(map[string]any)["max_attempts"] = c.attempts })
+			for _, name := range []string{"i-a", "i-b", "i-c"} {
+				r.startCuttingUpstream(name)
+			}
+			id := cutRequestID(prefix, c.framing, 0)
+			a := r.startReadyEntry().call(http.MethodPost, fmt.Sprintf("%s%s/%d/closed", prefix, c.framing, longestCutAnswer), id, id, nil)
+			is := is.New(t)
+			is.Equal(a.status, http.StatusOK)
+			is.Equal(a.body, cutBody(prefix, id, ""))
+			is.Equal(a.err == nil, c.whole)
+		})
+	}
+}
