--- a/internal/connection/carrier/confirm_test.go
+++ b/internal/connection/carrier/confirm_test.go
@@ -6,10 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/prober"
@@ -133,6 +136,25 @@
 	}
 }
 
+// A part of a failure was taken for the whole, and forwarded as such where no other upstream
+// may get the request.
+func TestFailureCutOffByEndOfUpstreamIsLost(t *testing.T) {
+	k := newConfirmingConn(t, newEndingUpstream(t, "HTTP/1.1 500 Failed\r\n\r\nout of", true), false)
+	r, _ := k.call(t, false)
+	is.New(t).Equal(r.Outcome, OutcomeLost)
+}
+
+// The time of a probe was counted as that of the answer, so that the upstream seemed busier.
+func TestProbeIsNoPartOfTheTimeOfAnAnswer(t *testing.T) {
+	const text = "HTTP/1.1 200 OK\r\n\r\nhold 12"
+	k := newConfirmingConn(t, newEndingUpstream(t, text, false), false)
+	start := time.Now()
+	r, _ := k.call(t, false)
+	is := is.New(t)
+	is.True(r.Elapsed > 0)
+	is.True(time.Since(start)-r.Elapsed >= prober.Waits()[1])
+}
+
 // Answers of an upstream that goes on must not be cut off.
 func TestAnswerOfUpstreamThatIsThereIsWhole(t *testing.T) {
 	for _, a := range unframedAnswers {
@@ -157,12 +179,46 @@
 			is.Equal(r.Outcome, OutcomeAnswered)
 			is.True(!r.Reusable)
 			is.True(whole)
-			waits := prober.Waits()
-			is.Equal(k.unconfirmed, len(waits))
+			is.Equal(k.unconfirmed, len(prober.Waits()))
+		})
+	}
+}
+
+// The error of a probe must not be taken for that of the call: an upstream that does not
+// respond to it has not crashed, and the time of the call has not passed.
+func TestErrorOfProbeDecidesOutcome(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		err          error
+		closedByPeer bool
+	}{
+		{"refused", errors.Wrap(syscall.ECONNREFUSED, "connect"), true},
+		{"timeout", errors.Wrap(os.ErrDeadlineExceeded, "connect"), false},
+		{"closed", errors.New("closed"), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			dial := func(context.Context) (net.Conn, error) { return nil, c.err }
+			_, err := new(prober.Socket).Confirm(t.Context(), timer.System{}, dial, func(error) (there, ok bool) { return false, true })
+			a := &attempt{sent: 1, call: Call{Context: t.Context()}}
+			r := new(Conn).classifyError(a, err)
+			is := is.New(t)
+			is.Equal(r.Outcome, OutcomeLost)
+			is.Equal(r.ClosedByPeer, c.closedByPeer)
 		})
 	}
 }
 
+// A server of HTTP/1.0 that serves one connection at a time waited for a request on the
+// connection of the probe, and served nobody else.
+func TestConnectionToServerOfHTTP10IsNotKept(t *testing.T) {
+	k := newConfirmingConn(t, newEndingUpstream(t, "HTTP/1.0 200 OK\r\n\r\nhold 12", false), false)
+	r, whole := k.call(t, false)
+	is := is.New(t)
+	is.Equal(r.Outcome, OutcomeAnswered)
+	is.True(whole)
+	is.True(!r.Reusable)
+}
+
 // A caller who leaves while the upstream is probed must end the call.
 func TestCallerWhoLeavesEndsProbe(t *testing.T) {
 	u := newEndingUpstream(t, unframedAnswers[0].text, true)
--- a/internal/connection/closer/guard.go
+++ b/internal/connection/closer/guard.go
@@ -19,7 +19,7 @@
 // any close before the handler returns resets the connection: one by the server, after a
 // panic of the handler, and by the kernel when the process ends. The caller cannot take the
 // part that it has for the whole then. Answers to requests of HTTP/1.0 are guarded from the
-// start, others from [EndWithConnection] on.
+// start, also those with a length, others from [EndWithConnection] on.
 func Guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		c, ok := connOf(req.Context())
@@ -63,22 +63,30 @@
 func (c *Conn) beginUnframedAnswer() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unframed, c.whole = true, false
+	c.unframed, c.handlerReturned = true, false
 	c.setLinger(0)
 }
 
-// endAnswer marks the answer as whole. The rest of it may still be in the buffer of the
+// endAnswer notes that the handler has returned. The rest of the answer may still be in the buffer of the
 // server, so that a process that ends resets the connection until it is closed or idle.
 func (c *Conn) endAnswer() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.whole = true
+	c.handlerReturned = true
+}
+
+// CutOff announces that the connection will be closed, whatever is in flight on it. The end
+// of an answer may still be in the buffer of the server after its handler has returned.
+func (c *Conn) CutOff() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cutOff = true
 }
 
 // unguard makes the next close an orderly one if the answer has ended. The caller holds the
 // lock.
 func (c *Conn) unguard() {
-	if c.unframed && c.whole {
+	if c.unframed && c.handlerReturned && !c.cutOff {
 		c.unframed = false
 		c.setLinger(-1)
 	}
@@ -87,7 +95,7 @@
 // setLinger sets what a close does with the data that was sent: 0 drops it and resets the
 // connection, a negative value delivers it before the end.
 func (c *Conn) setLinger(seconds int) {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(seconds)
+	if l, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		_ = l.SetLinger(seconds)
 	}
 }
--- a/internal/process/starter/gateway_ended_upstream_test.go
+++ b/internal/process/starter/gateway_ended_upstream_test.go
@@ -32,18 +32,7 @@
 	is.New(r.t).NoErr(err)
 	u := &mortalUpstream{listener: l, begun: make(chan struct{}, 8), goOn: make(chan struct{}, 8)}
 	r.t.Cleanup(u.end)
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			u.mu.Lock()
-			u.conns = append(u.conns, conn)
-			u.mu.Unlock()
-			go u.answer(conn)
-		}
-	}()
+	go u.serve(l)
 	r.store.Put("servers", name, map[string]any{
 		"service": "desk", "address": l.Addr().String(), "zone": "z", "version": "v1", "slots": 8,
 		"state": "ready", "warmup_left_ms": 0, "sequence": 1, "born": 1,
@@ -51,6 +40,19 @@
 	return u
 }
 
+func (u *mortalUpstream) serve(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		u.mu.Lock()
+		u.conns = append(u.conns, conn)
+		u.mu.Unlock()
+		go u.answer(conn)
+	}
+}
+
 func (u *mortalUpstream) answer(conn net.Conn) {
 	req, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
@@ -200,3 +202,23 @@
 		})
 	}
 }
+
+// An upstream in a planned stop had finished an answer, and ended within the last one. The
+// caller got that part as the whole.
+func TestGatewayLastAnswerOfEndedStoppingUpstreamDoesNotLookWhole(t *testing.T) {
+	forEachProtocol(t, 1, func(t *testing.T, g *gateway, u []*mortalUpstream, protocol string) {
+		first, second := g.beginCall("/stream/brief/1", protocol), g.beginCall("/stream/brief/2", protocol)
+		<-u[0].begun
+		<-u[0].begun
+		u[0].stopListening()
+		u[0].goOn <- struct{}{}
+		last := first
+		select {
+		case <-first:
+			last = second
+		case <-second:
+		}
+		u[0].end()
+		is.New(t).True((<-last).err != nil)
+	})
+}
