--- a/internal/connection/carrier/attempt.go
+++ b/internal/connection/carrier/attempt.go
@@ -19,6 +19,10 @@
 	opaque bool
 	// contested is true while another attempt may relay to the caller.
 	contested bool
+	// framing is that of the response, and relayedEvents the number of its events that
+	// were relayed.
+	framing       Framing
+	relayedEvents int
 	// unreportedEvents is the number of events since the last progress report,
 	// which was sent at lastReport.
 	unreportedEvents int
@@ -38,6 +42,9 @@
 	headBytes int
 	// skipped is true if a mismatched response was skipped.
 	skipped bool
+	// replaced is true if the connection of the response has ended and a new one has taken
+	// its place.
+	replaced bool
 	// keepAliveTimeout is the timeout in the Keep-Alive header of the response.
 	keepAliveTimeout time.Duration
 }
@@ -47,6 +54,7 @@
 	return Report{
 		Outcome: o, Err: err, Begun: a.begun, LastEvent: a.splitter.lastID, Unresumable: a.isUnresumable(),
 		Events: a.unreportedEvents, FirstEvent: a.firstEvent, LongestPause: a.longestPause,
+		Framing: a.framing, RelayedEvents: a.relayedEvents,
 	}
 }
 
@@ -59,6 +67,7 @@
 	return Report{
 		Conn: a.conn, Request: a.call.Request, Attempt: a.call.Attempt,
 		Begun: a.begun, LastEvent: a.splitter.lastID, Unresumable: a.isUnresumable(),
+		Framing: a.framing, RelayedEvents: a.relayedEvents,
 	}
 }
 
--- a/internal/connection/carrier/stream.go
+++ b/internal/connection/carrier/stream.go
@@ -74,10 +74,15 @@
 		return c.classifyError(a, errors.New("the framed stream ends within an event"))
 	case !errors.Is(err, io.EOF):
 		return c.classifyError(a, errors.Wrap(err, "read the stream"))
-	case a.isEmptyContinuation():
-		// Whether the stream that broke off was complete is as unknown as before.
+	}
+	if err := c.confirmEnd(a, resp); err != nil {
+		return c.classifyError(a, err)
+	}
+	switch {
+	case a.isEmptyContinuation() && !a.call.EndIfEmpty:
+		// One upstream may be wrong about the end of a stream that broke off at another.
 		r := a.newReport(OutcomeFailed, errors.New("the answer holds no event after the last one of the stream"))
-		r.Status = resp.StatusCode
+		r.Status, r.Empty = resp.StatusCode, resp.StatusCode == http.StatusOK
 		return r
 	case a.contested && a.endsBeforeEvent(resp):
 		return c.classifyError(a, errors.Wrap(io.ErrUnexpectedEOF, "the stream ends before its first event"))
@@ -95,6 +100,7 @@
 		a.recordEventTimes(now)
 	}
 	a.unreportedEvents += events
+	a.relayedEvents += events
 	if a.unreportedEvents == 0 {
 		return
 	}
@@ -107,6 +113,7 @@
 	c.options.Report(Report{
 		Conn: c, Request: a.call.Request, Attempt: a.call.Attempt, First: a.firstReport,
 		Events: a.unreportedEvents, Elapsed: now.Sub(since), Begun: true, LastEvent: a.splitter.lastID,
+		Framing: a.framing, RelayedEvents: a.relayedEvents,
 	})
 	a.firstReport, a.unreportedEvents, a.lastReport = false, 0, now
 }
--- a/internal/connection/closer/closer.go
+++ b/internal/connection/closer/closer.go
@@ -10,10 +10,13 @@
 // is closed only while there are none, and after one more look at what has arrived. If a
 // request has begun to arrive, the connection stays open until it is answered.
 //
+// An answer without a length or chunks ends with its connection. [Guard] resets the
+// connection of one that is cut off, also when the process is killed.
+//
 // # Usage
 //
 //	c := &closer.Conn{Conn: accepted, OnClose: forget}
-//	srv := &http.Server{Handler: h, ConnState: closer.FollowState}
+//	srv := &http.Server{Handler: closer.Guard(h), ConnState: closer.FollowState, ConnContext: closer.WithConn}
 //	// srv serves c
 //	c.Drain()
 package closer
@@ -79,6 +82,13 @@
 	// deadline.
 	lateBytes int
 	closed    bool
+	// handled is true while a handler runs that has not taken the connection over. Nobody
+	// else should close the connection meanwhile.
+	handled bool
+	// unframed is true while only the close of the connection marks the end of the
+	// answer, and whole once that answer has ended. See [Guard].
+	unframed bool
+	whole    bool
 }
 
 // Read reads from the connection. If the deadline passes while it is idle, as on a draining
@@ -166,12 +176,14 @@
 	return c.applyReadDeadline()
 }
 
-// Close closes the connection. It logs a request that gets no answer, unless the caller
-// has closed the connection before.
+// Close closes the connection. It logs a request that gets no answer, or not all of it
+// although its handler has not ended, unless the caller has closed the connection before.
 func (c *Conn) Close() error {
 	c.mu.Lock()
-	first, phase, unserved := !c.closed, c.phase, c.unserved
+	first, phase, unserved, handled := !c.closed, c.phase, c.unserved, c.handled
 	c.closed = true
+	c.unguard()
+	reset := c.unframed
 	c.mu.Unlock()
 	if !first {
 		return c.Conn.Close()
@@ -181,6 +193,9 @@
 		klog.InfoS("connection closed before an answer", "caller", c.RemoteAddr().String(),
 			"serving", phase == phaseRequest, "bytes_read", unserved, "bytes_unread", state == peeker.DataAvailable)
 	}
+	if hasUnfinished(phase, handled, state) {
+		klog.InfoS("connection closed within an answer", "caller", c.RemoteAddr().String(), "reset", reset)
+	}
 	c.OnClose(c)
 	return c.Conn.Close()
 }
@@ -194,10 +209,17 @@
 	return p == phaseHead || p == phaseRequest || unserved > 0 || s == peeker.DataAvailable
 }
 
+// hasUnfinished reports whether a connection that is closed has a part of an answer whose
+// handler has not ended, and its caller waits for the rest.
+func hasUnfinished(p phase, handled bool, s peeker.State) bool {
+	return handled && p == phaseAnswer && s != peeker.Ended
+}
+
 // CloseWrite closes the sending side of the connection.
 func (c *Conn) CloseWrite() error {
 	c.mu.Lock()
 	c.phase = phaseEnded
+	c.unguard()
 	c.mu.Unlock()
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return w.CloseWrite()
@@ -205,15 +227,6 @@
 	return nil
 }
 
-// Reset closes the connection in a way that the caller cannot take for the end of an
-// answer.
-func (c *Conn) Reset() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	return c.Close()
-}
-
 // FollowState is the hook of [http.Server] by which a connection knows whether the server
 // is serving a request on it.
 func FollowState(conn net.Conn, s http.ConnState) {
@@ -230,6 +243,9 @@
 		c.phase, c.unserved = phaseRequest, 0
 	case http.StateIdle:
 		c.phase, c.awaited = phaseIdle, false
+		c.unguard()
+	case http.StateHijacked:
+		c.handled = false
 	}
 	_ = c.applyReadDeadline()
 }
--- a/internal/request/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -28,6 +28,7 @@
 
 	"github.com/go-faster/errors"
 
+	"magnoliafront.dev/magnoliafront/internal/connection/closer"
 	"magnoliafront.dev/magnoliafront/internal/process/reserver"
 	"magnoliafront.dev/magnoliafront/internal/request/admitter"
 	"magnoliafront.dev/magnoliafront/pkg/buffer"
@@ -123,6 +124,9 @@
 			return &Error{Op: "write", Kind: ErrorBroken, Err: errors.New("another response follows the beginning of one")}
 		}
 		begun = true
+		if r.CloseDelimited && r.Kind != KindEnd {
+			closer.EndWithConnection(ctx, w.Header())
+		}
 		switch r.Kind {
 		case KindComplete:
 			return writeComplete(w, r)
@@ -197,13 +201,16 @@
 			to[name] = nil
 		}
 	}
-	if r.CloseDelimited {
-		// net/http then marks the end of the response by closing the connection.
-		to.Set("Transfer-Encoding", "identity")
-	}
 	return to
 }
 
+// HasHead reports whether the head of a response has been written to a
+// [http.ResponseWriter] with the header h by [Relay].
+func HasHead(h http.Header) bool {
+	_, ok := h["Date"]
+	return ok
+}
+
 // writeBody writes b, if it is not empty. It ignores the error of net/http for a
 // status that allows no body, such as 204 or 304.
 func writeBody(w http.ResponseWriter, b []byte) error {
