--- a/internal/connection/carrier/carrier.go
+++ b/internal/connection/carrier/carrier.go
@@ -28,9 +28,9 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
+	"magnoliafront.dev/magnoliafront/internal/connection/prober"
 	"magnoliafront.dev/magnoliafront/internal/process/recoverer"
 	"magnoliafront.dev/magnoliafront/internal/request/relayer"
 	"magnoliafront.dev/magnoliafront/pkg/buffer"
@@ -218,15 +218,13 @@
 
 // Conn is a connection to an upstream.
 type Conn struct {
+	// Socket is the network connection for other goroutines, which ask only for its state.
+	Socket  prober.Socket
 	options Options
 	calls   *buffer.Ring[Call, buffer.Reject]
 	permits *buffer.Ring[struct{}, buffer.Reject]
 	// confirmations tell the call whether the upstream is still there.
 	confirmations *buffer.Ring[bool, buffer.Reject]
-	// socket is conn for other goroutines, which ask only whether it is open.
-	socket atomic.Pointer[net.Conn]
-	// confirming is true while the end of a response is confirmed.
-	confirming atomic.Bool
 
 	// The fields below are used only by the goroutine of the connection.
 	conn     net.Conn
@@ -284,7 +282,7 @@
 // ends with [OutcomeStale].
 func (c *Conn) closeConn() {
 	if c.conn != nil {
-		c.socket.Store(nil)
+		c.Socket.Set(nil)
 		_ = c.conn.Close()
 		c.conn = nil
 	}
--- a/internal/connection/reader/cut_test.go
+++ b/internal/connection/reader/cut_test.go
@@ -62,7 +62,7 @@
 		for _, end := range [...]string{"closed", "reset"} {
 			path := fmt.Sprintf("/%d/%s", k, end)
 			events := make(chan Event, 1)
-			NewService(client, url, Job{Key: scheduler.Key{Request: "r"}, Call: &messenger.Call{Method: http.MethodPost, Path: path}}, func(e Event) { events <- e })
+			NewService(client, timer.System{}, url, Job{Key: scheduler.Key{Request: "r"}, Call: &messenger.Call{Method: http.MethodPost, Path: path}}, func(e Event) { events <- e })
 			e := <-events
 			if e.Kind != EventResponse {
 				is.New(t).Equal(e.Kind, EventLost) // event of path
@@ -122,3 +122,24 @@
 		})
 	}
 }
+
+// An engine that crashed within a line of its stream counted as one that had sent a malformed
+// event, so that the content that crashed it got no strike.
+func TestEngineEndedWithinLineHasCrashed(t *testing.T) {
+	const stream = "data: {\"choices\":[{\"delta\":{\"content\":\"x\"}}]}\n\ndata: [DONE]\n\n"
+	const head = "HTTP/1.1 200 OK\r\n\r\n"
+	url, client := cuttingUpstream(t, head+stream), newClient(t)
+	for k := len(head); k < len(head)+strings.Index(stream, "[DONE]"); k++ {
+		for _, end := range [...]string{"closed", "reset"} {
+			events := make(chan Event, 8)
+			NewEngine(client, timer.System{}, fmt.Sprintf("%s/%d/%s", url, k, end), Job{Body: []byte(`{}`)}, func(e Event) { events <- e })
+			last := <-events
+			for last.Kind == EventTokens {
+				last = <-events
+			}
+			if last.Kind != EventLost || !last.Crashed {
+				t.Errorf("%s after %d bytes of the stream: event %d, crashed %t, %v", end, k-len(head), last.Kind, last.Crashed, last.Err)
+			}
+		}
+	}
+}
