--- a/internal/connection/prober/prober.go
+++ b/internal/connection/prober/prober.go
@@ -89,8 +89,8 @@
 // Dial connects to an upstream. It bounds the time of one try.
 type Dial func(context.Context) (net.Conn, error)
 
-// Probe connects with dial. It returns the connection, or
-// nil if the upstream does not accept one or does not keep it open.
+// Probe connects with dial. It returns the connection, or an error if the upstream does not
+// accept one or does not keep it open.
 func Probe(ctx context.Context, dial Dial, c timer.Clock) (net.Conn, error) {
 	var last error
 	for range maxDials {
--- a/internal/connection/reader/confirm.go
+++ b/internal/connection/reader/confirm.go
@@ -45,7 +45,7 @@
 // Confirm answers an EventUnconfirmed: there is true if the upstream is still there.
 func (r *Reader) Confirm(there bool) { r.confirmations.Put(context.Background(), there) }
 
-// follow makes conn the connection whose state [Reader.State] returns.
+// follow makes conn the connection of Reader.Socket. A wrapper hides the state of its socket.
 func (r *Reader) follow(conn net.Conn) {
 	if c, ok := conn.(*requestConn); ok {
 		conn = c.Conn
