--- a/internal/process/loader/loader.go
+++ b/internal/process/loader/loader.go
@@ -99,6 +99,9 @@
 	// MemoryLimitMB is the memory in megabytes that the process may use. Zero means that
 	// it is not known.
 	MemoryLimitMB int `json:"memory_limit_mb,omitempty"`
+	// Duties are the calls to the platform's API that one entry at a time makes. Nil means
+	// that there are none.
+	Duties *Duties `json:"duties,omitempty"`
 }
 
 // MemoryLimitBytes returns MemoryLimitMB in bytes, zero if it is not known.
@@ -161,6 +164,9 @@
 	c.require("retry_share", g.RetryShare >= 0, fmt.Sprintf("a number of attempts for each request, not below zero, got %v", g.RetryShare))
 	c.require("memory_limit_mb", g.MemoryLimitMB == 0 || g.MemoryLimitMB >= minMemoryLimitMB, fmt.Sprintf("at least %d, got %d", minMemoryLimitMB, g.MemoryLimitMB))
 	c.require("retry_slack", g.RetrySlack >= 0, fmt.Sprintf("a number of attempts, not below zero, got %v", g.RetrySlack))
+	if g.Duties != nil {
+		c.duties(*g.Duties)
+	}
 	return c.err()
 }
 
