--- a/internal/process/elector/core.go
+++ b/internal/process/elector/core.go
@@ -34,6 +34,9 @@
 	EventUnavailable
 	// EventResigned makes the core release the lease and not acquire it again.
 	EventResigned
+	// EventGivenUp makes the core release the lease. It may acquire it again after
+	// [Core.Cooldown].
+	EventGivenUp
 )
 
 // Event is an input of the core: the result of a call, a timer or the
@@ -75,6 +78,13 @@
 	// WantsLease is true if the candidate wants to acquire the lease. It may
 	// change at any time; a holder keeps its lease.
 	WantsLease bool
+	// Cooldown is the time after the end of its lease in which the candidate does not
+	// acquire it again.
+	Cooldown time.Duration
+	// MinNumber is a fencing number that another holder may have used although the
+	// object does not show it. The candidate acquires the lease with a higher number,
+	// and a holder with a number that is not higher acquires it anew.
+	MinNumber int64
 
 	lease Lease
 	// version and record are those of the object when it was last read or
@@ -92,6 +102,14 @@
 	firstUnknownWriteAt time.Time
 	retryAt             time.Time
 	resigned            bool
+	// releasing is true from EventGivenUp until the object is known to have another
+	// holder, or none.
+	releasing bool
+	// lostAt is the time at which the last lease of the candidate ended, zero if it had
+	// none.
+	lostAt time.Time
+	// highestNumber is the highest fencing number seen, which outlasts the object.
+	highestNumber int64
 }
 
 // Lease returns the lease of the candidate.
@@ -99,6 +117,7 @@
 
 // HandleEvent applies e and returns the next call to make.
 func (c *Core) HandleEvent(now time.Time, e Event) Action {
+	wasHeld := c.lease.ValidFor > 0
 	switch e.Kind {
 	case EventRead:
 		c.callPending, c.mustReread = false, false
@@ -121,10 +140,18 @@
 		// soon as the platform has stored the record, which may be before the
 		// response arrives.
 		c.resigned, c.lease = true, Lease{}
+	case EventGivenUp:
+		c.releasing = wasHeld || c.releasing
+		c.lease = Lease{}
 	}
 	if c.lease.ValidFor > 0 && !c.lease.Held(now) {
 		c.lease = Lease{}
 	}
+	if wasHeld && c.lease.ValidFor == 0 {
+		c.lostAt = now
+	}
+	c.highestNumber = max(c.highestNumber, c.record.FencingNumber)
+	c.releasing = c.releasing && (c.record.Holder == c.Holder || c.callPending || c.mustReread)
 	return c.nextAction(now)
 }
 
@@ -141,8 +168,11 @@
 		at = now.Add(c.Duration/renewalDivisor - maxElapsed(c.lease.ValidFrom, now))
 	case !c.WantsLease:
 		at = now.Add(c.Duration)
+	case c.releasing:
 	case c.record.Holder != "":
-		at = now.Add(c.record.Duration - minElapsed(c.firstSeenAt, now))
+		at = now.Add(max(c.record.Duration-minElapsed(c.firstSeenAt, now), c.cooldownLeft(now)))
+	default:
+		at = now.Add(c.cooldownLeft(now))
 	}
 	if at.Before(c.retryAt) {
 		return c.retryAt
@@ -173,7 +203,7 @@
 func (c *Core) handleWritten(now time.Time, version int64, r Record, issued time.Time) {
 	c.version, c.record, c.firstSeenAt, c.firstUnknownWriteAt = version, r, now, time.Time{}
 	c.lease = Lease{}
-	if r.Holder == c.Holder && !c.resigned {
+	if r.Holder == c.Holder && !c.resigned && !c.releasing {
 		c.lease = Lease{FencingNumber: r.FencingNumber, ValidFrom: issued, ValidFor: r.Duration - r.Duration/safetyMarginDivisor}
 	}
 }
@@ -190,11 +220,16 @@
 		return Action{}
 	case c.resigned:
 		return c.write(now, Record{FencingNumber: c.record.FencingNumber, Duration: c.Duration})
+	case c.releasing:
+		return c.write(now, Record{FencingNumber: c.record.FencingNumber, Duration: c.Duration})
+	case held && c.lease.FencingNumber <= c.MinNumber:
+		c.lease = Lease{}
+		return c.acquire(now)
 	case held && maxElapsed(c.lease.ValidFrom, now) < c.Duration/renewalDivisor:
 		return Action{}
 	case held:
 		return c.write(now, Record{Holder: c.Holder, FencingNumber: c.lease.FencingNumber, Duration: c.Duration})
-	case !c.WantsLease:
+	case !c.WantsLease, c.cooldownLeft(now) > 0:
 		return Action{}
 	case c.record.Holder != "" && minElapsed(c.firstSeenAt, now) < c.record.Duration:
 		return Action{}
@@ -206,7 +241,16 @@
 // the holder renewed it in the meantime, so the record need not be read again
 // first.
 func (c *Core) acquire(now time.Time) Action {
-	return c.write(now, Record{Holder: c.Holder, FencingNumber: c.record.FencingNumber + 1, Duration: c.Duration})
+	return c.write(now, Record{Holder: c.Holder, FencingNumber: max(c.highestNumber, c.MinNumber) + 1, Duration: c.Duration})
+}
+
+// cooldownLeft returns the time for which the candidate must not acquire the lease after
+// the end of its last one. It is not above zero if there is none.
+func (c *Core) cooldownLeft(now time.Time) time.Duration {
+	if c.lostAt.IsZero() {
+		return 0
+	}
+	return max(0, c.Cooldown-minElapsed(c.lostAt, now))
 }
 
 func (c *Core) write(now time.Time, r Record) Action {
--- a/internal/process/elector/core_test.go
+++ b/internal/process/elector/core_test.go
@@ -29,7 +29,8 @@
 // must increase, with any lost or delayed calls, pauses and crashes.
 func TestAtMostOneHolderUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &simulation{t: t, now: time.Unix(1_800_000_000, 0)}
+		w := &simulation{t: t, now: time.Unix(1_800_000_000, 0), lastHeld: map[string]time.Time{}}
+		w.cooldown = time.Duration(rapid.IntRange(0, 1).Draw(t, "cooldown")) * 2 * duration
 		for i := range w.cores {
 			w.start(i)
 		}
@@ -53,6 +54,10 @@
 	// winner that candidate.
 	highestNumber int64
 	winner        string
+	// cooldown is the cool-down of the candidates, and lastHeld the time at which each
+	// was last seen to hold the lease.
+	cooldown time.Duration
+	lastHeld map[string]time.Time
 }
 
 // candidate is a core with the offset of its clock and its pending call.
@@ -66,7 +71,7 @@
 
 func (w *simulation) start(i int) {
 	w.starts++
-	c := &candidate{Core: Core{Holder: fmt.Sprintf("entry-%d", w.starts), Duration: duration, WantsLease: true}}
+	c := &candidate{Core: Core{Holder: fmt.Sprintf("entry-%d", w.starts), Duration: duration, WantsLease: true, Cooldown: w.cooldown}}
 	c.offset = time.Duration(rapid.IntRange(-100, 100).Draw(w.t, "offset")) * time.Second
 	w.cores[i] = c
 	w.send(c, Event{Kind: EventTimerFired})
@@ -76,7 +81,7 @@
 
 func (w *simulation) step() {
 	c := w.cores[rapid.IntRange(0, len(w.cores)-1).Draw(w.t, "core")]
-	switch rapid.SampledFrom([]string{"call", "call", "call", "tick", "time", "time", "crash", "delayed write", "resign"}).Draw(w.t, "step") {
+	switch rapid.SampledFrom([]string{"call", "call", "call", "tick", "time", "time", "crash", "delayed write", "resign", "give up"}).Draw(w.t, "step") {
 	case "call":
 		w.answer(c)
 	case "tick":
@@ -99,6 +104,11 @@
 		if c.call.Kind == ActionNone && rapid.IntRange(0, 4).Draw(w.t, "resigns") == 0 {
 			w.send(c, Event{Kind: EventResigned})
 		}
+	case "give up":
+		// It may come while a call is pending, whose result follows.
+		if a := c.HandleEvent(w.now.Add(c.offset), Event{Kind: EventGivenUp}); c.call.Kind == ActionNone {
+			c.call = a
+		}
 	}
 }
 
@@ -158,7 +168,11 @@
 		if l.FencingNumber < w.highestNumber || (l.FencingNumber == w.highestNumber && c.Holder != w.winner) {
 			w.t.Fatalf("%s holds number %d after %s held %d", c.Holder, l.FencingNumber, w.winner, w.highestNumber)
 		}
-		w.highestNumber, w.winner = l.FencingNumber, c.Holder
+		last, again := w.lastHeld[c.Holder]
+		if again && w.winner != c.Holder && w.cooldown > 0 && w.now.Sub(last) < duration {
+			w.t.Fatalf("%s holds the lease again after %s, %v after its last term", c.Holder, w.winner, w.now.Sub(last))
+		}
+		w.highestNumber, w.winner, w.lastHeld[c.Holder] = l.FencingNumber, c.Holder, w.now
 	}
 	if len(holders) > 1 {
 		w.t.Fatalf("%v hold the lease at the same time", holders)
@@ -180,6 +194,55 @@
 	is.True(!c.Lease().Held(now))
 }
 
+// hold returns a core that holds the lease with number 1 as version 1.
+func hold(t *testing.T, now time.Time) *Core {
+	t.Helper()
+	c := &Core{Holder: "entry-1", Duration: duration, WantsLease: true, Cooldown: 2 * duration}
+	c.HandleEvent(now, Event{Kind: EventTimerFired})
+	c.HandleEvent(now, Event{Kind: EventRead})
+	c.HandleEvent(now, Event{Kind: EventWritten, Version: 1})
+	is.New(t).True(c.Lease().Held(now))
+	return c
+}
+
+// A holder that gives up must release the lease and leave it to others for the
+// cool-down, or two entries that both fail would hold it in turns.
+func TestGivenUpLeaseIsNotAcquiredInCooldown(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := hold(t, now)
+	a := c.HandleEvent(now, Event{Kind: EventGivenUp})
+	is.Equal(a, Action{Kind: ActionWrite, ExpectedVersion: 1, Record: Record{FencingNumber: 1, Duration: duration}})
+	is.True(!c.Lease().Held(now))
+	is.Equal(c.HandleEvent(now, Event{Kind: EventWritten, Version: 2}).Kind, ActionNone)
+	is.Equal(c.NextTimer(now), now.Add(2*duration))
+	is.Equal(c.HandleEvent(now.Add(2*duration-1), Event{Kind: EventTimerFired}).Kind, ActionNone)
+	is.Equal(c.HandleEvent(now.Add(2*duration), Event{Kind: EventTimerFired}).Record.Holder, "entry-1")
+}
+
+// The fencing number must rise although the object was deleted, and above one that is
+// known from elsewhere: the receivers of orders have seen it.
+func TestNumberRisesWithoutObject(t *testing.T) {
+	now := time.Unix(1000, 0)
+	t.Run("object deleted", func(t *testing.T) {
+		c := hold(t, now)
+		later := now.Add(4 * duration)
+		is.New(t).Equal(c.HandleEvent(later, Event{Kind: EventConflicted}).Kind, ActionRead)
+		c.HandleEvent(later, Event{Kind: EventRead})
+		a := c.HandleEvent(later.Add(4*duration), Event{Kind: EventTimerFired})
+		is.New(t).Equal(a, Action{Kind: ActionWrite, Record: Record{Holder: "entry-1", FencingNumber: 2, Duration: duration}})
+	})
+	t.Run("higher number known", func(t *testing.T) {
+		c := hold(t, now)
+		c.MinNumber = 7
+		a := c.HandleEvent(now, Event{Kind: EventTimerFired})
+		is.New(t).Equal(a.Record.FencingNumber, int64(8))
+		is.New(t).True(!c.Lease().Held(now))
+		c.HandleEvent(now, Event{Kind: EventWritten, Version: 2})
+		is.New(t).Equal(c.Lease().FencingNumber, int64(8))
+	})
+}
+
 // A holder must not act after the end of its lease on either clock.
 func TestLeaseIsHeldUntilEndOnBothClocks(t *testing.T) {
 	from := time.Now()
--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -41,6 +41,8 @@
 	// maxResignCalls is the maximum number of calls with which a stopping holder
 	// releases its lease.
 	maxResignCalls = 4
+	// unknownHolder stands for the holder in an object that cannot be decoded.
+	unknownHolder = "unknown"
 )
 
 // Options configures an elector.
@@ -54,10 +56,17 @@
 	Duration time.Duration
 	Store    accessor.Store
 	Clock    timer.Clock
+	// Recorder records the lease being won and lost. It may be nil.
 	Recorder *recorder.Recorder
+	// Cooldown is the time after the end of its lease in which this process does not
+	// acquire it again.
+	Cooldown time.Duration
 	// WantsLease reports whether this process wants to acquire the lease. The
 	// goroutine of the elector calls it, so it must not block. Nil means always.
 	WantsLease func() bool
+	// Changed is called after the lease has been won or lost, with the new one. The
+	// goroutine of the elector calls it, so it must not block. It may be nil.
+	Changed func(Lease)
 }
 
 // Elector acquires and renews one lease.
@@ -66,6 +75,12 @@
 	lease   atomic.Pointer[Lease]
 	cancel  context.CancelFunc
 	done    chan struct{}
+	// givenUp is true from GiveUp until the core has released the lease, and wake ends a
+	// wait of the goroutine.
+	givenUp atomic.Bool
+	wake    chan struct{}
+	// minNumber is the value of [Core.MinNumber].
+	minNumber atomic.Int64
 	// core is used only by the goroutine of the elector.
 	core Core
 }
@@ -76,7 +91,8 @@
 		o.Duration = DefaultDuration
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &Elector{options: o, cancel: cancel, done: make(chan struct{}), core: Core{Holder: o.Holder, Duration: o.Duration}}
+	e := &Elector{options: o, cancel: cancel, done: make(chan struct{}), wake: make(chan struct{}, 1)}
+	e.core = Core{Holder: o.Holder, Duration: o.Duration, Cooldown: o.Cooldown}
 	e.lease.Store(&Lease{})
 	go func() {
 		defer close(e.done)
@@ -95,10 +111,40 @@
 // Held returns the fencing number and whether this process holds the lease
 // now. Call it before each action.
 func (e *Elector) Held() (int64, bool) {
-	l := e.lease.Load()
+	l := e.Lease()
 	return l.FencingNumber, l.Held(e.options.Clock.Now())
 }
 
+// Lease returns the lease of this process. The zero value means that it has none.
+func (e *Elector) Lease() Lease {
+	l := *e.lease.Load()
+	if e.givenUp.Load() || l.FencingNumber <= e.minNumber.Load() {
+		return Lease{}
+	}
+	return l
+}
+
+// GiveUp ends the lease of this process at once. It is released in the background and not
+// acquired again before the end of [Options.Cooldown].
+func (e *Elector) GiveUp() {
+	e.givenUp.Store(true)
+	e.wakeUp()
+}
+
+// RaiseNumber makes the fencing number of this process higher than number. If it is not,
+// the lease ends at once and is acquired anew.
+func (e *Elector) RaiseNumber(number int64) {
+	e.minNumber.Store(number)
+	e.wakeUp()
+}
+
+func (e *Elector) wakeUp() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Stop releases the lease and waits until the goroutine has ended.
 func (e *Elector) Stop() {
 	e.cancel()
@@ -119,6 +165,7 @@
 	}
 	select {
 	case <-wake:
+	case <-e.wake:
 	case <-ctx.Done():
 	}
 	return Event{Kind: EventTimerFired}
@@ -126,18 +173,31 @@
 
 func (e *Elector) decide(in Event) Action {
 	e.core.WantsLease = e.options.WantsLease == nil || e.options.WantsLease()
-	a := e.core.HandleEvent(e.options.Clock.Now(), in)
+	e.core.MinNumber = e.minNumber.Load()
+	now, givenUp := e.options.Clock.Now(), e.givenUp.Load()
+	a := e.core.HandleEvent(now, in)
+	if givenUp {
+		if b := e.core.HandleEvent(now, Event{Kind: EventGivenUp}); a.Kind == ActionNone {
+			a = b
+		}
+	}
 	old, l := e.lease.Load(), e.core.Lease()
 	e.lease.Store(&l)
+	if givenUp {
+		e.givenUp.Store(false)
+	}
 	if old.FencingNumber != l.FencingNumber {
 		e.record(tracer.KindLeaseLost, old.FencingNumber)
 		e.record(tracer.KindLeaseWon, l.FencingNumber)
+		if e.options.Changed != nil {
+			e.options.Changed(l)
+		}
 	}
 	return a
 }
 
 func (e *Elector) record(kind tracer.Kind, number int64) {
-	if number != 0 {
+	if number != 0 && e.options.Recorder != nil {
 		e.options.Recorder.Record(tracer.Event{Kind: kind, Reason: e.options.Name + " " + strconv.FormatInt(number, 10)})
 	}
 }
@@ -164,6 +224,11 @@
 			return e.result(o, Record{}, err, EventRead)
 		}
 		r, err := DecodeRecord(o.Value)
+		if err != nil {
+			// An object that another program has written counts as the lease of an
+			// unknown holder, and is replaced once it has not changed for a lease.
+			r, err = Record{Holder: unknownHolder, Duration: e.options.Duration}, nil
+		}
 		return e.result(o, r, err, EventRead)
 	case ActionWrite:
 		value, err := a.Record.Encode()
@@ -180,7 +245,7 @@
 	switch {
 	case err == nil:
 		return Event{Kind: kind, Version: o.Version, Record: r}
-	case accessor.IsKind(err, accessor.ErrorConflict):
+	case accessor.IsKind(err, accessor.ErrorConflict), accessor.IsKind(err, accessor.ErrorMissing):
 		return Event{Kind: EventConflicted}
 	case accessor.IsKind(err, accessor.ErrorOutcomeUnknown):
 		return Event{Kind: EventOutcomeUnknown}
--- a/internal/process/elector/lease.go
+++ b/internal/process/elector/lease.go
@@ -53,6 +53,15 @@
 	return l.ValidFor > 0 && maxElapsed(l.ValidFrom, now) < l.ValidFor
 }
 
+// Remaining returns the time after now in which the holder may still act. It is zero if
+// the lease is not held.
+func (l Lease) Remaining(now time.Time) time.Duration {
+	if !l.Held(now) {
+		return 0
+	}
+	return l.ValidFor - maxElapsed(l.ValidFrom, now)
+}
+
 // maxElapsed returns the longer of the times that elapsed on the wall clock
 // and on the monotonic clock. A suspended VM may stop the monotonic clock,
 // and a correction may set the wall clock back; the holder must not act too
