Run the usage reports in entries whose settings ask for them

The counts, the exchange and the duty were not connected. The dispatcher now returns an action once for each request that an upstream has begun; load reports carry packed usage updates, or a message of its own does if there is no load; starter starts lease and reporter if the settings have duties, and gives the lease up at the begin of a stop. Metrics show the holder and the results. Without the settings nothing is started and the messages are as before.

--- a/internal/process/accountant/accountant.go
+++ b/internal/process/accountant/accountant.go
@@ -113,7 +113,9 @@
 	settled   int64
 	// keepFrom is the first window that is kept although it is old, zero if there is none.
 	keepFrom int64
-	revision uint64
+	// revision counts the changes of rows, and ownRevision those of own rows.
+	revision    uint64
+	ownRevision uint64
 	// published counts the calls of Publish since the last complete update.
 	published          int
 	publishedWatermark int64
@@ -150,6 +152,9 @@
 // Revision changes with each change of a row.
 func (a *Accountant) Revision() uint64 { return a.revision }
 
+// OwnRevision changes with each change of an own row.
+func (a *Accountant) OwnRevision() uint64 { return a.ownRevision }
+
 // Watermark returns the last window that has ended for this entry.
 func (a *Accountant) Watermark() int64 { return a.watermark }
 
@@ -173,6 +178,7 @@
 	}
 	a.changed[w][organisation] = struct{}{}
 	a.revision++
+	a.ownRevision++
 }
 
 // Merge adds what another entry told.
--- a/internal/process/accountant/peers.go
+++ b/internal/process/accountant/peers.go
@@ -89,11 +89,12 @@
 
 func (a *Accountant) isLiving(now time.Time, p *peer) bool { return now.Sub(p.heardAt) < silenceLimit }
 
-// Living returns the other entries that live and have been heard.
+// Living returns the other entries that live, have been heard and are listed by the store.
+// One that is stopping is listed no more.
 func (a *Accountant) Living(now time.Time) []string {
 	var out []string
 	for e, p := range a.peers {
-		if p.heard && a.isLiving(now, p) {
+		if p.heard && p.member && a.isLiving(now, p) {
 			out = append(out, e)
 		}
 	}
--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -56,6 +56,8 @@
 	// RetryCapacity unused retries.
 	RetryRatio    float64
 	RetryCapacity float64
+	// CountUsage is true if the requests that upstreams begin are counted.
+	CountUsage bool
 }
 
 // Dispatcher holds the requests in flight and the state of all services of an
--- a/internal/process/dispatcher/event.go
+++ b/internal/process/dispatcher/event.go
@@ -183,6 +183,8 @@
 	// ActionUpstreamHeldBack means that Upstream gets no requests for RetryAfter. It is
 	// returned only if the upstream was not held back before.
 	ActionUpstreamHeldBack
+	// ActionCountUsage counts a request of Organisation that an upstream has begun.
+	ActionCountUsage
 )
 
 // Action is an instruction for the caller of [Dispatcher.Step]. Only the fields of
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -67,7 +67,9 @@
 	lastEvent string
 	// foundEmpty is true if an upstream had no event after lastEvent.
 	foundEmpty bool
-	summary    Summary
+	// counted is true once the request was counted for the usage of its organisation.
+	counted bool
+	summary Summary
 }
 
 // run is an attempt of a request at one upstream.
@@ -246,12 +248,13 @@
 	s := d.service(f.admission.Service.Name)
 	f.recordPart(e)
 	if e.First {
+		out := d.countBegin(f)
 		s.picker.Step(now, picker.Event{Kind: picker.EventFirstToken, Upstream: f.upstream, Elapsed: e.Elapsed, PromptTokens: f.pendingTokens})
 		f.pendingTokens = 0
 		if f.prefillTokens > 0 {
 			s.separator.Step(now, separator.Event{Kind: separator.EventPrefilled, Request: f.admission.Route.Name, PromptTokens: f.prefillTokens, Elapsed: e.Elapsed})
 		}
-		return d.detectProgress(now, f)
+		return append(out, d.detectProgress(now, f)...)
 	}
 	s.separator.Step(now, separator.Event{Kind: separator.EventProgress, Request: f.admission.Route.Name, Elapsed: e.Elapsed, Events: e.Events})
 	s.picker.Step(now, picker.Event{Kind: picker.EventTokens, Upstream: f.upstream, Elapsed: e.Elapsed, Tokens: e.Events})
--- a/internal/process/dispatcher/outcome.go
+++ b/internal/process/dispatcher/outcome.go
@@ -36,7 +36,8 @@
 	if f != nil && f.suspended != nil && f.suspended.attempt == e.Attempt {
 		// A call also ends while it is suspended, at its deadline for example.
 		ended := *f.suspended
-		return append(d.abandonSuspended(now, f, reasonEnded), d.detectEnd(now, f, ended, e.Outcome)...)
+		out := append(d.abandonSuspended(now, f, reasonEnded), d.countEnd(f, e)...)
+		return append(out, d.detectEnd(now, f, ended, e.Outcome)...)
 	}
 	if f == nil || f.attempt != e.Attempt {
 		return nil
@@ -49,6 +50,7 @@
 	f.recordPart(e)
 	f.foundEmpty = f.foundEmpty || e.Empty
 	f.state.Repeatable = f.state.Repeatable && !e.Unresumable
+	out = append(out, d.countEnd(f, e)...)
 	out = append(out, d.recordOutcome(now, f, e)...)
 	switch e.Outcome {
 	case OutcomeAnswered:
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -62,6 +62,10 @@
 	case dispatcher.ActionUpstreamHeldBack:
 		klog.InfoS("upstream held back", "upstream", a.Upstream.InstanceID(), "service", a.Upstream.Service,
 			"address", a.Upstream.Address, "request", a.ID, "retry_after", a.RetryAfter)
+	case dispatcher.ActionCountUsage:
+		if f.options.CountUsage != nil {
+			f.options.CountUsage(a.Organisation)
+		}
 	case dispatcher.ActionSendLoad:
 		if f.options.SendLoad != nil {
 			f.options.SendLoad(a.Report)
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -81,6 +81,9 @@
 	// SendLoad sends a load report to the other entries. It must not block. It may
 	// be nil.
 	SendLoad func(dispatcher.LoadReport)
+	// CountUsage counts a request of an organisation that an upstream has begun. It must
+	// not block. It may be nil.
+	CountUsage func(organisation string)
 	// Observe is called at the end of each request. It must not block. It may be
 	// nil.
 	Observe func(Observation)
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -63,6 +63,7 @@
 	answerBytes   metric.Int64ObservableGauge
 	answerLimit   metric.Int64ObservableGauge
 	answerRefused metric.Int64ObservableCounter
+	duties        dutyInstruments
 }
 
 // New returns a meter with a registry of its own.
@@ -276,6 +277,9 @@
 	if m.answerRefused, err = m.meter.Int64ObservableCounter("magnoliafront_answer_reservations_refused", metric.WithDescription("Reservations that did not fit into the budget for answers.")); err != nil {
 		return err
 	}
+	if err = m.duties.create(m.meter); err != nil {
+		return err
+	}
 	if m.events, err = m.meter.Int64Counter("magnoliafront_events", metric.WithDescription("Events of the time line.")); err != nil {
 		return err
 	}
--- a/internal/process/meter/meter_test.go
+++ b/internal/process/meter/meter_test.go
@@ -60,3 +60,25 @@
 	}
 	t.Fatalf("no line with %q, %q and %q in:\n%s", name, label, value, metrics)
 }
+
+// An operator must see which entry has a duty, and what has happened to its windows.
+func TestDutiesAreExported(t *testing.T) {
+	m, err := New()
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(m.WatchDuty("usage", func() (int64, bool) { return 7, true }))
+	is.New(t).NoErr(m.WatchDuty("scale", func() (int64, bool) { return 7, false }))
+	m.UsageWindows("confirmed", 2)
+	m.ScaleOrder("sent")
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, line := range []struct{ name, label, value string }{
+		{"magnoliafront_duty_held{", `duty="usage"`, "} 1"},
+		{"magnoliafront_duty_token{", `duty="usage"`, "} 7"},
+		{"magnoliafront_duty_held{", `duty="scale"`, "} 0"},
+		{"magnoliafront_duty_token{", `duty="scale"`, "} 0"},
+		{"magnoliafront_usage_windows_total{", `result="confirmed"`, "} 2"},
+		{"magnoliafront_scale_orders_total{", `result="sent"`, "} 1"},
+	} {
+		t.Run(line.name+line.label, func(t *testing.T) { assertExported(t, w.Body.String(), line.name, line.label, line.value) })
+	}
+}
--- a/internal/process/reporter/core.go
+++ b/internal/process/reporter/core.go
@@ -48,8 +48,10 @@
 type rowsState struct {
 	pending     bool
 	cutOffSince time.Time
-	watermark   int64
-	retryAt     time.Time
+	// watermark and revision are those of the accountant when the rows were last left.
+	watermark int64
+	revision  uint64
+	retryAt   time.Time
 }
 
 // term is the state of one term of a holder.
@@ -92,7 +94,7 @@
 	case EventRowsWritten:
 		c.rows.pending = false
 		if e.Outcome != OutcomeDone {
-			c.rows.watermark, c.rows.retryAt = 0, now.Add(checkpointInterval)
+			c.rows.watermark, c.rows.revision, c.rows.retryAt = 0, 0, now.Add(checkpointInterval)
 		}
 		return nil
 	}
@@ -154,14 +156,15 @@
 	if r.cutOffSince.IsZero() {
 		r.cutOffSince = now
 	}
-	if r.pending || now.Sub(r.cutOffSince) < cutOffDelay || now.Before(r.retryAt) || r.watermark == c.Accounts.Watermark() {
+	if r.pending || now.Sub(r.cutOffSince) < cutOffDelay || now.Before(r.retryAt) {
 		return nil
 	}
+	watermark, revision := c.Accounts.Watermark(), c.Accounts.OwnRevision()
 	rows := c.Accounts.OwnRows()
-	if len(rows) == 0 {
+	if r.watermark == watermark || r.revision == revision || len(rows) == 0 {
 		return nil
 	}
-	r.pending, r.watermark = true, c.Accounts.Watermark()
+	r.pending, r.watermark, r.revision = true, watermark, revision
 	return []Action{{Kind: ActionWriteRows, Rows: rows}}
 }
 
--- a/internal/process/reporter/journal.go
+++ b/internal/process/reporter/journal.go
@@ -155,7 +155,7 @@
 		r.Incarnation.Entry = u.name()
 		r.Incarnation.StartUnixMilli = int64(u.number())
 		r.Window = int64(u.number())
-		for range min(u.number(), uint64(len(u.rest))) {
+		for range u.length() {
 			organisation := u.name()
 			n := u.number()
 			u.failed = u.failed || n > maxCount
@@ -186,6 +186,17 @@
 	return n
 }
 
+// length reads the number of the counts that follow, each of two bytes or more. It fails
+// if there are fewer.
+func (u *unpacker) length() uint64 {
+	n := u.number()
+	if n > uint64(len(u.rest)/2) {
+		u.failed, u.rest = true, nil
+		return 0
+	}
+	return n
+}
+
 func (u *unpacker) name() string {
 	n := u.number()
 	switch {
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -70,16 +70,20 @@
 			func() timer.Clock { return timer.System{} },
 			func() *syncerRef { return &syncerRef{} },
 			func() *recoverer.Recoverer { return &recoverer.Recoverer{} },
-			newStore, newMeter, newForwarder, newPeering, newReceiver, newAnswerBudget,
+			func() *dutiesRef { return &dutiesRef{} },
+			newAPI, newDuties, newStore, newMeter, newForwarder, newPeering, newReceiver, newAnswerBudget,
 		),
 		fx.Invoke(serveGatewayMetrics),
 		fx.Invoke(func(m *meter.Meter, b *reserver.Budget) error { return m.WatchAnswers(b.Stats) }),
 		fx.Invoke(func(m *meter.Meter, r *recoverer.Recoverer) error { return m.WatchPanics(&r.Panics) }),
-		fx.Invoke(func(m *meter.Meter, f *forwarder.Forwarder, p *peering, r *receiver.Receiver) error {
-			return m.WatchRings(func() []buffer.Stats { return append(append(f.Stats(), p.syncer.Stats()...), r.Stats()) })
+		fx.Invoke(func(m *meter.Meter, f *forwarder.Forwarder, p *peering, r *receiver.Receiver, d *duties) error {
+			return m.WatchRings(func() []buffer.Stats {
+				return append(append(append(f.Stats(), p.syncer.Stats()...), d.stats()...), r.Stats())
+			})
 		}),
 		fx.Invoke(watchRequests),
 		fx.Invoke(drainGateway),
+		fx.Invoke(resignDuties),
 	)
 }
 
@@ -135,21 +139,22 @@
 	}
 }
 
-func newForwarder(lc fx.Lifecycle, s loader.Gateway, c timer.Clock, ref *syncerRef, m *meter.Meter, rec *recoverer.Recoverer) *forwarder.Forwarder {
+func newForwarder(lc fx.Lifecycle, s loader.Gateway, c timer.Clock, ref *syncerRef, usage *dutiesRef, m *meter.Meter, rec *recoverer.Recoverer) *forwarder.Forwarder {
 	f := forwarder.New(forwarder.Options{
-		Clock: c, Codec: platform.Codec{}, Recoverer: rec, SendStrikes: ref.sendStrikes, SendLoad: ref.sendLoad,
+		Clock: c, Codec: platform.Codec{}, Recoverer: rec, SendStrikes: ref.sendStrikes, SendLoad: ref.sendLoad, CountUsage: usage.countUsage,
 		Observe:       func(o forwarder.Observation) { m.Request(o.Route, o.Result, o.Elapsed) },
 		ObserveAnswer: func(o forwarder.AnswerObservation) { m.Answer(o.Framing, o.End) },
 		Dispatcher: dispatcher.Settings{
 			AvailabilityZone: s.AvailabilityZone, Seed: uint64(c.Now().UnixNano()),
 			RetryRatio: s.RetryShare, RetryCapacity: s.RetrySlack,
+			CountUsage: s.Duties != nil && bool(s.Duties.Usage),
 		},
 	})
 	lc.Append(fx.StopHook(f.Stop))
 	return f
 }
 
-func newPeering(lc fx.Lifecycle, s loader.Gateway, self messenger.Peer, c timer.Clock, store *platform.Store, f *forwarder.Forwarder, ref *syncerRef, rec *recoverer.Recoverer) (*peering, error) {
+func newPeering(lc fx.Lifecycle, s loader.Gateway, self messenger.Peer, c timer.Clock, store *platform.Store, f *forwarder.Forwarder, ref *syncerRef, usage *dutiesRef, rec *recoverer.Recoverer) (*peering, error) {
 	p := &peering{}
 	ready := make(chan struct{})
 	handle := func(conn *messenger.Conn, m messenger.Message) (any, error) {
@@ -167,7 +172,7 @@
 		Decoder: syncer.Decoder{
 			Configuration: platform.DecodeConfiguration, Upstream: platform.DecodeUpstream, Name: platform.Name,
 		},
-		Send: p.linker.Send, Recoverer: rec,
+		Send: p.linker.Send, ReceiveUsage: usage.receiveUsage, Recoverer: rec,
 	})
 	close(ready)
 	var err error
--- a/internal/process/starter/gateway_fixture_test.go
+++ b/internal/process/starter/gateway_fixture_test.go
@@ -36,6 +36,8 @@
 	noticePeriod string
 	gracePeriod  string
 	clock        timer.Clock
+	// duties are the duties of the entries that are started next, nil for none.
+	duties *loader.Duties
 }
 
 // waitTimeout bounds each wait of a test. Waits usually end long before.
@@ -117,6 +119,7 @@
 			SharedSecret: "secret of the test", Peers: peers,
 		},
 		Listen: g.callerAddress, ReadyListen: g.readyAddress, GracePeriod: r.gracePeriod, NoticePeriod: r.noticePeriod, LeavingLimit: "2s", RetryShare: 0.2, RetrySlack: 50,
+		Duties: r.duties,
 	}
 	is.NoErr(s.Check())
 	path := filepath.Join(r.t.TempDir(), "settings.json")
--- a/internal/process/syncer/members.go
+++ b/internal/process/syncer/members.go
@@ -82,11 +82,13 @@
 // is included under the placeholder identity "seed ADDRESS".
 func (s *Syncer) publishMembers() {
 	members := map[string]string{}
+	listed := []string{}
 	known := map[string]struct{}{s.options.Address: {}}
 	for identity, e := range s.entries {
 		if identity != s.options.Self.Identity {
 			members[identity] = e.Address
 			known[e.Address] = struct{}{}
+			listed = append(listed, identity)
 		}
 	}
 	for _, address := range s.options.Seeds {
@@ -95,5 +97,6 @@
 		}
 	}
 	s.members.Store(&members)
+	s.listed.Store(&listed)
 	s.options.Forwarder.SetEntryCount(max(len(s.entries), len(s.options.Seeds), 1))
 }
--- a/internal/process/syncer/message.go
+++ b/internal/process/syncer/message.go
@@ -40,6 +40,9 @@
 	Runs   []byte `json:"runs"`
 	Placed []byte `json:"placed,omitempty"`
 	Shares []byte `json:"shares,omitempty"`
+	// Usage is the packed usage update of the sender; see [packUsage]. A message that has
+	// only an update has no Runs.
+	Usage []byte `json:"usage,omitempty"`
 }
 
 const (
@@ -68,7 +71,7 @@
 		shares = binary.BigEndian.AppendUint32(shares, hashName(s.Service))
 		shares = append(shares, byte(math.Round(min(max(s.Share, 0), 1)*math.MaxUint8)))
 	}
-	return Load{runs, placed, shares}
+	return Load{Runs: runs, Placed: placed, Shares: shares}
 }
 
 // unpack decodes the report as far as it concerns known upstreams and their services.
--- a/internal/process/syncer/share.go
+++ b/internal/process/syncer/share.go
@@ -19,10 +19,18 @@
 
 // SendLoad sends the load report of this entry to all other entries.
 func (s *Syncer) SendLoad(r dispatcher.LoadReport) {
-	// The message is encoded once for all entries.
-	encoded, err := json.Marshal(pack(r))
+	l := pack(r)
+	if usage := s.pendingUsage.Swap(nil); usage != nil {
+		l.Usage = *usage
+	}
+	s.sendLoad(l)
+}
+
+// sendLoad sends a message to all other entries. It is encoded once for all of them.
+func (s *Syncer) sendLoad(l Load) {
+	encoded, err := json.Marshal(l)
 	if err != nil {
-		klog.ErrorS(err, "load report not encoded", "upstreams", len(r.Loads), "placements", len(r.Placements))
+		klog.ErrorS(err, "load report not encoded", "bytes", len(l.Runs)+len(l.Placed)+len(l.Usage))
 		return
 	}
 	for identity := range s.Members() {
@@ -57,6 +65,10 @@
 		if err := m.Decode(&l); err != nil {
 			return nil, err
 		}
+		s.receiveUsage(c.Peer.Identity, l.Usage)
+		if l.Runs == nil {
+			return nil, nil
+		}
 		f := s.options.Forwarder
 		f.ReceiveLoad(c.Peer.Identity, l.unpack(f.State().Upstreams))
 	}
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -31,6 +31,7 @@
 
 	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
 	"magnoliafront.dev/magnoliafront/internal/process/accessor"
+	"magnoliafront.dev/magnoliafront/internal/process/accountant"
 	"magnoliafront.dev/magnoliafront/internal/process/forwarder"
 	"magnoliafront.dev/magnoliafront/internal/process/recoverer"
 	"magnoliafront.dev/magnoliafront/internal/process/registrar"
@@ -96,6 +97,8 @@
 	Forwarder *forwarder.Forwarder
 	// Send sends a message to another entry by its identity. It must not block.
 	Send func(identity, method string, params any) bool
+	// ReceiveUsage adds the usage update of another entry. It may be nil.
+	ReceiveUsage func(accountant.Update)
 	// Recoverer handles panics while an update or a message is handled. It may be nil.
 	Recoverer *recoverer.Recoverer
 }
@@ -113,6 +116,13 @@
 	// members holds the addresses of the other entries by identity. The map is
 	// immutable.
 	members atomic.Pointer[map[string]string]
+	// listed holds the identities of the other entries that the platform lists. The slice
+	// is immutable.
+	listed atomic.Pointer[[]string]
+	// pendingUsage is a packed usage update that the next load report takes along, and
+	// organisations the names by which updates are unpacked.
+	pendingUsage  atomic.Pointer[[]byte]
+	organisations atomic.Pointer[organisationNames]
 	// synced is true while the configuration and the upstreams are kept up to date,
 	// by the platform or by an entry that reaches it.
 	synced atomic.Bool
@@ -203,6 +213,9 @@
 // Members returns the addresses of the other entries by identity.
 func (s *Syncer) Members() map[string]string { return *s.members.Load() }
 
+// Listed returns the identities of the other entries that the platform lists.
+func (s *Syncer) Listed() []string { return *s.listed.Load() }
+
 // DeleteOwnEntry deletes the object of this entry from the platform and keeps it
 // from being written again. It returns the error of the store.
 func (s *Syncer) DeleteOwnEntry(ctx context.Context) error {
@@ -381,26 +394,3 @@
 		f.HandleRegistrarEvent(registrar.Event{Kind: registrar.EventRemoved, Names: removed})
 	}
 }
-
-// ignoreObject logs an object that cannot be decoded, once for each revision.
-func (s *Syncer) ignoreObject(o accessor.Object, err error) {
-	if s.isNewlyIgnored(o) {
-		klog.InfoS("object ignored", "key", o.Key, "revision", o.Version, "err", err)
-	}
-}
-
-// isNewlyIgnored reports whether an object was not ignored at the same revision before.
-// The revision is zero if it cannot be read.
-func (s *Syncer) isNewlyIgnored(o accessor.Object) bool {
-	if last, ok := s.ignoredRevisions[o.Key]; ok && last == o.Version {
-		return false
-	}
-	if len(s.ignoredRevisions) >= maxIgnoredRevisions {
-		clear(s.ignoredRevisions)
-	}
-	s.ignoredRevisions[o.Key] = o.Version
-	return true
-}
-
-// maxIgnoredRevisions is the maximum number of objects in ignoredRevisions.
-const maxIgnoredRevisions = 256
--- /dev/null
+++ b/internal/process/syncer/usage_test.go
@@ -0,0 +1,74 @@
+package syncer
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"magnoliafront.dev/magnoliafront/internal/process/accountant"
+	"magnoliafront.dev/magnoliafront/internal/version/matcher"
+)
+
+// names returns the names of two organisations by their hashes.
+func names() map[uint32]string {
+	t := matcher.New(matcher.Configuration{Organisations: []matcher.Organisation{{Name: "hule"}, {Name: "fida"}}})
+	var n *organisationNames
+	return n.update(t).byHash
+}
+
+func usageUpdate() accountant.Update {
+	return accountant.Update{
+		Sender: accountant.Incarnation{StartUnixMilli: 1_800_000_000_000}, Watermark: 360_000_000, Complete: true,
+		Settled: 359_999_999, Token: 3, HeardToken: 3,
+		Rows: []accountant.Row{{Window: 360_000_001, Counts: accountant.Counts{"hule": 412, "fida": 1}}},
+	}
+}
+
+// The rows of the others must arrive unchanged, or the usage would be reported wrong.
+func TestUnpackRestoresPackedUsage(t *testing.T) {
+	t.Run("known organisations", func(t *testing.T) {
+		got, ok := unpackUsage(packUsage(usageUpdate()), names())
+		is.New(t).True(ok)
+		is.New(t).Equal(got, usageUpdate())
+	})
+	t.Run("an unknown organisation leaves the update incomplete", func(t *testing.T) {
+		u := usageUpdate()
+		u.Rows[0].Counts["new"] = 4
+		got, ok := unpackUsage(packUsage(u), names())
+		is.New(t).True(ok)
+		is.New(t).True(!got.Complete)
+		is.New(t).Equal(got.Rows, usageUpdate().Rows)
+	})
+	t.Run("truncated update is refused or shorter", func(t *testing.T) {
+		packed := packUsage(usageUpdate())
+		for i := range packed {
+			got, ok := unpackUsage(packed[:i], names())
+			is.New(t).True(!ok || len(got.Rows) == 0)
+		}
+	})
+	t.Run("organisation that is removed stays known", func(t *testing.T) {
+		old := (*organisationNames)(nil).update(matcher.New(matcher.Configuration{Organisations: []matcher.Organisation{{Name: "hule"}}}))
+		is.New(t).Equal(old.update(matcher.New(matcher.Configuration{})).byHash[hashName("hule")], "hule")
+	})
+}
+
+// A message of another entry may be damaged. It must not bring counts that are absurd, or
+// end the process.
+func FuzzUsage(f *testing.F) {
+	f.Add(packUsage(usageUpdate()))
+	f.Add([]byte{1, 2, 3, 4, 5, 1, 6, 255, 255, 255, 255, 15})
+	known := names()
+	f.Fuzz(func(t *testing.T, data []byte) {
+		u, ok := unpackUsage(data, known)
+		if !ok {
+			return
+		}
+		is := is.New(t)
+		is.True(len(u.Rows) <= maxUsageRows)
+		for _, r := range u.Rows {
+			for _, n := range r.Counts {
+				is.True(n >= 0 && n <= maxUsageCount)
+			}
+		}
+	})
+}
