--- a/internal/process/accountant/accountant.go
+++ b/internal/process/accountant/accountant.go
@@ -78,6 +78,8 @@
 	// highest one that it has heard from a holder itself within the last seconds.
 	Token      int64
 	HeardToken int64
+	// Eligible is true if the sender can do duties.
+	Eligible bool
 	// Rows holds rows of the sender itself.
 	Rows []Row
 }
@@ -122,7 +124,9 @@
 	publishedSettled   int64
 	publishedToken     int64
 	lastPublish        time.Time
+	publishedEligible  bool
 	token              int64
+	eligible           bool
 }
 
 // New returns an accountant without rows.
@@ -167,6 +171,9 @@
 	}
 }
 
+// SetEligible sets whether this entry can do duties.
+func (a *Accountant) SetEligible(eligible bool) { a.eligible = eligible }
+
 // Count counts a request of an organisation that began at t. A window that this entry has
 // said to be over, or that is settled, does not change any more.
 func (a *Accountant) Count(t time.Time, organisation string) {
@@ -240,16 +247,16 @@
 	a.noticePause(now)
 	a.watermark = max(a.watermark, a.Window(t)-1)
 	a.prune()
-	u := Update{Sender: a.settings.Self, Watermark: a.watermark, Settled: a.settled, Token: a.token, HeardToken: a.heardToken(now)}
+	u := Update{Sender: a.settings.Self, Watermark: a.watermark, Settled: a.settled, Token: a.token, HeardToken: a.heardToken(now), Eligible: a.eligible}
 	a.published++
-	news := u.Watermark != a.publishedWatermark || u.Settled != a.publishedSettled || u.Token != a.publishedToken
+	news := u.Watermark != a.publishedWatermark || u.Settled != a.publishedSettled || u.Token != a.publishedToken || u.Eligible != a.publishedEligible
 	u.Complete = news || a.published >= completeInterval
 	if !u.Complete && len(a.changed) == 0 {
 		return Update{}, false
 	}
 	if u.Complete {
 		a.published = 0
-		a.publishedWatermark, a.publishedSettled, a.publishedToken = u.Watermark, u.Settled, u.Token
+		a.publishedWatermark, a.publishedSettled, a.publishedToken, a.publishedEligible = u.Watermark, u.Settled, u.Token, u.Eligible
 		u.Rows = a.OwnRows()
 	} else {
 		u.Rows = a.changedRows()
--- a/internal/process/accountant/accountant_test.go
+++ b/internal/process/accountant/accountant_test.go
@@ -270,6 +270,10 @@
 	f.run(3 * time.Second)
 	is.True(f.entries["b"].IsCutOff(f.now))
 	is.True(!f.entries["c"].IsCutOff(f.now))
-	is.True(f.entries["a"].HasSilentEntry(f.now))
-	is.Equal(f.entries["a"].Living(f.now), []string{"c"})
+	is.Equal(f.entries["a"].silence(f.now), silenceNew)
+	is.Equal(f.entries["a"].Living(f.now), Living{All: []string{"c"}})
+	f.entries["c"].SetEligible(true)
+	f.run(time.Second)
+	is.Equal(f.entries["a"].silence(f.now), silenceOld)
+	is.Equal(f.entries["a"].Living(f.now), Living{All: []string{"c"}, Eligible: []string{"c"}})
 }
--- a/internal/process/accountant/freeze.go
+++ b/internal/process/accountant/freeze.go
@@ -9,9 +9,9 @@
 	// freezeShare is the share of Settings.Due after the end of a window at which it is
 	// frozen in any case. The rest is for a change of the holder and the calls.
 	freezeShare = 0.6
-	// silentShare is the share of Settings.Due after the end of a window for which an
-	// entry that has become silent may still leave its rows in the store.
-	silentShare = 0.35
+	// rowsDelay is the time after the end of a window in which an entry that runs out of
+	// reach leaves its rows in the store.
+	rowsDelay = time.Second
 )
 
 // Frozen is the result of [Accountant.Freeze].
@@ -64,10 +64,10 @@
 	sinceEnd := t.Sub(a.End(w))
 	// The own clock counts only if the others agree with it.
 	agrees := a.watermark-median <= 1 && median-a.watermark <= 1
-	if agrees && sinceEnd >= a.share(freezeShare) {
+	if agrees && sinceEnd >= time.Duration(freezeShare*float64(a.settings.Due)) {
 		return true
 	}
-	if agrees && a.HasSilentEntry(now) && sinceEnd < a.share(silentShare) {
+	if s := a.silence(now); agrees && (s == silenceNew || s == silenceOld && sinceEnd < rowsDelay) {
 		return false
 	}
 	return (a.watermark >= w || !agrees) && a.allComplete(now, w)
@@ -76,11 +76,7 @@
 // StoredRowsDue reports whether the rows that silent entries may have left in the store are
 // to be read now for window w, which is to be frozen next.
 func (a *Accountant) StoredRowsDue(now, t time.Time, w int64) bool {
-	return w > 0 && w <= a.medianWatermark(now) && a.HasSilentEntry(now) && t.Sub(a.End(w)) >= a.share(silentShare)
-}
-
-func (a *Accountant) share(s float64) time.Duration {
-	return time.Duration(s * float64(a.settings.Due))
+	return w > 0 && w <= a.medianWatermark(now) && a.silence(now) == silenceOld && t.Sub(a.End(w)) >= rowsDelay
 }
 
 // sum returns the counts of all incarnations in window w.
--- a/internal/process/accountant/peers.go
+++ b/internal/process/accountant/peers.go
@@ -9,6 +9,9 @@
 	// silenceLimit is the time after which an entry that sends nothing no longer counts
 	// as living. Entries send something at least once a second.
 	silenceLimit = 2 * time.Second
+	// silenceSettled is the silence after which an entry that runs out of reach has left
+	// its rows in the store.
+	silenceSettled = 2 * silenceLimit
 	// pauseLimit is the time between two calls of Publish from which on this process was
 	// paused, and what the others sent meanwhile still waits.
 	pauseLimit = time.Second
@@ -34,6 +37,7 @@
 	token     int64
 	// heardToken is the highest token of a holder that the entry itself has heard.
 	heardToken int64
+	eligible   bool
 }
 
 // hear records that an update has come.
@@ -50,7 +54,7 @@
 	if u.Sender != p.incarnation {
 		p.incarnation, p.watermark, p.complete = u.Sender, 0, 0
 	}
-	p.heardAt, p.heard, p.token, p.heardToken = now, true, u.Token, u.HeardToken
+	p.heardAt, p.heard, p.token, p.heardToken, p.eligible = now, true, u.Token, u.HeardToken, u.Eligible
 	p.watermark = max(p.watermark, u.Watermark)
 	if u.Complete {
 		p.complete = max(p.complete, u.Watermark)
@@ -89,16 +93,27 @@
 
 func (a *Accountant) isLiving(now time.Time, p *peer) bool { return now.Sub(p.heardAt) < silenceLimit }
 
-// Living returns the other entries that live, have been heard and are listed by the store.
-// One that is stopping is listed no more.
-func (a *Accountant) Living(now time.Time) []string {
-	var out []string
+// Living holds the other entries that live, have been heard and are listed by the store.
+// One that is stopping is listed no more. Eligible are those of them that can do duties.
+type Living struct {
+	All      []string
+	Eligible []string
+}
+
+// Living returns the other entries that live.
+func (a *Accountant) Living(now time.Time) Living {
+	var out Living
 	for e, p := range a.peers {
-		if p.heard && p.member && a.isLiving(now, p) {
-			out = append(out, e)
+		if !p.heard || !p.member || !a.isLiving(now, p) {
+			continue
+		}
+		out.All = append(out.All, e)
+		if p.eligible {
+			out.Eligible = append(out.Eligible, e)
 		}
 	}
-	slices.Sort(out)
+	slices.Sort(out.All)
+	slices.Sort(out.Eligible)
 	return out
 }
 
@@ -151,14 +166,31 @@
 	return false
 }
 
-// HasSilentEntry reports whether an entry has become silent lately, so that it may still
-// run out of reach and count requests.
-func (a *Accountant) HasSilentEntry(now time.Time) bool {
+// silence is the state of the entries that have become silent lately. They may have ended,
+// or run out of reach and count requests.
+type silence int
+
+const (
+	// silenceNone means that there is none.
+	silenceNone silence = iota
+	// silenceNew means that one may still have to leave its rows in the store.
+	silenceNew
+	// silenceOld means that they have left their rows there if they run.
+	silenceOld
+)
+
+// silence returns the state of the entries that have become silent lately.
+func (a *Accountant) silence(now time.Time) silence {
+	out := silenceNone
 	for _, p := range a.peers {
-		silence := now.Sub(p.heardAt)
-		if p.member && silence >= silenceLimit && silence < recentWindows*a.settings.Window {
-			return true
+		d := now.Sub(p.heardAt)
+		switch {
+		case !p.member || d < silenceLimit || d >= recentWindows*a.settings.Window:
+		case d < silenceSettled:
+			return silenceNew
+		default:
+			out = silenceOld
 		}
 	}
-	return false
+	return out
 }
--- a/internal/process/leaser/leaser.go
+++ b/internal/process/leaser/leaser.go
@@ -68,6 +68,9 @@
 	elector *elector.Elector
 	// cause is the reason for the end of the current term, nil if it is not known.
 	cause atomic.Pointer[string]
+	// givenUpAt is the time in Unix nanoseconds at which the lease was last given up,
+	// zero if it never was.
+	givenUpAt atomic.Int64
 	// token is the token of the current or the last term, for the log. It is used only by
 	// the goroutine of the elector.
 	token int64
@@ -105,10 +108,17 @@
 
 // GiveUp ends the lease of this entry at once, because of cause.
 func (l *Leaser) GiveUp(cause string) {
+	l.givenUpAt.Store(l.options.Clock.Now().UnixNano())
 	l.cause.Store(&cause)
 	l.elector.GiveUp()
 }
 
+// GaveUpWithin reports whether this entry gave up the lease within the last time d.
+func (l *Leaser) GaveUpWithin(d time.Duration) bool {
+	at := l.givenUpAt.Load()
+	return at != 0 && l.options.Clock.Now().Sub(time.Unix(0, at)) < d
+}
+
 // RaiseToken makes the token of this entry higher than token, which another holder has
 // used. If it is not, the lease ends and is acquired anew.
 func (l *Leaser) RaiseToken(token int64) {
@@ -139,6 +149,19 @@
 	klog.InfoS("lease lost", "duty", l.options.Duty, "token", l.token, "identity", l.options.Identity, "cause", cause)
 }
 
+// IsCandidateAmong reports whether self is a candidate if others live and the eligible of
+// them can do duties. An entry that is not eligible itself is a candidate only if too few
+// others are.
+func IsCandidateAmong(duty, self string, isEligible bool, others, eligible []string) bool {
+	switch {
+	case isEligible:
+		return IsCandidate(duty, self, eligible)
+	case len(eligible) >= Candidates:
+		return false
+	}
+	return IsCandidate(duty, self, others)
+}
+
 // IsCandidate reports whether self ranks among the first [Candidates] of the living
 // entries for the duty. It does not matter whether living contains self.
 func IsCandidate(duty, self string, living []string) bool {
--- a/internal/process/leaser/leaser_test.go
+++ b/internal/process/leaser/leaser_test.go
@@ -34,6 +34,35 @@
 	})
 }
 
+// An entry that cannot do a duty must leave it to those that can, and must not be left out
+// if there are none.
+func TestEligibleEntriesAreCandidatesFirst(t *testing.T) {
+	is := is.New(t)
+	var all []string
+	for i := range 26 {
+		all = append(all, fmt.Sprint("entry-", i))
+	}
+	count := func(eligible []string) (n int, others int) {
+		for i, e := range all {
+			isEligible := i < len(eligible)
+			if IsCandidateAmong("usage", e, isEligible, all, eligible) {
+				n++
+				if !isEligible {
+					others++
+				}
+			}
+		}
+		return n, others
+	}
+	n, others := count(all[:20])
+	is.Equal(n, Candidates)
+	is.Equal(others, 0)
+	n, _ = count(nil)
+	is.Equal(n, Candidates)
+	n, others = count(all[:1])
+	is.True(n-others == 1 && others >= Candidates-1 && others <= Candidates)
+}
+
 // The first call of a term and each further one must wait for an interval, or a handover
 // would exceed the rate that all entries share.
 func TestPaceSpacesCalls(t *testing.T) {
@@ -47,6 +76,9 @@
 	p.Called(now)
 	is.True(!p.Ready(now.Add(499 * time.Millisecond)))
 	is.Equal(p.Next(), now.Add(500*time.Millisecond))
+	slow := NewPace(0.1, 1)
+	slow.Begin(now)
+	is.Equal(slow.Next(), now.Add(time.Second))
 }
 
 // assertWins waits until an entry has won the lease with the token.
@@ -87,6 +119,7 @@
 	_, held := first.Held()
 	is.True(!held)
 	is.Equal(first.Remaining(), time.Duration(0))
+	is.True(first.GaveUpWithin(time.Hour))
 	second, changed := start("entry-2")
 	assertWins(t, second, changed, 2)
 	second.RaiseToken(9)
--- a/internal/process/reporter/core.go
+++ b/internal/process/reporter/core.go
@@ -11,9 +11,12 @@
 	// checkpointInterval is the least time between two writes of the journal that only
 	// save rows. The loss of all entries costs the requests of this time.
 	checkpointInterval = time.Second
-	// callTimeout is the longest time of a call to the API, and minCallTime the least
-	// remaining time of the lease with which one is made.
-	callTimeout = 2 * time.Second
+	// shortCallTimeout is the time limit of a call to the API, so that a holder that
+	// cannot reach it hands over soon. longCallTimeout is that of the last call before
+	// the holder gives up, and of all calls to an API that has answered late.
+	shortCallTimeout = 800 * time.Millisecond
+	longCallTimeout  = 2 * time.Second
+	// minCallTime is the least remaining time of the lease with which a call is made.
 	minCallTime = 300 * time.Millisecond
 	// cutOffDelay is the time for which an entry must hear no holder before it leaves its
 	// rows in the store. A change of the holder is often shorter.
@@ -83,7 +86,11 @@
 
 	reportPending bool
 	reportRetry   retry
-	lastTried     int64
+	// reportedAt is the time of the last call to the API, and slow is true once one was
+	// answered after shortCallTimeout.
+	reportedAt time.Time
+	slow       bool
+	lastTried  int64
 }
 
 // Step processes one event and returns the resulting actions.
@@ -184,9 +191,14 @@
 	}
 	t.repeated[r.Window], t.lastTried, t.reportPending = true, r.Window, true
 	c.Settings.Pace.Called(now)
+	t.reportedAt = now
+	timeout := shortCallTimeout
+	if t.slow || t.reportRetry.failures >= maxFailures-1 {
+		timeout = longCallTimeout
+	}
 	return []Action{
 		{Kind: ActionObserve, Token: t.token, Result: result, Window: r.Window, Windows: 1},
-		{Kind: ActionReport, Token: t.token, Report: r, Timeout: min(callTimeout, remaining)},
+		{Kind: ActionReport, Token: t.token, Report: r, Timeout: min(timeout, remaining)},
 	}
 }
 
@@ -216,6 +228,7 @@
 	case OutcomeDone:
 		t.reportRetry = retry{}
 		t.unsaved = true
+		t.slow = t.slow || now.Sub(t.reportedAt) > shortCallTimeout
 		for i := range t.reports {
 			t.reports[i].Confirmed = t.reports[i].Confirmed || t.reports[i].Window == e.Window
 		}
--- a/internal/process/reporter/reporter.go
+++ b/internal/process/reporter/reporter.go
@@ -87,10 +87,12 @@
 	Source  timekeeper.Source
 	// Members returns the other entries that the store lists.
 	Members func() []string
+	// Eligible reports whether this entry can do duties.
+	Eligible func() bool
 	// Publish sends an update to the other entries, and Living tells which of them live.
 	// Observe counts a result. None of them may block.
 	Publish   func(accountant.Update)
-	Living    func([]string)
+	Living    func(accountant.Living)
 	Observe   func(Result, int64)
 	Recoverer *recoverer.Recoverer
 }
@@ -223,6 +225,7 @@
 		r.nextMembers = now.Add(membersInterval)
 		r.core.Accounts.SetMembers(now, r.options.Members())
 	}
+	r.core.Accounts.SetEligible(r.options.Eligible())
 	r.publish()
 	if r.options.Living != nil && now.Sub(r.started) >= startDelay {
 		r.options.Living(r.core.Accounts.Living(now))
--- a/internal/process/starter/duties.go
+++ b/internal/process/starter/duties.go
@@ -34,6 +34,9 @@
 	// lost its lease.
 	usageCallShare = 0.25
 	scaleCallShare = 0.5
+	// ineligiblePeriod is the time for which an entry that gave up a duty leaves duties to
+	// the others.
+	ineligiblePeriod = 30 * time.Second
 	// maxIdleAPIConnections is the maximum number of idle connections to the API: one for
 	// each duty.
 	maxIdleAPIConnections = 2
@@ -45,7 +48,9 @@
 	usageLease *leaser.Leaser
 	reporter   *reporter.Reporter
 	// living holds the other entries that live, nil until this entry can know them.
-	living atomic.Pointer[[]string]
+	living atomic.Pointer[accountant.Living]
+	// storeReachable reports whether this entry reaches the store.
+	storeReachable func() bool
 	// stopping is true once this entry wants no lease any more.
 	stopping atomic.Bool
 }
@@ -90,7 +95,7 @@
 
 // newDuties starts the duties that the settings ask for.
 func newDuties(lc fx.Lifecycle, s loader.Gateway, c timer.Clock, store *platform.Store, api *platform.API, p *peering, ref *dutiesRef, m *meter.Meter, rec *recoverer.Recoverer) (*duties, error) {
-	d := &duties{}
+	d := &duties{storeReachable: p.syncer.IsPlatformReachable}
 	if s.Duties == nil {
 		return d, nil
 	}
@@ -120,11 +125,19 @@
 		Duty: duty, Identity: s.Identity, Started: started, Duration: s.Duties.LeaseDurationValue(), Store: store, Clock: c,
 		WantsLease: func() bool {
 			living := d.living.Load()
-			return living != nil && !d.stopping.Load() && leaser.IsCandidate(duty, s.Identity, *living)
+			return living != nil && !d.stopping.Load() &&
+				leaser.IsCandidateAmong(duty, s.Identity, d.isEligible(), living.All, living.Eligible)
 		},
 	})
 }
 
+// isEligible reports whether this entry can do duties: it reaches the store and has not
+// given one up lately.
+func (d *duties) isEligible() bool {
+	gaveUp := d.usageLease != nil && d.usageLease.GaveUpWithin(ineligiblePeriod)
+	return d.storeReachable() && !d.stopping.Load() && !gaveUp
+}
+
 // newReporter returns the reporter. Without the duty of the usage reports it only tells
 // which entries live.
 func (d *duties) newReporter(s loader.Gateway, started time.Time, c timer.Clock, store *platform.Store, api *platform.API, p *peering, m *meter.Meter, rec *recoverer.Recoverer) *reporter.Reporter {
@@ -133,8 +146,9 @@
 		Window: s.Duties.UsageWindowDuration(), Due: s.Duties.UsageDueDuration(),
 		Pace:  leaser.NewPace(s.Duties.CallsPerSecond, usageCallShare),
 		Store: store, API: api, Outcome: reportOutcome, Clock: c, Source: timekeeper.System{},
-		Members: p.syncer.Listed, Publish: p.syncer.SendUsage, Living: func(living []string) { d.living.Store(&living) },
-		Observe: func(r reporter.Result, n int64) { m.UsageWindows(string(r), n) }, Recoverer: rec,
+		Members: p.syncer.Listed, Publish: p.syncer.SendUsage, Living: func(l accountant.Living) { d.living.Store(&l) },
+		Eligible: d.isEligible,
+		Observe:  func(r reporter.Result, n int64) { m.UsageWindows(string(r), n) }, Recoverer: rec,
 	}
 	if d.usageLease != nil {
 		o.Lease = d.usageLease
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -259,6 +259,9 @@
 	return true
 }
 
+// IsPlatformReachable reports whether this entry itself reaches the platform.
+func (s *Syncer) IsPlatformReachable() bool { return s.platformReachable.Load() }
+
 // isPlatformReachable reports whether both configuration and upstreams could be
 // read from the platform.
 func (s *Syncer) isPlatformReachable() bool {
--- a/internal/process/syncer/usage.go
+++ b/internal/process/syncer/usage.go
@@ -18,6 +18,9 @@
 	// least size of a count with its hash.
 	organisationHashSize = 4
 	minUsageRecordSize   = organisationHashSize + 1
+	// The flags of an update.
+	flagComplete = 1
+	flagEligible = 2
 )
 
 // SendUsage sends a usage update to all other entries, with the next load report if there
@@ -78,17 +81,20 @@
 }
 
 // packUsage encodes an update in binary. It has, as uvarints, the start of the sender, the
-// watermark, the settled window, the token of the sender, the one that it has heard, and 1
-// if the update is complete; then for each row the window, the number of counts, and for
+// watermark, the settled window, the token of the sender, the one that it has heard, and the
+// sum of flagComplete and flagEligible as they apply; then for each row the window, the number of counts, and for
 // each count 4 bytes with the hash of the organisation and the count as an uvarint.
 func packUsage(u accountant.Update) []byte {
-	complete := uint64(0)
+	flags := uint64(0)
 	if u.Complete {
-		complete = 1
+		flags |= flagComplete
+	}
+	if u.Eligible {
+		flags |= flagEligible
 	}
 	var out []byte
 	for _, n := range [...]uint64{
-		uint64(u.Sender.StartUnixMilli), uint64(u.Watermark), uint64(u.Settled), uint64(u.Token), uint64(u.HeardToken), complete,
+		uint64(u.Sender.StartUnixMilli), uint64(u.Watermark), uint64(u.Settled), uint64(u.Token), uint64(u.HeardToken), flags,
 	} {
 		out = binary.AppendUvarint(out, n)
 	}
@@ -111,7 +117,8 @@
 	u.Sender.StartUnixMilli = int64(in.number())
 	u.Watermark, u.Settled = int64(in.number()), int64(in.number())
 	u.Token, u.HeardToken = int64(in.number()), int64(in.number())
-	u.Complete = in.number() == 1
+	flags := in.number()
+	u.Complete, u.Eligible = flags&flagComplete != 0, flags&flagEligible != 0
 	for len(in.rest) > 0 && len(u.Rows) < maxUsageRows {
 		r := accountant.Row{Window: int64(in.number()), Counts: accountant.Counts{}}
 		for range in.length() {
--- a/internal/process/syncer/usage_test.go
+++ b/internal/process/syncer/usage_test.go
@@ -1,7 +1,9 @@
 package syncer
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -19,7 +21,7 @@
 func usageUpdate() accountant.Update {
 	return accountant.Update{
 		Sender: accountant.Incarnation{StartUnixMilli: 1_800_000_000_000}, Watermark: 360_000_000, Complete: true,
-		Settled: 359_999_999, Token: 3, HeardToken: 3,
+		Settled: 359_999_999, Token: 3, HeardToken: 3, Eligible: true,
 		Rows: []accountant.Row{{Window: 360_000_001, Counts: accountant.Counts{"hule": 412, "fida": 1}}},
 	}
 }
@@ -72,3 +74,46 @@
 		}
 	})
 }
+
+// Updates must not grow the reports of an entry in which nothing is counted: entries send
+// them to all others.
+func TestUpdatesAreSentOnlyForChanges(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		perSecond int
+		maximum   int
+	}{
+		{"idle", 0, 6},
+		{"one request a second", 1, 11},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			updates, _ := playUpdates(c.perSecond, 24)
+			is.New(t).True(updates <= 5*c.maximum)
+		})
+	}
+	for _, c := range []struct{ perSecond, organisations int }{{14, 24}, {8, 24}, {9, 210}} {
+		updates, bytes := playUpdates(c.perSecond, c.organisations)
+		t.Logf("%d requests/s of %d organisations: %.1f updates/s, %.0f B/s", c.perSecond, c.organisations, float64(updates)/5, float64(bytes)/5)
+	}
+}
+
+// playUpdates returns the number and the packed bytes of the updates of an entry in five
+// seconds, after a window.
+func playUpdates(perSecond, organisations int) (updates, bytes int) {
+	a := accountant.New(accountant.Settings{Window: 5 * time.Second, Due: 10 * time.Second})
+	now := time.Unix(1_800_000_000, 0)
+	for i := range 50 {
+		now = now.Add(200 * time.Millisecond)
+		for n := i * perSecond / 5; n < (i+1)*perSecond/5; n++ {
+			a.Count(now, fmt.Sprint("organisation-", n*7%organisations))
+		}
+		u, ok := a.Publish(now, now)
+		if i >= 25 && ok {
+			updates, bytes = updates+1, bytes+len(packUsage(u))
+		}
+		if a.Watermark() > 0 {
+			a.Settle(a.Watermark() - 1)
+		}
+	}
+	return updates, bytes
+}
