--- a/internal/process/elector/core.go
+++ b/internal/process/elector/core.go
@@ -9,6 +9,9 @@
 const (
 	renewalDivisor      = 3
 	safetyMarginDivisor = 8
+	// retryDivisor sets the time until a failed call is made again as a fraction of the
+	// lease duration.
+	retryDivisor = 10
 )
 
 // EventKind is the kind of an [Event].
@@ -134,7 +137,7 @@
 		}
 	case EventUnavailable:
 		c.callPending = false
-		c.retryAt = now.Add(c.Duration / 10)
+		c.retryAt = now.Add(c.retryDelay())
 	case EventResigned:
 		// The holder stops acting now: another candidate may acquire the lease as
 		// soon as the platform has stored the record, which may be before the
@@ -244,6 +247,16 @@
 	return c.write(now, Record{Holder: c.Holder, FencingNumber: max(c.highestNumber, c.MinNumber) + 1, Duration: c.Duration})
 }
 
+// retryDelay returns the time until a failed call is made again. Without a lease to win, to
+// renew or to release there is no hurry, and each call counts towards the rate of the
+// platform.
+func (c *Core) retryDelay() time.Duration {
+	if !c.WantsLease && c.lease.ValidFor == 0 && !c.resigned && !c.releasing {
+		return c.Duration
+	}
+	return c.Duration / retryDivisor
+}
+
 // cooldownLeft returns the time for which the candidate must not acquire the lease after
 // the end of its last one. It is not above zero if there is none.
 func (c *Core) cooldownLeft(now time.Time) time.Duration {
--- a/internal/process/elector/core_test.go
+++ b/internal/process/elector/core_test.go
@@ -243,6 +243,21 @@
 	})
 }
 
+// A candidate whose wall clock was set back by an hour must not wait for an hour.
+func TestWallClockSetBackDoesNotStopCandidate(t *testing.T) {
+	for _, c := range []struct {
+		name                  string
+		monotonic, wall, want time.Duration
+	}{
+		{"both clocks agree", time.Second, time.Second, time.Second},
+		{"suspended VM", time.Second, time.Hour, time.Second},
+		{"wall clock slower", time.Second, time.Millisecond, time.Millisecond},
+		{"wall clock set back", time.Second, -time.Hour, time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) { is.New(t).Equal(shorterElapsed(c.monotonic, c.wall), c.want) })
+	}
+}
+
 // A holder must not act after the end of its lease on either clock.
 func TestLeaseIsHeldUntilEndOnBothClocks(t *testing.T) {
 	from := time.Now()
--- a/internal/process/elector/lease.go
+++ b/internal/process/elector/lease.go
@@ -73,5 +73,15 @@
 // minElapsed returns the shorter of the two elapsed times, for a candidate
 // that waits until the lease of another holder expires.
 func minElapsed(from, to time.Time) time.Duration {
-	return min(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+	return shorterElapsed(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+}
+
+// shorterElapsed returns the shorter of the times that elapsed on the monotonic clock
+// and on the wall clock. A wall clock that was set back says nothing: the candidate
+// would wait until it has caught up, which may take hours.
+func shorterElapsed(monotonic, wall time.Duration) time.Duration {
+	if wall < 0 {
+		return monotonic
+	}
+	return min(monotonic, wall)
 }
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -46,11 +46,7 @@
 	case dispatcher.ActionFinish:
 		f.endRequest(a)
 	case dispatcher.ActionRemoveUpstream:
-		if p := f.pools[a.Upstream.InstanceID()]; p != nil {
-			klog.InfoS("upstream dropped", "upstream", a.Upstream.InstanceID(), "service", a.Upstream.Service)
-			p.removed = true
-			f.cleanUpPool(p)
-		}
+		f.removeUpstream(a)
 	case dispatcher.ActionSendStrikes:
 		logStrikes(a)
 		if f.options.SendStrikes != nil {
@@ -63,9 +59,7 @@
 		klog.InfoS("upstream held back", "upstream", a.Upstream.InstanceID(), "service", a.Upstream.Service,
 			"address", a.Upstream.Address, "request", a.ID, "retry_after", a.RetryAfter)
 	case dispatcher.ActionCountUsage:
-		if f.options.CountUsage != nil {
-			f.options.CountUsage(a.Organisation)
-		}
+		f.countUsage(a.Organisation)
 	case dispatcher.ActionSendLoad:
 		if f.options.SendLoad != nil {
 			f.options.SendLoad(a.Report)
@@ -73,6 +67,21 @@
 	}
 }
 
+func (f *Forwarder) countUsage(organisation string) {
+	if f.options.CountUsage != nil {
+		f.options.CountUsage(organisation)
+	}
+}
+
+// removeUpstream closes the connections to an upstream that gets no more requests.
+func (f *Forwarder) removeUpstream(a dispatcher.Action) {
+	if p := f.pools[a.Upstream.InstanceID()]; p != nil {
+		klog.InfoS("upstream dropped", "upstream", a.Upstream.InstanceID(), "service", a.Upstream.Service)
+		p.removed = true
+		f.cleanUpPool(p)
+	}
+}
+
 // send starts an attempt on an idle connection, or on a new one.
 func (f *Forwarder) send(now time.Time, a dispatcher.Action) {
 	t := f.inFlight[a.ID]
--- a/internal/process/starter/duties.go
+++ b/internal/process/starter/duties.go
@@ -34,6 +34,8 @@
 	// lost its lease.
 	usageCallShare = 0.25
 	scaleCallShare = 0.5
+	// resignTimeout bounds the wait for the release of a lease at the end of the process.
+	resignTimeout = 200 * time.Millisecond
 	// ineligiblePeriod is the time for which an entry that gave up a duty leaves duties to
 	// the others.
 	ineligiblePeriod = 30 * time.Second
@@ -112,9 +114,7 @@
 	lc.Append(fx.StopHook(func() {
 		d.reporter.Stop()
 		p.syncer.FlushUsage()
-		if d.usageLease != nil {
-			d.usageLease.Stop()
-		}
+		stopLease(c, d.usageLease)
 	}))
 	return d, nil
 }
@@ -177,6 +177,25 @@
 	return d.reporter.Stats()
 }
 
+// stopLease stops a lease, if there is one. It does not wait long for the store, which may
+// be out of reach: the lease then ends by itself.
+func stopLease(c timer.Clock, l *leaser.Leaser) {
+	if l == nil {
+		return
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.Stop()
+	}()
+	wake, stop := c.After(resignTimeout)
+	defer stop()
+	select {
+	case <-done:
+	case <-wake:
+	}
+}
+
 // resignDuties registers the step of a stop in which this entry leaves its duties to the
 // others, at once and without waiting for the store.
 func resignDuties(lc fx.Lifecycle, d *duties) {
