--- a/internal/process/reporter/core_test.go
+++ b/internal/process/reporter/core_test.go
@@ -267,6 +267,28 @@
 	is.True(f.accepted[first+1] != nil)
 }
 
+// A journal that was deleted or set back does not show what was reported since. The entries
+// that know of it must not report it again.
+func TestLostJournalReportsNothingAgain(t *testing.T) {
+	for name, journal := range map[string]Journal{"deleted": {}, "set back": {Token: 1, Holder: "x@1", Next: first}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, "a", "b")
+			f.count()
+			f.run(2*window + 2*time.Second)
+			is := is.New(t)
+			is.Equal(len(f.accepted), 2)
+			f.accepted = map[int64]accountant.Counts{}
+			f.kill("a")
+			f.journal, f.version = journal, journal.Token
+			f.grant("b")
+			f.count()
+			f.run(window)
+			is.Equal(len(f.accepted), 1)
+			is.Equal(f.accepted[first+2], accountant.Counts{"hule": 1})
+		})
+	}
+}
+
 // A journal must be decoded to what was encoded, and must fit into the store at the size
 // that the system is built for.
 func TestJournalIsRestoredAndFits(t *testing.T) {
