Let an entry that ends say so in its last usage update

After a planned stop the others waited until the entry had been silent for 2 s before they froze a window, and its last counts could be lost with its connections. The last update is marked and has 20 ms to leave.

Tests of accountant, reporter and syncer and the gateway test of the usage pass with the race detector.

--- a/internal/process/accountant/accountant.go
+++ b/internal/process/accountant/accountant.go
@@ -80,6 +80,8 @@
 	HeardToken int64
 	// Eligible is true if the sender can do duties.
 	Eligible bool
+	// Final is true if the sender ends and counts no more. All windows have ended for it.
+	Final bool
 	// Rows holds rows of the sender itself.
 	Rows []Row
 }
@@ -265,6 +267,15 @@
 	return u, true
 }
 
+// PublishFinal returns the last update of an entry that ends, so that the others need not
+// wait until it has been silent for a while.
+func (a *Accountant) PublishFinal() Update {
+	return Update{
+		Sender: a.settings.Self, Watermark: a.watermark, Settled: a.settled,
+		Complete: true, Final: true, Rows: a.OwnRows(),
+	}
+}
+
 // OwnRows returns copies of the rows of this entry.
 func (a *Accountant) OwnRows() []Row {
 	var out []Row
--- a/internal/process/accountant/accountant_test.go
+++ b/internal/process/accountant/accountant_test.go
@@ -167,6 +167,15 @@
 		f.run(window - time.Second + 3600*time.Millisecond)
 		f.assertFrozen(t, "a", Counts{"hule": 1})
 	})
+	t.Run("entry that said that it ends", func(t *testing.T) {
+		f := newFleet("a", "b")
+		f.run(window - 200*time.Millisecond)
+		f.entries["b"].Count(f.now, "hule")
+		f.entries["a"].Merge(f.now, f.entries["b"].PublishFinal())
+		delete(f.entries, "b")
+		f.run(200 * time.Millisecond)
+		f.assertFrozen(t, "a", Counts{"hule": 1})
+	})
 	t.Run("entry that started just now", func(t *testing.T) {
 		// It has not heard the rows of the others yet, and must not report without them.
 		f := newFleet("a", "b")
--- a/internal/process/accountant/peers.go
+++ b/internal/process/accountant/peers.go
@@ -38,6 +38,8 @@
 	// heardToken is the highest token of a holder that the entry itself has heard.
 	heardToken int64
 	eligible   bool
+	// ended is true once the entry has said that it ends, until it has started again.
+	ended bool
 }
 
 // hear records that an update has come.
@@ -47,15 +49,16 @@
 		p = &peer{}
 		a.peers[u.Sender.Entry] = p
 	}
-	if u.Sender.StartUnixMilli < p.incarnation.StartUnixMilli {
-		// The message of an earlier start has been overtaken.
+	if u.Sender.StartUnixMilli < p.incarnation.StartUnixMilli && a.isLiving(now, p) {
+		// The message of an earlier start has been overtaken. If the later start does not
+		// live, the time of day was set back before the entry started again.
 		return
 	}
 	if u.Sender != p.incarnation {
-		p.incarnation, p.watermark, p.complete = u.Sender, 0, 0
+		p.incarnation, p.watermark, p.complete, p.ended = u.Sender, 0, 0, false
 	}
 	p.heardAt, p.heard, p.token, p.heardToken, p.eligible = now, true, u.Token, u.HeardToken, u.Eligible
-	p.watermark = max(p.watermark, u.Watermark)
+	p.watermark, p.ended = max(p.watermark, u.Watermark), p.ended || u.Final
 	if u.Complete {
 		p.complete = max(p.complete, u.Watermark)
 	}
@@ -91,7 +94,9 @@
 	a.lastPublish = now
 }
 
-func (a *Accountant) isLiving(now time.Time, p *peer) bool { return now.Sub(p.heardAt) < silenceLimit }
+func (a *Accountant) isLiving(now time.Time, p *peer) bool {
+	return !p.ended && now.Sub(p.heardAt) < silenceLimit
+}
 
 // Living holds the other entries that live, have been heard and are listed by the store.
 // One that is stopping is listed no more. Eligible are those of them that can do duties.
@@ -185,7 +190,7 @@
 	for _, p := range a.peers {
 		d := now.Sub(p.heardAt)
 		switch {
-		case !p.member || d < silenceLimit || d >= recentWindows*a.settings.Window:
+		case p.ended || !p.member || d < silenceLimit || d >= recentWindows*a.settings.Window:
 		case d < silenceSettled:
 			return silenceNew
 		default:
--- a/internal/process/reporter/reporter.go
+++ b/internal/process/reporter/reporter.go
@@ -196,7 +196,7 @@
 		for i, ok := r.input.TryTake(); ok; i, ok = r.input.TryTake() {
 			_ = r.options.Recoverer.Run("usage input", func() { r.handle(i) })
 		}
-		_ = r.options.Recoverer.Run("last usage update", r.publish)
+		_ = r.options.Recoverer.Run("last usage update", func() { r.options.Publish(r.core.Accounts.PublishFinal()) })
 		return false
 	}
 	return true
--- a/internal/process/starter/duties.go
+++ b/internal/process/starter/duties.go
@@ -34,6 +34,8 @@
 	// lost its lease.
 	usageCallShare = 0.25
 	scaleCallShare = 0.5
+	// flushDelay is the time in which the last usage update leaves the process.
+	flushDelay = 20 * time.Millisecond
 	// resignTimeout bounds the wait for the release of a lease at the end of the process.
 	resignTimeout = 200 * time.Millisecond
 	// ineligiblePeriod is the time for which an entry that gave up a duty leaves duties to
@@ -114,6 +116,7 @@
 	lc.Append(fx.StopHook(func() {
 		d.reporter.Stop()
 		p.syncer.FlushUsage()
+		sleep(context.Background(), c, flushDelay)
 		stopLease(c, d.usageLease)
 	}))
 	return d, nil
--- a/internal/process/syncer/usage.go
+++ b/internal/process/syncer/usage.go
@@ -21,6 +21,7 @@
 	// The flags of an update.
 	flagComplete = 1
 	flagEligible = 2
+	flagFinal    = 4
 )
 
 // SendUsage sends a usage update to all other entries, with the next load report if there
@@ -82,7 +83,7 @@
 
 // packUsage encodes an update in binary. It has, as uvarints, the start of the sender, the
 // watermark, the settled window, the token of the sender, the one that it has heard, and the
-// sum of flagComplete and flagEligible as they apply; then for each row the window, the number of counts, and for
+// sum of the flags that apply; then for each row the window, the number of counts, and for
 // each count 4 bytes with the hash of the organisation and the count as an uvarint.
 func packUsage(u accountant.Update) []byte {
 	flags := uint64(0)
@@ -92,6 +93,9 @@
 	if u.Eligible {
 		flags |= flagEligible
 	}
+	if u.Final {
+		flags |= flagFinal
+	}
 	var out []byte
 	for _, n := range [...]uint64{
 		uint64(u.Sender.StartUnixMilli), uint64(u.Watermark), uint64(u.Settled), uint64(u.Token), uint64(u.HeardToken), flags,
@@ -119,6 +123,7 @@
 	u.Token, u.HeardToken = int64(in.number()), int64(in.number())
 	flags := in.number()
 	u.Complete, u.Eligible = flags&flagComplete != 0, flags&flagEligible != 0
+	u.Final = flags&flagFinal != 0
 	for len(in.rest) > 0 && len(u.Rows) < maxUsageRows {
 		r := accountant.Row{Window: int64(in.number()), Counts: accountant.Counts{}}
 		for range in.length() {
