--- a/internal/process/elector/lease.go
+++ b/internal/process/elector/lease.go
@@ -53,6 +53,15 @@
 	return l.ValidFor > 0 && maxElapsed(l.ValidFrom, now) < l.ValidFor
 }
 
+// Remaining returns the time after now in which the holder may still act. It is zero if
+// the lease is not held.
+func (l Lease) Remaining(now time.Time) time.Duration {
+	if !l.Held(now) {
+		return 0
+	}
+	return l.ValidFor - maxElapsed(l.ValidFrom, now)
+}
+
 // maxElapsed returns the longer of the times that elapsed on the wall clock
 // and on the monotonic clock. A suspended VM may stop the monotonic clock,
 // and a correction may set the wall clock back; the holder must not act too
@@ -64,5 +73,15 @@
 // minElapsed returns the shorter of the two elapsed times, for a candidate
 // that waits until the lease of another holder expires.
 func minElapsed(from, to time.Time) time.Duration {
-	return min(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+	return shorterElapsed(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+}
+
+// shorterElapsed returns the shorter of the times that elapsed on the monotonic clock
+// and on the wall clock. A wall clock that was set back says nothing: the candidate
+// would wait until it has caught up, which may take hours.
+func shorterElapsed(monotonic, wall time.Duration) time.Duration {
+	if wall < 0 {
+		return monotonic
+	}
+	return min(monotonic, wall)
 }
