Add a failing test of popular content while upstreams end

Content that many callers have in flight at each upstream is quarantined once two upstreams end, since two strikes are made before an answer can withdraw the first, and a quarantine is not lifted by answers.

--- a/internal/process/dispatcher/dispatcher_test.go
+++ b/internal/process/dispatcher/dispatcher_test.go
@@ -24,6 +24,7 @@
 		{Name: "chat", Host: "h", PathPrefix: "/chat/", Kind: matcher.Streaming, Resumable: true, MaxAttempts: 2, WeightedServices: services, Timeout: 10 * time.Second, LatencyTarget: 250 * ms, GapTarget: 200 * ms},
 		{Name: "brief", Host: "h", PathPrefix: "/brief/", Kind: matcher.Streaming, MaxAttempts: 1, WeightedServices: services, Timeout: 10 * time.Second, LatencyTarget: time.Second, GapTarget: 800 * ms, Priority: 2},
 		{Name: "hold", Host: "h", PathPrefix: "/hold/", Kind: matcher.NonIdempotent, MaxAttempts: 1, WeightedServices: services, Timeout: time.Second, LatencyTarget: 100 * ms},
+		{Name: "popular", Host: "h", PathPrefix: "/popular/", Kind: matcher.Streaming, Resumable: true, MaxAttempts: 3, WeightedServices: services, Timeout: 10 * time.Second, LatencyTarget: 250 * ms, GapTarget: 200 * ms},
 		{Name: "check", Host: "h", PathPrefix: "/check/", Kind: matcher.Idempotent, MaxAttempts: 2, WeightedServices: services, Timeout: time.Second, LatencyTarget: 100 * ms},
 	}
 }
--- a/internal/process/dispatcher/fleet_test.go
+++ b/internal/process/dispatcher/fleet_test.go
@@ -27,6 +27,14 @@
 	sound       []*fleetRequest
 	// refusals counts by code the failures of requests that were not sent.
 	refusals map[string]int
+	// maxDelay is the maximum delay of a message between two entries, and downtime the
+	// time after which another instance replaces a lost upstream.
+	maxDelay time.Duration
+	downtime time.Duration
+	// contentSends and contentCrashes are by digest the times of the sends of content to
+	// live upstreams and of the crashes that it caused.
+	contentSends   map[string][]time.Duration
+	contentCrashes map[string][]time.Duration
 }
 
 type fleetRequest struct {
@@ -34,6 +42,12 @@
 	parts []uint64
 	// begun is true if an answer began at the first attempt.
 	begun bool
+	// digest is the content of a request that comes again, and deadly is true if the
+	// content crashes each upstream that runs it.
+	digest string
+	deadly bool
+	// ended is called once the request has ended. It may be nil.
+	ended func(Action)
 }
 
 type fleetUpstream struct {
@@ -75,7 +89,8 @@
 }
 
 func newFleet(seed uint64) *fleet {
-	f := &fleet{random: rand.New(rand.NewPCG(seed, 24)), requests: map[string]*fleetRequest{}, refusals: map[string]int{}}
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 24)), requests: map[string]*fleetRequest{}, refusals: map[string]int{},
+		maxDelay: 2 * ms, downtime: 3 * time.Second, contentSends: map[string][]time.Duration{}, contentCrashes: map[string][]time.Duration{}}
 	for i := range f.upstreams {
 		f.upstreams[i] = &fleetUpstream{
 			Upstream: registrar.Upstream{Name: fmt.Sprint("desk-", i), Service: "desk", Address: fmt.Sprint("10.0.0.", i, ":80"), Slots: 96},
@@ -166,14 +181,17 @@
 		switch a.Kind {
 		case ActionSend:
 			f.send(&fleetAttempt{entry, d, a.ID, a.Attempt, false}, a.Upstream)
-		case ActionFail:
-			if a.Summary.Attempts == 0 {
+		case ActionFail, ActionFinish:
+			if a.Kind == ActionFail && a.Summary.Attempts == 0 {
 				f.refusals[a.Failure.Code]++
 			}
+			if ended := f.requests[a.ID].ended; ended != nil {
+				ended(a)
+			}
 		case ActionSendStrikes:
 			for i := range f.entries {
 				if i != entry {
-					f.at(f.elapsed+2*ms, func() {
+					f.at(f.elapsed+f.delay(), func() {
 						to := f.entries[i]
 						f.execute(i, to, to.Step(f.now(), Event{Kind: EventStrikesReceived, Strikes: a.Strikes}))
 					})
@@ -200,6 +218,9 @@
 	}
 	r := f.requests[a.id]
 	poison := slices.Contains(r.parts, poisonPart)
+	if r.digest != "" {
+		f.contentSends[r.digest] = append(f.contentSends[r.digest], f.elapsed)
+	}
 	if poison {
 		f.poisonSends = append(f.poisonSends, f.elapsed)
 	}
@@ -214,6 +235,11 @@
 	}
 	if poison {
 		f.crashes = append(f.crashes, f.elapsed)
+	}
+	if r.deadly {
+		f.contentCrashes[r.digest] = append(f.contentCrashes[r.digest], f.elapsed)
+	}
+	if poison || r.deadly {
 		f.crash(u)
 		return
 	}
@@ -273,14 +299,22 @@
 	}
 }
 
-// crash ends all attempts on u, which comes back as another instance after 3 s.
+// delay returns the delay of the next message between two entries.
+func (f *fleet) delay() time.Duration {
+	if f.maxDelay <= 2*ms {
+		return f.maxDelay
+	}
+	return time.Duration(f.random.Int64N(int64(f.maxDelay)))
+}
+
+// crash ends all attempts on u, which comes back as another instance after the downtime.
 func (f *fleet) crash(u *fleetUpstream) {
 	if u.down {
 		return
 	}
 	u.down = true
 	f.reset(u)
-	f.at(f.elapsed+3*time.Second, func() {
+	f.at(f.elapsed+f.downtime, func() {
 		u.down = false
 		u.StartUnixMilli++
 		for _, d := range f.entries {
