Judge content by exposure and by its answers

Cause: two strikes quarantined content, and neither answers nor withdrawals lifted a quarantine. Content in flight at all upstreams gets a strike for each one that ends. No answer ends between the two strikes, so nothing withdraws the first. It is no matter of the order of messages.

Change: an answer in full on any entry withdraws all strikes from before it and up to 2 s after it, and lifts a quarantine; messages carry ages, so that their order does not matter. Answers are told to others only if they refute a strike. Without an answer, three strikes quarantine, and two do if harmless content loses so many attempts with a probability of at most 1%, given its attempts in flight at all entries and the upstreams that ended without it. One entry tries quarantined content again after 30 s, or after 5 s if chance explains it.

The quarantine lasts QuarantineDuration after a trial has crashed, since there was no trial before.

--- a/internal/process/bench/entry.go
+++ b/internal/process/bench/entry.go
@@ -93,7 +93,11 @@
 
 func (s *simulation[S, P]) dispatch(f *flight[P]) {
 	r, c := f.request, s.classes[f.request.Class]
-	f.suspect = s.verdict(r) == detector.Suspect
+	verdict := s.verdict(r)
+	f.suspect = verdict != detector.Unsuspected
+	if verdict == detector.OnTrial {
+		s.detector.Step(s.now, detector.Event{Kind: detector.EventTrial, Fingerprints: []string{fingerprint(r)}})
+	}
 	name, ok := f.entry.picker.Pick(s.now, picker.Query{
 		Candidates: s.upstreams, AvailabilityZone: f.entry.zone, Exclude: f.triedUpstreams, Tier: c.Tier,
 		TokenGapTarget: c.TokenGapTarget, Prefix: r.Prefix, PrefixTokens: r.PrefixTokens, PromptTokens: r.PromptTokens,
--- a/internal/process/detector/detector.go
+++ b/internal/process/detector/detector.go
@@ -3,12 +3,19 @@
 //
 // It is a decision package: it does no I/O and gets the time as an argument. When
 // an upstream is lost, the content of each request in flight there gets a strike
-// for that upstream. Content with strikes for two upstreams is quarantined: no
-// entry sends it to an upstream until the quarantine ends. Content with one strike
-// is suspect. Suspect content may run, but not on the same upstream as other
-// suspect content, so that harmless content is not in flight when poison content
-// crashes the next upstream. Content whose answers had all begun needs a third strike.
-// Once suspect content has been answered in full, its strikes are withdrawn.
+// for that upstream. Content with enough strikes is quarantined: no entry sends it to
+// an upstream until the quarantine ends. Content with fewer strikes is suspect. Suspect
+// content may run, but not on the same upstream as other suspect content, so that
+// harmless content is not in flight when poison content crashes the next upstream.
+//
+// Poison content is never answered in full. An answer on any entry therefore withdraws
+// all strikes from before it and shortly after it, and lifts a quarantine. Without an
+// answer, three strikes quarantine content. Two are enough if that many losses are
+// improbable for harmless content, given how many of its attempts were in flight and
+// how many upstreams were lost without it, and if the answers had not all begun.
+//
+// Some time after the last strike, one request with quarantined content runs on trial.
+// Its answer lifts the quarantine, and its crash confirms it.
 //
 // Content is identified by a fingerprint of organisation and body. The
 // idempotency key is not part of it, since callers repeat a failed request under
@@ -32,18 +39,15 @@
 //	}
 package detector
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// MaxStrikes is the number of strikes, each for a different upstream, at which
-	// content is quarantined.
+	// content is quarantined if they are improbable for harmless content.
 	MaxStrikes = 2
-	// MaxBegunStrikes replaces MaxStrikes for content whose answers had all begun when
-	// the upstreams were lost. Poison content crashes an upstream that begins to run
-	// it, so that it was most likely another request.
+	// MaxBegunStrikes is the number of strikes at which content is quarantined in any
+	// case. Content whose answers had all begun needs as many: poison content crashes
+	// an upstream that begins to run it, so that it was most likely another request.
 	MaxBegunStrikes = 3
 	// QuarantineDuration is the time for which content is refused after its last
 	// strike.
@@ -60,9 +64,9 @@
 type Strike struct {
 	Fingerprint string `json:"fingerprint"`
 	Upstream    string `json:"upstream"`
-	// Cleared withdraws the strike, because the content was answered. A withdrawn
-	// strike from another entry is not added again, whichever of the two messages
-	// arrives first.
+	// Cleared withdraws all strikes against Fingerprint, because the content was
+	// answered in full at Age before. The order in which strikes and withdrawals
+	// arrive does not matter.
 	Cleared bool `json:"cleared,omitempty"`
 	// Begun is true if the answer had begun when the upstream was lost.
 	Begun bool `json:"begun,omitempty"`
@@ -70,8 +74,14 @@
 	// strike is against a part. Cleared then withdraws the strike for Upstream, or
 	// all strikes if Upstream is empty, because the part is proven sound.
 	Part uint64 `json:"part,omitempty"`
-	// Age is the time since the upstream was lost, and SentAge the time from which
-	// the request had been in flight by then. Both are set for a Part only.
+	// Observer identifies the entry that saw the loss, Attempts is the number of its
+	// attempts of the content that were in flight, and Trial is true if one of them was
+	// on trial. They are set for a Fingerprint only.
+	Observer uint64 `json:"observer,omitempty"`
+	Attempts int    `json:"attempts,omitempty"`
+	Trial    bool   `json:"trial,omitempty"`
+	// Age is the time since the upstream was lost or the content was answered. SentAge
+	// is the time for which the request had been in flight by then, for a Part only.
 	Age     time.Duration `json:"age,omitempty"`
 	SentAge time.Duration `json:"sent_age,omitempty"`
 	// Count is the number of strikes against Part that this entry knows, and Repeated
@@ -88,6 +98,8 @@
 	// EventCrashed means that an upstream was lost while the content of
 	// Fingerprints was in flight there. Begun is true if its answer had begun.
 	// Otherwise Parts are the prompt parts of the request, which was sent at SentAt.
+	// Attempts is the number of attempts of the content in flight at this entry, and
+	// Upstreams the number of upstreams of the service.
 	EventCrashed EventKind = iota
 	// EventAnswered means that the content of Fingerprints, with the prompt parts
 	// Parts, was answered in full.
@@ -100,7 +112,7 @@
 	EventBegun
 	// EventProgress means that events of an answer from Upstream arrived.
 	EventProgress
-	// EventTrial means that a request with Parts was sent on trial.
+	// EventTrial means that a request with Fingerprints and Parts was sent on trial.
 	EventTrial
 )
 
@@ -112,6 +124,8 @@
 	Begun        bool
 	Parts        []uint64
 	SentAt       time.Time
+	Attempts     int
+	Upstreams    int
 	Strike       Strike
 }
 
@@ -132,7 +146,12 @@
 
 // Detector holds the strikes by fingerprint. The zero value has no strikes.
 type Detector struct {
+	// ID identifies the entry among the observers of strikes. It must be unique.
+	ID        uint64
 	histories map[string]*history
+	// answers holds by fingerprint when content was last answered.
+	answers generations[string, answer]
+	losses  losses
 	// parts holds the prompt parts with strikes, and proofs the times at which parts
 	// were proven sound.
 	parts  map[uint64]*partHistory
@@ -144,27 +163,6 @@
 	repeatedAt time.Time
 }
 
-// history holds the strikes against the content with one fingerprint.
-type history struct {
-	// upstreams are the upstreams of the active strikes, and withdrawn the
-	// upstreams of the withdrawn strikes.
-	upstreams []string
-	withdrawn []string
-	// lastStrike is the time of the last strike. Without one it is the time of the
-	// first withdrawal, which created the history.
-	lastStrike time.Time
-	// unbegun is true if an active strike is for an answer that had not begun.
-	unbegun bool
-}
-
-// isFull reports whether the strikes are enough for a quarantine.
-func (h *history) isFull() bool {
-	if h.unbegun {
-		return len(h.upstreams) >= MaxStrikes
-	}
-	return len(h.upstreams) >= MaxBegunStrikes
-}
-
 // Step processes one event and returns the strikes that the caller must send to
 // the other entries. A received strike is returned only if it is new, so that
 // entries can forward it to all others without forwarding it for ever.
@@ -172,21 +170,21 @@
 	if d.histories == nil {
 		d.histories = map[string]*history{}
 		d.parts, d.checks = map[uint64]*partHistory{}, map[string]time.Time{}
-		d.proofs.limit = maxProofs
+		d.proofs.limit, d.answers.limit = maxProofs, maxAnswers
+		d.losses.at = map[string]time.Time{}
 	}
 	var out []Strike
 	switch e.Kind {
 	case EventCrashed:
+		d.recordLoss(now, e.Upstream)
+		d.losses.upstreams = max(d.losses.upstreams, e.Upstreams)
 		for _, f := range e.Fingerprints {
-			s := Strike{Fingerprint: f, Upstream: e.Upstream, Begun: e.Begun}
-			if d.addStrike(now, s, true) {
-				out = append(out, s)
-			}
+			out = append(out, d.strikeContent(now, f, e)...)
 		}
 		out = append(out, d.strikeParts(now, e)...)
 	case EventAnswered:
 		for _, f := range e.Fingerprints {
-			out = append(out, d.withdrawStrikes(f)...)
+			out = append(out, d.recordAnswer(now, f)...)
 		}
 		out = append(out, d.proveParts(now, e.Parts)...)
 	case EventBegun:
@@ -195,13 +193,14 @@
 		return d.recordProgress(now, e.Upstream)
 	case EventTrial:
 		d.recordTrial(e.Parts)
+		for _, f := range e.Fingerprints {
+			d.recordContentTrial(now, f)
+		}
 	case EventStrikeReceived:
 		if e.Strike.Part != 0 {
 			return d.receivePartStrike(now, e.Strike)
 		}
-		if d.receiveStrike(now, e.Strike) {
-			out = append(out, e.Strike)
-		}
+		return d.receiveStrike(now, e.Strike)
 	}
 	return out
 }
@@ -209,107 +208,37 @@
 // Verdict returns the verdict on the content with the given fingerprint.
 func (d *Detector) Verdict(now time.Time, fingerprint string) Verdict {
 	h := d.histories[fingerprint]
-	switch {
-	case h == nil || len(h.upstreams) == 0:
+	if h == nil || len(h.strikes) == 0 || now.Sub(h.last()) >= StrikeLifetime {
 		return Unsuspected
-	case h.isFull() && now.Sub(h.lastStrike) < QuarantineDuration:
-		return Quarantined
-	case now.Sub(h.lastStrike) < StrikeLifetime:
+	}
+	switch {
+	case !d.isPoison(h):
 		return Suspect
+	case d.mayTry(now, h):
+		return OnTrial
 	}
-	return Unsuspected
+	return Quarantined
 }
 
-// ActiveStrikes returns all active strikes, to be sent to an entry that has just
-// started.
+// ActiveStrikes returns the strikes against content that is suspect or quarantined and
+// those against accused parts, to be sent to an entry that has just started. It returns
+// at most maxActiveStrikes, those against quarantined content first.
 func (d *Detector) ActiveStrikes(now time.Time) []Strike {
-	var out []Strike
+	var poison, suspect []Strike
 	for f, h := range d.histories {
-		if d.Verdict(now, f) == Unsuspected {
-			continue
-		}
-		for _, u := range h.upstreams {
-			out = append(out, Strike{Fingerprint: f, Upstream: u, Begun: !h.unbegun})
+		switch d.Verdict(now, f) {
+		case Unsuspected:
+		case Suspect:
+			suspect = append(suspect, h.messages(now, f)...)
+		default:
+			poison = append(poison, h.messages(now, f)...)
 		}
 	}
-	return out
-}
-
-// withdrawStrikes withdraws the strikes against content that was answered, unless
-// it is quarantined.
-func (d *Detector) withdrawStrikes(fingerprint string) []Strike {
-	h := d.histories[fingerprint]
-	if h == nil || h.isFull() {
-		return nil
-	}
-	var out []Strike
-	for _, u := range h.upstreams {
-		h.withdrawn = append(h.withdrawn, u)
-		out = append(out, Strike{Fingerprint: fingerprint, Upstream: u, Cleared: true})
-	}
-	h.upstreams, h.unbegun = nil, false
-	return out
-}
-
-// receiveStrike adds or withdraws a strike that another entry sent and reports
-// whether this was a change. A withdrawal does not lift a quarantine: the answer
-// that caused it may be older than the second strike.
-func (d *Detector) receiveStrike(now time.Time, s Strike) bool {
-	if !s.Cleared {
-		return d.addStrike(now, s, false)
-	}
-	h := d.history(now, s.Fingerprint)
-	if slices.Contains(h.withdrawn, s.Upstream) || h.isFull() || len(h.withdrawn) >= maxWithdrawn {
-		return false
-	}
-	h.withdrawn = append(h.withdrawn, s.Upstream)
-	h.upstreams = slices.DeleteFunc(h.upstreams, func(u string) bool { return u == s.Upstream })
-	h.unbegun = h.unbegun && len(h.upstreams) > 0
-	return true
-}
-
-// maxWithdrawn bounds the withdrawn strikes in the history of one fingerprint.
-const maxWithdrawn = 32
-
-// addStrike adds a strike and reports whether it was new. A withdrawn strike is
-// added again only if this entry observed the crash itself.
-func (d *Detector) addStrike(now time.Time, s Strike, observed bool) bool {
-	h := d.history(now, s.Fingerprint)
-	if slices.Contains(h.upstreams, s.Upstream) || h.isFull() {
-		return false
-	}
-	if !observed && (slices.Contains(h.withdrawn, s.Upstream) || len(h.withdrawn) >= maxWithdrawn) {
-		return false
-	}
-	h.upstreams = append(h.upstreams, s.Upstream)
-	h.unbegun = h.unbegun || !s.Begun
-	h.lastStrike = now
-	return true
-}
-
-// history returns the history of a fingerprint. It creates a new one if there is
-// none or if the last strike is older than StrikeLifetime.
-func (d *Detector) history(now time.Time, fingerprint string) *history {
-	h := d.histories[fingerprint]
-	if h == nil || now.Sub(h.lastStrike) >= StrikeLifetime {
-		d.evictOldest(now)
-		h = &history{lastStrike: now}
-		d.histories[fingerprint] = h
-	}
-	return h
-}
-
-// evictOldest deletes the history with the oldest strike if there are
-// MaxFingerprints.
-func (d *Detector) evictOldest(now time.Time) {
-	if len(d.histories) < MaxFingerprints {
-		return
-	}
-	oldest, oldestTime := "", now
-	for f, h := range d.histories {
-		if !h.lastStrike.After(oldestTime) {
-			oldest, oldestTime = f, h.lastStrike
+	for p, h := range d.parts {
+		if h.isEnough() && now.Sub(h.last()) < StrikeLifetime {
+			poison = append(poison, h.messages(now, p)...)
 		}
 	}
-	delete(d.histories, oldest)
+	out := append(poison, suspect...)
+	return out[:min(len(out), maxActiveStrikes)]
 }
--- a/internal/process/detector/parts.go
+++ b/internal/process/detector/parts.go
@@ -21,7 +21,7 @@
 	// maxStrikesPerPart bounds the strikes that are recorded against one part.
 	maxStrikesPerPart = 16
 	// RepeatInterval is the time between two repeats of the strikes against
-	// quarantined parts, from which an entry learns them that has just started.
+	// quarantined parts and of recent ones against content.
 	RepeatInterval = time.Second
 	// maxRepeats bounds the strikes in one repeat.
 	maxRepeats = 64
@@ -234,8 +234,8 @@
 	}
 }
 
-// RepeatedStrikes returns the strikes against accused parts every RepeatInterval, to
-// be sent to the other entries, and nil in between.
+// RepeatedStrikes returns the strikes against accused parts and recent strikes against
+// content every RepeatInterval, to be sent to the other entries, and nil in between.
 func (d *Detector) RepeatedStrikes(now time.Time) []Strike {
 	if now.Sub(d.repeatedAt) < RepeatInterval {
 		return nil
@@ -255,9 +255,16 @@
 		if !h.isEnough() || len(out)+len(h.strikes) > maxRepeats {
 			continue
 		}
-		for _, s := range h.strikes {
-			out = append(out, Strike{Part: p, Upstream: s.upstream, Age: now.Sub(s.at), SentAge: s.at.Sub(s.sentAt), Count: len(h.strikes), Repeated: true})
-		}
+		out = append(out, h.messages(now, p)...)
+	}
+	return append(out, d.repeatContentStrikes(now)...)
+}
+
+// messages returns the strikes against part as they are sent again.
+func (h *partHistory) messages(now time.Time, part uint64) []Strike {
+	var out []Strike
+	for _, s := range h.strikes {
+		out = append(out, Strike{Part: part, Upstream: s.upstream, Age: now.Sub(s.at), SentAge: s.at.Sub(s.sentAt), Count: len(h.strikes), Repeated: true})
 	}
 	return out
 }
--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -56,6 +56,10 @@
 	// RetryCapacity unused retries.
 	RetryRatio    float64
 	RetryCapacity float64
+	// StrikesWait bounds the time in which an entry that has just started refuses
+	// requests, until it has learned the strikes that the other entries know. Zero
+	// means that it does not wait.
+	StrikesWait time.Duration
 }
 
 // Dispatcher holds the requests in flight and the state of all services of an
@@ -71,6 +75,12 @@
 	detector detector.Detector
 	services map[string]*service
 	inFlight map[string]*inFlightRequest
+	// contents holds by fingerprint the number of requests in flight.
+	contents map[string]int
+	// strikesLearned is true once the entry knows the strikes of the others, or has
+	// waited for them until strikesDue.
+	strikesLearned bool
+	strikesDue     time.Time
 	// suspended holds the requests in flight that have a suspended attempt.
 	suspended map[string]*inFlightRequest
 	// trial is the ID of the last request that was sent on trial.
@@ -105,11 +115,15 @@
 	return &Dispatcher{
 		settings: s, entries: 1, services: map[string]*service{},
 		inFlight: map[string]*inFlightRequest{}, suspended: map[string]*inFlightRequest{},
+		contents: map[string]int{}, strikesLearned: s.StrikesWait == 0,
+		// Zero is the observer of strikes from entries that send none.
+		detector: detector.Detector{ID: s.Seed + 1},
 	}
 }
 
 // Step processes one event and returns the resulting actions.
 func (d *Dispatcher) Step(now time.Time, e Event) []Action {
+	d.updateStrikesLearned(now)
 	switch e.Kind {
 	case EventArrived:
 		return d.admit(now, e.Request)
@@ -136,6 +150,8 @@
 		d.setBudgets()
 	case EventStrikesReceived:
 		return d.receiveStrikes(now, e.Strikes)
+	case EventStrikesLearned:
+		d.strikesLearned = true
 	case EventLoadReceived:
 		d.receiveLoad(now, e.Entry, e.Report)
 	case EventTick:
--- a/internal/process/dispatcher/event.go
+++ b/internal/process/dispatcher/event.go
@@ -61,6 +61,9 @@
 	EventEntryCount
 	// EventStrikesReceived carries strikes that another entry sent.
 	EventStrikesReceived
+	// EventStrikesLearned means that the strikes that another entry knows have been
+	// received, or that there is no other entry.
+	EventStrikesLearned
 	// EventRetryBudget carries new settings of the retry budget.
 	EventRetryBudget
 	// EventLoadReceived carries the load report of another entry.
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -116,6 +116,9 @@
 	if failure == nil && d.inFlight[r.ID] != nil {
 		failure = unavailable("duplicate_identity", "a request with this identity is in flight")
 	}
+	if failure == nil && !d.strikesLearned {
+		failure = unavailable("starting", "the entry does not know yet which content crashes upstreams")
+	}
 	if failure == nil {
 		failure = d.quarantine(now, f)
 	}
@@ -126,7 +129,7 @@
 		return []Action{d.failAction(now, f, failure)}
 	}
 	f.state = retrier.RequestState{Repeatable: a.Route.Repeatable(), MaxRuns: max(1, a.Route.MaxAttempts)}
-	d.inFlight[r.ID] = f
+	d.add(f)
 	s := d.service(a.Service.Name)
 	s.budget.RequestAdmitted()
 	return append(d.recordKind(now, s, f), d.send(now, f)...)
@@ -144,12 +147,12 @@
 	}
 	if verdict == detector.OnTrial {
 		d.trial = f.request.ID
-		d.detector.Step(now, detector.Event{Kind: detector.EventTrial, Parts: f.request.Parts})
+		d.detector.Step(now, detector.Event{Kind: detector.EventTrial, Parts: f.request.Parts, Fingerprints: []string{f.fingerprint()}})
 	}
 	q := d.query(now, s, f)
 	id, ok := s.picker.Pick(now, q)
 	if !ok && f.attempts == 0 && !d.heldBackUntil(now, f.admission.Service.Name).IsZero() {
-		delete(d.inFlight, f.request.ID)
+		d.remove(f)
 		return []Action{d.failAction(now, f, unavailable("held_back", "all upstreams asked to get no requests for some time"))}
 	}
 	if !ok {
@@ -157,7 +160,7 @@
 	}
 	if f.attempts == 0 && d.mustShed(s, f, id) {
 		f.summary.Upstream = id
-		delete(d.inFlight, f.request.ID)
+		d.remove(f)
 		return []Action{d.failAction(now, f, unavailable("overloaded", "no upstream could begin the request in time"))}
 	}
 	f.attempts++
--- a/internal/process/dispatcher/outcome.go
+++ b/internal/process/dispatcher/outcome.go
@@ -90,7 +90,7 @@
 	}
 	// The request is no longer in flight even if its state causes another panic.
 	defer delete(d.suspended, id)
-	delete(d.inFlight, id)
+	d.remove(f)
 	if f.attempts > 0 {
 		d.recordOutcome(now, f, Event{Outcome: OutcomeCancelled})
 	}
@@ -146,10 +146,10 @@
 	case decision.Failure != nil && f.suspended != nil:
 		return append(before, d.resume(now, f, decision.Failure.Code))
 	case decision.ForwardUpstreamError && !f.begun:
-		delete(d.inFlight, f.request.ID)
+		d.remove(f)
 		return append(before, Action{Kind: ActionForwardError, ID: f.request.ID, Attempt: f.attempt, Summary: f.finalSummary(now, decision.Failure.Message)})
 	case decision.Failure != nil:
-		delete(d.inFlight, f.request.ID)
+		d.remove(f)
 		return append(before, d.failAction(now, f, decision.Failure))
 	}
 	return append(before, d.send(now, f)...)
@@ -157,7 +157,7 @@
 
 func (d *Dispatcher) finish(now time.Time, f *inFlightRequest, reason string) Action {
 	d.endSuspended(now, f)
-	delete(d.inFlight, f.request.ID)
+	d.remove(f)
 	return Action{Kind: ActionFinish, ID: f.request.ID, Attempt: f.attempt, Begun: f.begun, Summary: f.finalSummary(now, reason)}
 }
 
@@ -175,7 +175,7 @@
 		answer.RetryAfter = d.retryAfter(now, f)
 		switch answer.Code {
 		case codeQuarantined:
-			answer.RetryAfter = max(answer.RetryAfter, d.detector.QuarantineLeft(now, f.request.Parts))
+			answer.RetryAfter = max(answer.RetryAfter, d.quarantineLeft(now, f))
 		case retrier.CodeStopping:
 			answer.RetryAfter = stoppingRetryAfter
 		}
--- a/internal/process/dispatcher/quarantine.go
+++ b/internal/process/dispatcher/quarantine.go
@@ -17,6 +17,51 @@
 	return f.admission.Organisation + "/" + f.request.Digest
 }
 
+// add adds a request to those in flight.
+func (d *Dispatcher) add(f *inFlightRequest) {
+	d.inFlight[f.request.ID] = f
+	d.contents[f.fingerprint()]++
+}
+
+// remove removes a request from those in flight. It does nothing if it is not there.
+func (d *Dispatcher) remove(f *inFlightRequest) {
+	if d.inFlight[f.request.ID] != f {
+		return
+	}
+	delete(d.inFlight, f.request.ID)
+	if d.contents[f.fingerprint()]--; d.contents[f.fingerprint()] <= 0 {
+		delete(d.contents, f.fingerprint())
+	}
+}
+
+// updateStrikesLearned ends the wait for the strikes of other entries when it has taken
+// StrikesWait.
+func (d *Dispatcher) updateStrikesLearned(now time.Time) {
+	if d.strikesLearned {
+		return
+	}
+	if d.strikesDue.IsZero() {
+		d.strikesDue = now.Add(d.settings.StrikesWait)
+	}
+	d.strikesLearned = !now.Before(d.strikesDue)
+}
+
+// KnownStrikes returns the active strikes, for an entry that has just started. It
+// reports false while this entry itself has not learned those of the others.
+func (d *Dispatcher) KnownStrikes(now time.Time) ([]detector.Strike, bool) {
+	d.updateStrikesLearned(now)
+	return d.detector.ActiveStrikes(now), d.strikesLearned
+}
+
+// StrikesLearned reports whether the entry knows the strikes of the others, or has
+// waited long enough for them.
+func (d *Dispatcher) StrikesLearned() bool { return d.strikesLearned }
+
+// quarantineLeft returns the time until content or prompt parts of f may run again.
+func (d *Dispatcher) quarantineLeft(now time.Time, f *inFlightRequest) time.Duration {
+	return max(d.detector.QuarantineLeft(now, f.request.Parts), d.detector.ContentQuarantineLeft(now, f.fingerprint()))
+}
+
 // verdict returns the more severe verdict on the content and the prompt parts of f.
 func (d *Dispatcher) verdict(now time.Time, f *inFlightRequest) detector.Verdict {
 	return max(d.detector.Verdict(now, f.fingerprint()), d.detector.PartsVerdict(now, f.request.Parts))
@@ -49,7 +94,8 @@
 // detectEnd tells the detector that the attempt r at f ended with outcome o. It returns
 // the action that sends the resulting strikes, if there are any.
 func (d *Dispatcher) detectEnd(now time.Time, f *inFlightRequest, r run, o AttemptOutcome) []Action {
-	out := detector.Event{Upstream: r.upstream, Fingerprints: []string{f.fingerprint()}, Parts: f.request.Parts, SentAt: r.sentAt}
+	out := detector.Event{Upstream: r.upstream, Fingerprints: []string{f.fingerprint()}, Parts: f.request.Parts, SentAt: r.sentAt,
+		Attempts: d.contents[f.fingerprint()], Upstreams: len(d.service(f.admission.Service.Name).instanceIDs)}
 	switch {
 	case o == OutcomeAnswered:
 		out.Kind = detector.EventAnswered
--- a/internal/process/dispatcher/stop.go
+++ b/internal/process/dispatcher/stop.go
@@ -94,13 +94,13 @@
 	}
 	d.finalAnswersGiven = true
 	var out []Action
-	for id, f := range d.inFlight {
+	for _, f := range d.inFlight {
 		if f.begun || f.permitted {
 			continue
 		}
 		out = append(out, d.recordOutcome(now, f, Event{Outcome: OutcomeCancelled})...)
 		d.endSuspended(now, f)
-		delete(d.inFlight, id)
+		d.remove(f)
 		// The current attempt may have been run.
 		f.state.Lost++
 		out = append(out, d.failAction(now, f, retrier.Decide(f.state, retrier.CauseStopping).Failure))
--- a/internal/process/router/flight.go
+++ b/internal/process/router/flight.go
@@ -78,7 +78,13 @@
 // dispatch picks an upstream and sends the next attempt of f to its agent.
 func (r *Router) dispatch(f *inFlight) {
 	now := r.options.Clock.Now()
-	f.suspect = r.detector.Verdict(now, f.admission.Fingerprint) == detector.Suspect
+	verdict := r.detector.Verdict(now, f.admission.Fingerprint)
+	if verdict == detector.Quarantined {
+		f.retryState.Quarantined = true
+		r.retryOrFail(f, retrier.CauseNoUpstream)
+		return
+	}
+	f.suspect = verdict != detector.Unsuspected
 	prefix := picker.HashPrefix(f.job.Request.Body)
 	name, ok := r.picker.Pick(now, picker.Query{
 		Candidates: r.candidates(f.job.Request), AvailabilityZone: r.options.Self.AvailabilityZone,
@@ -90,6 +96,9 @@
 		r.retryOrFail(f, retrier.CauseNoUpstream)
 		return
 	}
+	if verdict == detector.OnTrial {
+		r.detector.Step(now, detector.Event{Kind: detector.EventTrial, Fingerprints: []string{f.admission.Fingerprint}})
+	}
 	f.answer.Attempt++
 	f.upstream, f.started = name, false
 	f.tried = append(f.tried, name)
@@ -299,6 +308,7 @@
 func (r *Router) recordCrash(now time.Time, upstream string, f *inFlight) {
 	r.sendStrikes(r.detector.Step(now, detector.Event{
 		Kind: detector.EventCrashed, Upstream: upstream, Fingerprints: []string{f.admission.Fingerprint},
+		Attempts: r.countAttempts(f.admission.Fingerprint), Upstreams: len(r.upstreams),
 	}))
 	f.retryState.Quarantined = r.detector.Verdict(now, f.admission.Fingerprint) == detector.Quarantined
 	if f.retryState.Quarantined {
@@ -306,6 +316,18 @@
 	}
 }
 
+// countAttempts returns the number of requests in flight with the content of a
+// fingerprint.
+func (r *Router) countAttempts(fingerprint string) int {
+	n := 0
+	for _, f := range r.inFlight {
+		if f.admission.Fingerprint == fingerprint {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *Router) sendStrikes(strikes []detector.Strike) {
 	if r.options.SendStrikes != nil && len(strikes) > 0 {
 		r.options.SendStrikes(strikes)
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -180,6 +180,7 @@
 		picker:    picker.New[picker.ExpectedFirstToken](o.Seed),
 		upstreams: map[string]*upstream{},
 		inFlight:  map[string]*inFlight{},
+		detector:  detector.Detector{ID: o.Seed},
 	}
 	go func() {
 		defer close(r.done)
