Let an entry that starts learn the strikes of the others

Cause: Detector.ActiveStrikes had no caller. Strikes against whole content were never repeated.

Change: an entry that starts asks three others every 0.2 s for their active strikes, at most 512, and is not ready and refuses requests with 503 until one that is itself complete has answered, or 1 s has passed. Since all entries of the platform reach each other, single strikes are no longer sent on by each of them; those of a quarantine are.

--- a/internal/connection/messenger/message.go
+++ b/internal/connection/messenger/message.go
@@ -33,6 +33,8 @@
 	MethodFetchState   = "fetch_state"
 	MethodState        = "state"
 	MethodLoad         = "load"
+	MethodFetchStrikes = "fetch_strikes"
+	MethodKnownStrikes = "known_strikes"
 )
 
 // Role is the kind of process at one end of a connection.
--- a/internal/process/detector/content.go
+++ b/internal/process/detector/content.go
@@ -76,7 +76,7 @@
 func (d *Detector) receiveStrike(now time.Time, m Strike) []Strike {
 	at := now.Add(-m.Age)
 	if m.Cleared {
-		if d.applyAnswer(m.Fingerprint, at, true) {
+		if withdrawn := d.applyAnswer(m.Fingerprint, at, true); withdrawn >= MaxStrikes || withdrawn > 0 && !d.Mesh {
 			return []Strike{m}
 		}
 		return nil
@@ -85,7 +85,16 @@
 		return nil
 	}
 	d.recordLoss(at, m.Upstream)
-	return d.applyStrike(now, m.Fingerprint, contentStrike{m.Upstream, at, m.Begun, m.Trial, m.Observer, m.Attempts})
+	out := d.applyStrike(now, m.Fingerprint, contentStrike{m.Upstream, at, m.Begun, m.Trial, m.Observer, m.Attempts})
+	if !d.Mesh || len(out) == 0 || out[0].Cleared {
+		return out
+	}
+	// Entries that do not reach each other learn what makes up a quarantine from those
+	// that reach both.
+	if h := d.histories[m.Fingerprint]; len(h.strikes) >= MaxStrikes {
+		return h.messages(now, m.Fingerprint)
+	}
+	return nil
 }
 
 // applyStrike adds a strike and returns it for the other entries if it is new. If an
@@ -108,16 +117,16 @@
 // recordAnswer records that content was answered in full. It returns the withdrawal if
 // there are strikes, so that popular content causes no message for each answer.
 func (d *Detector) recordAnswer(now time.Time, fingerprint string) []Strike {
-	if !d.applyAnswer(fingerprint, now, false) {
+	if d.applyAnswer(fingerprint, now, false) == 0 {
 		return nil
 	}
 	d.answers.put(fingerprint, answer{now, now})
 	return []Strike{{Fingerprint: fingerprint, Cleared: true}}
 }
 
-// applyAnswer records an answer and withdraws the strikes that it refutes. It reports
-// whether there were any. The answer is shared if other entries were told of it.
-func (d *Detector) applyAnswer(fingerprint string, at time.Time, shared bool) bool {
+// applyAnswer records an answer and withdraws the strikes that it refutes. It returns
+// their number. The answer is shared if other entries were told of it.
+func (d *Detector) applyAnswer(fingerprint string, at time.Time, shared bool) int {
 	a, _ := d.answers.get(fingerprint)
 	a.at = later(a.at, at)
 	if shared {
@@ -126,18 +135,18 @@
 	d.answers.put(fingerprint, a)
 	h := d.histories[fingerprint]
 	if h == nil {
-		return false
+		return 0
 	}
 	before := len(h.strikes)
 	h.strikes = slices.DeleteFunc(h.strikes, func(s contentStrike) bool { return covers(at, s.at) })
 	if len(h.strikes) == 0 {
 		delete(d.histories, fingerprint)
 	}
-	if len(h.strikes) == before {
-		return false
+	withdrawn := before - len(h.strikes)
+	if withdrawn > 0 {
+		h.confirmed, h.triedAt, h.others = false, time.Time{}, d.losses.others(h)
 	}
-	h.confirmed, h.triedAt, h.others = false, time.Time{}, d.losses.others(h)
-	return true
+	return withdrawn
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/process/detector/detector.go
+++ b/internal/process/detector/detector.go
@@ -147,7 +147,10 @@
 // Detector holds the strikes by fingerprint. The zero value has no strikes.
 type Detector struct {
 	// ID identifies the entry among the observers of strikes. It must be unique.
-	ID        uint64
+	ID uint64
+	// Mesh is true if each entry sends its strikes to all others directly. Single
+	// strikes of other entries are then not sent on.
+	Mesh      bool
 	histories map[string]*history
 	// answers holds by fingerprint when content was last answered.
 	answers generations[string, answer]
--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -117,7 +117,7 @@
 		inFlight: map[string]*inFlightRequest{}, suspended: map[string]*inFlightRequest{},
 		contents: map[string]int{}, strikesLearned: s.StrikesWait == 0,
 		// Zero is the observer of strikes from entries that send none.
-		detector: detector.Detector{ID: s.Seed + 1},
+		detector: detector.Detector{ID: s.Seed + 1, Mesh: true},
 	}
 }
 
@@ -151,7 +151,7 @@
 	case EventStrikesReceived:
 		return d.receiveStrikes(now, e.Strikes)
 	case EventStrikesLearned:
-		d.strikesLearned = true
+		d.learnStrikes(now, e)
 	case EventLoadReceived:
 		d.receiveLoad(now, e.Entry, e.Report)
 	case EventTick:
--- a/internal/process/dispatcher/event.go
+++ b/internal/process/dispatcher/event.go
@@ -61,8 +61,8 @@
 	EventEntryCount
 	// EventStrikesReceived carries strikes that another entry sent.
 	EventStrikesReceived
-	// EventStrikesLearned means that the strikes that another entry knows have been
-	// received, or that there is no other entry.
+	// EventStrikesLearned carries the strikes that another entry knows, after the start.
+	// If Complete is true, the entry has learned enough to begin.
 	EventStrikesLearned
 	// EventRetryBudget carries new settings of the retry budget.
 	EventRetryBudget
@@ -142,6 +142,7 @@
 	Entries   int
 	Strikes   []detector.Strike
 	Synced    bool
+	Complete  bool
 	// Entry is the identity of the entry that sent the Report of EventLoadReceived.
 	Entry  string
 	Report LoadReport
--- a/internal/process/dispatcher/fleet_test.go
+++ b/internal/process/dispatcher/fleet_test.go
@@ -115,10 +115,7 @@
 	f.at(f.elapsed+f.delay(), func() {
 		strikes, learned := f.entries[(i+1)%entryCount].KnownStrikes(f.now())
 		f.at(f.elapsed+f.delay(), func() {
-			f.execute(i, d, d.Step(f.now(), Event{Kind: EventStrikesReceived, Strikes: strikes}))
-			if learned {
-				d.Step(f.now(), Event{Kind: EventStrikesLearned})
-			}
+			d.Step(f.now(), Event{Kind: EventStrikesLearned, Strikes: strikes, Complete: learned})
 		})
 	})
 }
--- a/internal/process/dispatcher/quarantine.go
+++ b/internal/process/dispatcher/quarantine.go
@@ -46,6 +46,15 @@
 	d.strikesLearned = !now.Before(d.strikesDue)
 }
 
+// learnStrikes applies the strikes that another entry knows. They are not sent on, since
+// all entries have got them.
+func (d *Dispatcher) learnStrikes(now time.Time, e Event) {
+	for _, s := range e.Strikes {
+		d.detector.Step(now, detector.Event{Kind: detector.EventStrikeReceived, Strike: s})
+	}
+	d.strikesLearned = d.strikesLearned || e.Complete
+}
+
 // KnownStrikes returns the active strikes, for an entry that has just started. It
 // reports false while this entry itself has not learned those of the others.
 func (d *Dispatcher) KnownStrikes(now time.Time) ([]detector.Strike, bool) {
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -141,6 +141,9 @@
 	SharedRuns int
 	// UpstreamsListed is true once a complete list of the upstreams was applied.
 	UpstreamsListed bool
+	// StrikesLearned is true once the entry knows the strikes of the others, or has
+	// waited long enough for them.
+	StrikesLearned bool
 }
 
 type eventKind int
@@ -156,6 +159,8 @@
 	eventRetryBudget
 	eventLoadReceived
 	eventStopping
+	eventStrikesLearned
+	eventStrikesFetched
 )
 
 // event is an input of the goroutine other than a job. Only the fields of its kind
@@ -176,6 +181,9 @@
 	retryRatio    float64
 	retryCapacity float64
 	stop          dispatcher.Stop
+	// complete and reply are set for eventStrikesLearned and eventStrikesFetched.
+	complete bool
+	reply    func(strikes []detector.Strike, complete bool)
 }
 
 // New starts a forwarder.
@@ -189,7 +197,7 @@
 		inFlight:   map[string]*inFlightRequest{},
 		pools:      map[string]*pool{},
 	}
-	f.state.Store(&State{})
+	f.state.Store(&State{StrikesLearned: f.dispatcher.StrikesLearned()})
 	go func() {
 		defer close(f.done)
 		for f.step() {
@@ -222,11 +230,6 @@
 // SetSynced sets whether the entry is in sync with the platform.
 func (f *Forwarder) SetSynced(synced bool) { f.put(event{kind: eventSynced, synced: synced}) }
 
-// ReceiveStrikes adds strikes that another entry sent.
-func (f *Forwarder) ReceiveStrikes(strikes []detector.Strike) {
-	f.put(event{kind: eventStrikesReceived, strikes: strikes})
-}
-
 // ReceiveLoad replaces the load report of another entry and adds its placements
 // since its previous report.
 func (f *Forwarder) ReceiveLoad(entry string, r dispatcher.LoadReport) {
@@ -320,6 +323,11 @@
 		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventEntryCount, Entries: e.entryCount})
 	case eventStrikesReceived:
 		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventStrikesReceived, Strikes: e.strikes})
+	case eventStrikesLearned:
+		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventStrikesLearned, Strikes: e.strikes, Complete: e.complete})
+		f.publishStrikesLearned()
+	case eventStrikesFetched:
+		e.reply(f.dispatcher.KnownStrikes(now))
 	case eventSynced:
 		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventSynced, Synced: e.synced})
 	case eventLoadReceived:
--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -123,10 +123,10 @@
 }
 
 // Ready reports whether the entry is ready for callers: it has a configuration and
-// upstreams, and is not draining.
+// upstreams, knows the strikes of the other entries, and is not draining.
 func (r *Receiver) Ready() bool {
 	s := r.options.Forwarder.State()
-	return s.Table != nil && s.UpstreamsListed && !r.draining.Load()
+	return s.Table != nil && s.UpstreamsListed && s.StrikesLearned && !r.draining.Load()
 }
 
 // Drain makes the entry not ready. New requests are still served.
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -142,7 +142,7 @@
 		ObserveAnswer: func(o forwarder.AnswerObservation) { m.Answer(o.Framing, o.End) },
 		Dispatcher: dispatcher.Settings{
 			AvailabilityZone: s.AvailabilityZone, Seed: uint64(c.Now().UnixNano()),
-			RetryRatio: s.RetryShare, RetryCapacity: s.RetrySlack,
+			RetryRatio: s.RetryShare, RetryCapacity: s.RetrySlack, StrikesWait: syncer.StrikesWait,
 		},
 	})
 	lc.Append(fx.StopHook(f.Stop))
@@ -172,7 +172,7 @@
 	close(ready)
 	var err error
 	p.acceptor, err = acceptor.New(s.PeerListen, messenger.Options{Self: self, Secret: []byte(s.SharedSecret), Recoverer: rec}, acceptor.Routes{
-		messenger.MethodFetchState: handle, messenger.MethodStrike: handle, messenger.MethodLoad: handle,
+		messenger.MethodFetchState: handle, messenger.MethodStrike: handle, messenger.MethodLoad: handle, messenger.MethodFetchStrikes: handle,
 	})
 	if err != nil {
 		p.syncer.Stop()
--- a/internal/process/syncer/share.go
+++ b/internal/process/syncer/share.go
@@ -31,7 +31,7 @@
 }
 
 // Handle handles a message of another entry. It replies to [FetchState], queues a
-// [State] for the goroutine, and passes strikes and load reports to the forwarder.
+// [State] and [KnownStrikes] for the goroutine, and passes strikes and load reports to the forwarder.
 func (s *Syncer) Handle(c *messenger.Conn, m messenger.Message) (any, error) {
 	switch m.Method {
 	case messenger.MethodFetchState:
@@ -46,6 +46,16 @@
 			return nil, err
 		}
 		s.input.Put(s.ctx, input{state: &state, peer: c.Peer.Identity})
+	case messenger.MethodFetchStrikes:
+		s.options.Forwarder.FetchStrikes(func(strikes []detector.Strike, complete bool) {
+			c.Notify(messenger.MethodKnownStrikes, KnownStrikes{strikes, complete})
+		})
+	case messenger.MethodKnownStrikes:
+		var k KnownStrikes
+		if err := m.Decode(&k); err != nil {
+			return nil, err
+		}
+		s.input.Put(s.ctx, input{strikes: &k, peer: c.Peer.Identity})
 	case messenger.MethodStrike:
 		var strikes []detector.Strike
 		if err := m.Decode(&strikes); err != nil {
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -146,13 +146,16 @@
 	// ignoredRevisions holds by key the revisions of the objects that could not be
 	// decoded.
 	ignoredRevisions map[string]int64
+	strikes          strikesFetcher
 }
 
-// input is an update of a subscription, or the state that the entry peer sent.
+// input is an update of a subscription, or the state or the strikes that the entry peer
+// sent.
 type input struct {
-	update subscriber.Update
-	state  *State
-	peer   string
+	update  subscriber.Update
+	state   *State
+	strikes *KnownStrikes
+	peer    string
 }
 
 const (
@@ -234,11 +237,15 @@
 		defer stop()
 		fetchDue = c
 	}
+	strikesDue, stop := s.strikesFetchDue()
+	defer stop()
 	select {
 	case i := <-s.input.C():
 		_ = s.options.Recoverer.Run("syncer input", func() { s.handleInput(i) })
 	case <-fetchDue:
 		s.fetchStates()
+	case <-strikesDue:
+		s.fetchStrikes()
 	case <-s.input.Done():
 		return false
 	}
@@ -281,9 +288,13 @@
 }
 
 func (s *Syncer) handleInput(i input) {
-	if i.state != nil {
+	switch {
+	case i.state != nil:
 		s.handleState(i)
 		return
+	case i.strikes != nil:
+		s.handleKnownStrikes(*i.strikes)
+		return
 	}
 	u := i.update
 	s.reachableKinds[u.Kind] = u.Reachable
@@ -299,6 +310,9 @@
 		s.updateUpstreams(u)
 	case s.options.Kinds.Entries:
 		s.updateEntries(u)
+		if u.Reachable {
+			s.endFetchWithoutOthers()
+		}
 	}
 }
 
@@ -381,26 +395,3 @@
 		f.HandleRegistrarEvent(registrar.Event{Kind: registrar.EventRemoved, Names: removed})
 	}
 }
-
-// ignoreObject logs an object that cannot be decoded, once for each revision.
-func (s *Syncer) ignoreObject(o accessor.Object, err error) {
-	if s.isNewlyIgnored(o) {
-		klog.InfoS("object ignored", "key", o.Key, "revision", o.Version, "err", err)
-	}
-}
-
-// isNewlyIgnored reports whether an object was not ignored at the same revision before.
-// The revision is zero if it cannot be read.
-func (s *Syncer) isNewlyIgnored(o accessor.Object) bool {
-	if last, ok := s.ignoredRevisions[o.Key]; ok && last == o.Version {
-		return false
-	}
-	if len(s.ignoredRevisions) >= maxIgnoredRevisions {
-		clear(s.ignoredRevisions)
-	}
-	s.ignoredRevisions[o.Key] = o.Version
-	return true
-}
-
-// maxIgnoredRevisions is the maximum number of objects in ignoredRevisions.
-const maxIgnoredRevisions = 256
