Tell losses at one moment from crashes by content

Change: two losses within 20 ms are not enough if one attempt had been in flight for less than half as long as the other one.

--- a/internal/process/detector/content.go
+++ b/internal/process/detector/content.go
@@ -44,6 +44,8 @@
 	at       time.Time
 	begun    bool
 	trial    bool
+	// sentAge is the time for which the attempt had been in flight.
+	sentAge  time.Duration
 	observer uint64
 	attempts int
 }
@@ -69,6 +71,9 @@
 		upstream: e.Upstream, at: now, begun: e.Begun, observer: d.ID, attempts: e.Attempts,
 		trial: d.isOnTrial(fingerprint),
 	}
+	if !e.SentAt.IsZero() {
+		s.sentAge = now.Sub(e.SentAt)
+	}
 	return d.applyStrike(now, fingerprint, s)
 }
 
@@ -85,7 +90,7 @@
 		return nil
 	}
 	d.recordLoss(at, m.Upstream)
-	out := d.applyStrike(now, m.Fingerprint, contentStrike{m.Upstream, at, m.Begun, m.Trial, m.Observer, m.Attempts})
+	out := d.applyStrike(now, m.Fingerprint, contentStrike{m.Upstream, at, m.Begun, m.Trial, m.SentAge, m.Observer, m.Attempts})
 	if !d.Mesh || len(out) == 0 || out[0].Cleared {
 		return out
 	}
@@ -181,7 +186,7 @@
 func (s contentStrike) message(now time.Time, fingerprint string) Strike {
 	return Strike{
 		Fingerprint: fingerprint, Upstream: s.upstream, Begun: s.begun, Trial: s.trial,
-		Observer: s.observer, Attempts: s.attempts, Age: now.Sub(s.at),
+		Observer: s.observer, Attempts: s.attempts, Age: now.Sub(s.at), SentAge: s.sentAge,
 	}
 }
 
--- a/internal/process/detector/detector.go
+++ b/internal/process/detector/detector.go
@@ -81,7 +81,7 @@
 	Attempts int    `json:"attempts,omitempty"`
 	Trial    bool   `json:"trial,omitempty"`
 	// Age is the time since the upstream was lost or the content was answered. SentAge
-	// is the time for which the request had been in flight by then, for a Part only.
+	// is the time for which the request had been in flight by then.
 	Age     time.Duration `json:"age,omitempty"`
 	SentAge time.Duration `json:"sent_age,omitempty"`
 	// Count is the number of strikes against Part that this entry knows, and Repeated
--- a/internal/process/detector/exposure.go
+++ b/internal/process/detector/exposure.go
@@ -94,7 +94,21 @@
 	for _, s := range h.strikes {
 		unbegun = unbegun || !s.begun
 	}
-	return n >= MaxStrikes && unbegun && d.falsePositive(h) <= maxFalsePositive
+	return n >= MaxStrikes && unbegun && !h.hasOneCause() && d.falsePositive(h) <= maxFalsePositive
+}
+
+// hasOneCause reports whether the strikes are from one moment and one attempt had been
+// in flight for less than half as long as another one: a request that was sent again when
+// its first upstream was lost, and met the same cause there. Poison content takes about
+// as long to crash one upstream as to crash another.
+func (h *history) hasOneCause() bool {
+	first, last := h.strikes[0], h.strikes[0]
+	shortest, longest := first.sentAge, first.sentAge
+	for _, s := range h.strikes[1:] {
+		last = s
+		shortest, longest = min(shortest, s.sentAge), max(longest, s.sentAge)
+	}
+	return last.at.Sub(first.at) < sameCause && 2*shortest < longest
 }
 
 // falsePositive returns an upper bound of the probability that harmless content has
--- a/internal/process/dispatcher/fleet_test.go
+++ b/internal/process/dispatcher/fleet_test.go
@@ -39,6 +39,10 @@
 	contentCrashes map[string][]time.Duration
 	// inStep is true if all upstreams take the same time for each answer.
 	inStep bool
+	// contentPath is the path of the route of content that comes again.
+	contentPath string
+	// lost is the number of attempts that were lost with their upstreams.
+	lost int
 }
 
 type fleetRequest struct {
@@ -94,7 +98,7 @@
 
 func newFleet(seed uint64) *fleet {
 	f := &fleet{random: rand.New(rand.NewPCG(seed, 24)), requests: map[string]*fleetRequest{}, refusals: map[string]int{},
-		maxDelay: 2 * ms, downtime: 3 * time.Second, contentSends: map[string][]time.Duration{}, contentCrashes: map[string][]time.Duration{}}
+		contentPath: "/popular/", maxDelay: 2 * ms, downtime: 3 * time.Second, contentSends: map[string][]time.Duration{}, contentCrashes: map[string][]time.Duration{}}
 	for i := range f.upstreams {
 		f.upstreams[i] = &fleetUpstream{
 			Upstream: registrar.Upstream{Name: fmt.Sprint("desk-", i), Service: "desk", Address: fmt.Sprint("10.0.0.", i, ":80"), Slots: 96},
@@ -304,6 +308,7 @@
 		all = append(all, a)
 	}
 	slices.SortFunc(all, func(a, b *fleetAttempt) int { return slices.Compare([]byte(a.id), []byte(b.id)) })
+	f.lost += len(all)
 	for _, a := range all {
 		delete(u.running, a)
 		f.at(f.elapsed+time.Duration(f.random.IntN(10))*ms, func() { f.end(a, OutcomeCrashed) })
--- a/internal/process/dispatcher/popular_content_test.go
+++ b/internal/process/dispatcher/popular_content_test.go
@@ -16,7 +16,7 @@
 		ended = func(Action) {}
 	}
 	f.requests[id] = &fleetRequest{at: f.elapsed, digest: digest, deadly: deadly, ended: ended}
-	q := request("/popular/" + digest)
+	q := request(f.contentPath + digest)
 	q.ID, q.Received, q.Deadline, q.Query.RequestID = id, f.now(), f.now().Add(10*time.Second), id
 	d := f.entries[entry]
 	f.execute(entry, d, d.Step(f.now(), Event{Kind: EventArrived, Request: q}))
