--- a/internal/process/dispatcher/event.go
+++ b/internal/process/dispatcher/event.go
@@ -61,6 +61,9 @@
 	EventEntryCount
 	// EventStrikesReceived carries strikes that another entry sent.
 	EventStrikesReceived
+	// EventStrikesLearned carries the strikes that another entry knows, after the start.
+	// If Complete is true, the entry has learned enough to begin.
+	EventStrikesLearned
 	// EventRetryBudget carries new settings of the retry budget.
 	EventRetryBudget
 	// EventLoadReceived carries the load report of another entry.
@@ -139,6 +142,7 @@
 	Entries   int
 	Strikes   []detector.Strike
 	Synced    bool
+	Complete  bool
 	// Entry is the identity of the entry that sent the Report of EventLoadReceived.
 	Entry  string
 	Report LoadReport
--- a/internal/process/dispatcher/fleet_test.go
+++ b/internal/process/dispatcher/fleet_test.go
@@ -13,10 +13,12 @@
 
 // fleet simulates entries that exchange strikes, and upstreams, in virtual time.
 type fleet struct {
-	random    *rand.Rand
-	elapsed   time.Duration
-	timers    timers
-	sequence  int
+	random   *rand.Rand
+	elapsed  time.Duration
+	timers   timers
+	sequence int
+	// starts is the number of restarts of entries.
+	starts    int
 	entries   [entryCount]*Dispatcher
 	upstreams [upstreamCount]*fleetUpstream
 	requests  map[string]*fleetRequest
@@ -27,6 +29,20 @@
 	sound       []*fleetRequest
 	// refusals counts by code the failures of requests that were not sent.
 	refusals map[string]int
+	// maxDelay is the maximum delay of a message between two entries, and downtime the
+	// time after which another instance replaces a lost upstream.
+	maxDelay time.Duration
+	downtime time.Duration
+	// contentSends and contentCrashes are by digest the times of the sends of content to
+	// live upstreams and of the crashes that it caused.
+	contentSends   map[string][]time.Duration
+	contentCrashes map[string][]time.Duration
+	// inStep is true if all upstreams take the same time for each answer.
+	inStep bool
+	// contentPath is the path of the route of content that comes again.
+	contentPath string
+	// lost is the number of attempts that were lost with their upstreams.
+	lost int
 }
 
 type fleetRequest struct {
@@ -34,6 +50,12 @@
 	parts []uint64
 	// begun is true if an answer began at the first attempt.
 	begun bool
+	// digest is the content of a request that comes again, and deadly is true if the
+	// content crashes each upstream that runs it.
+	digest string
+	deadly bool
+	// ended is called once the request has ended. It may be nil.
+	ended func(Action)
 }
 
 type fleetUpstream struct {
@@ -75,7 +97,8 @@
 }
 
 func newFleet(seed uint64) *fleet {
-	f := &fleet{random: rand.New(rand.NewPCG(seed, 24)), requests: map[string]*fleetRequest{}, refusals: map[string]int{}}
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 24)), requests: map[string]*fleetRequest{}, refusals: map[string]int{},
+		contentPath: "/popular/", maxDelay: 2 * ms, downtime: 3 * time.Second, contentSends: map[string][]time.Duration{}, contentCrashes: map[string][]time.Duration{}}
 	for i := range f.upstreams {
 		f.upstreams[i] = &fleetUpstream{
 			Upstream: registrar.Upstream{Name: fmt.Sprint("desk-", i), Service: "desk", Address: fmt.Sprint("10.0.0.", i, ":80"), Slots: 96},
@@ -88,9 +111,26 @@
 	return f
 }
 
+// restartEntry replaces an entry by one that learns the strikes of another entry.
+func (f *fleet) restartEntry(i int) {
+	f.starts++
+	f.startEntryWith(i, Settings{Seed: uint64(f.starts * 100), RetryRatio: 0.2, RetryCapacity: 50, StrikesWait: time.Second})
+	d := f.entries[i]
+	f.at(f.elapsed+f.delay(), func() {
+		strikes, learned := f.entries[(i+1)%entryCount].KnownStrikes(f.now())
+		f.at(f.elapsed+f.delay(), func() {
+			d.Step(f.now(), Event{Kind: EventStrikesLearned, Strikes: strikes, Complete: learned})
+		})
+	})
+}
+
 // startEntry replaces an entry by one that knows nothing.
 func (f *fleet) startEntry(i int) {
-	d := New(Settings{Seed: uint64(i), RetryRatio: 0.2, RetryCapacity: 50})
+	f.startEntryWith(i, Settings{Seed: uint64(i), RetryRatio: 0.2, RetryCapacity: 50})
+}
+
+func (f *fleet) startEntryWith(i int, s Settings) {
+	d := New(s)
 	d.Step(f.now(), Event{Kind: EventSynced, Synced: true})
 	d.Step(f.now(), Event{Kind: EventConfigured, Table: matcher.New(matcher.Configuration{
 		Version: 1, Routes: routes(), Services: []matcher.Service{{Name: "desk"}},
@@ -166,14 +206,17 @@
 		switch a.Kind {
 		case ActionSend:
 			f.send(&fleetAttempt{entry, d, a.ID, a.Attempt, false}, a.Upstream)
-		case ActionFail:
-			if a.Summary.Attempts == 0 {
+		case ActionFail, ActionFinish:
+			if a.Kind == ActionFail && a.Summary.Attempts == 0 {
 				f.refusals[a.Failure.Code]++
 			}
+			if ended := f.requests[a.ID].ended; ended != nil {
+				ended(a)
+			}
 		case ActionSendStrikes:
 			for i := range f.entries {
 				if i != entry {
-					f.at(f.elapsed+2*ms, func() {
+					f.at(f.elapsed+f.delay(), func() {
 						to := f.entries[i]
 						f.execute(i, to, to.Step(f.now(), Event{Kind: EventStrikesReceived, Strikes: a.Strikes}))
 					})
@@ -200,11 +243,18 @@
 	}
 	r := f.requests[a.id]
 	poison := slices.Contains(r.parts, poisonPart)
+	if r.digest != "" {
+		f.contentSends[r.digest] = append(f.contentSends[r.digest], f.elapsed)
+	}
 	if poison {
 		f.poisonSends = append(f.poisonSends, f.elapsed)
 	}
 	u.running[a] = struct{}{}
-	f.at(f.elapsed+50*ms+time.Duration(f.random.IntN(300))*ms, func() { f.begin(u, a, r, poison) })
+	first := 50*ms + time.Duration(f.random.IntN(300))*ms
+	if f.inStep {
+		first = 100 * ms
+	}
+	f.at(f.elapsed+first, func() { f.begin(u, a, r, poison) })
 }
 
 // begin writes the first event of an answer, or crashes the upstream.
@@ -214,6 +264,11 @@
 	}
 	if poison {
 		f.crashes = append(f.crashes, f.elapsed)
+	}
+	if r.deadly {
+		f.contentCrashes[r.digest] = append(f.contentCrashes[r.digest], f.elapsed)
+	}
+	if poison || r.deadly {
 		f.crash(u)
 		return
 	}
@@ -253,6 +308,7 @@
 		all = append(all, a)
 	}
 	slices.SortFunc(all, func(a, b *fleetAttempt) int { return slices.Compare([]byte(a.id), []byte(b.id)) })
+	f.lost += len(all)
 	for _, a := range all {
 		delete(u.running, a)
 		f.at(f.elapsed+time.Duration(f.random.IntN(10))*ms, func() { f.end(a, OutcomeCrashed) })
@@ -273,14 +329,22 @@
 	}
 }
 
-// crash ends all attempts on u, which comes back as another instance after 3 s.
+// delay returns the delay of the next message between two entries.
+func (f *fleet) delay() time.Duration {
+	if f.maxDelay <= 2*ms {
+		return f.maxDelay
+	}
+	return time.Duration(f.random.Int64N(int64(f.maxDelay)))
+}
+
+// crash ends all attempts on u, which comes back as another instance after the downtime.
 func (f *fleet) crash(u *fleetUpstream) {
 	if u.down {
 		return
 	}
 	u.down = true
 	f.reset(u)
-	f.at(f.elapsed+3*time.Second, func() {
+	f.at(f.elapsed+f.downtime, func() {
 		u.down = false
 		u.StartUnixMilli++
 		for _, d := range f.entries {
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -156,13 +156,16 @@
 	// ignoredRevisions holds by key the revisions of the objects that could not be
 	// decoded.
 	ignoredRevisions map[string]int64
+	strikes          strikesFetcher
 }
 
-// input is an update of a subscription, or the state that the entry peer sent.
+// input is an update of a subscription, or the state or the strikes that the entry peer
+// sent.
 type input struct {
-	update subscriber.Update
-	state  *State
-	peer   string
+	update  subscriber.Update
+	state   *State
+	strikes *KnownStrikes
+	peer    string
 }
 
 const (
@@ -247,11 +250,15 @@
 		defer stop()
 		fetchDue = c
 	}
+	strikesDue, stop := s.strikesFetchDue()
+	defer stop()
 	select {
 	case i := <-s.input.C():
 		_ = s.options.Recoverer.Run("syncer input", func() { s.handleInput(i) })
 	case <-fetchDue:
 		s.fetchStates()
+	case <-strikesDue:
+		s.fetchStrikes()
 	case <-s.input.Done():
 		return false
 	}
@@ -297,9 +304,13 @@
 }
 
 func (s *Syncer) handleInput(i input) {
-	if i.state != nil {
+	switch {
+	case i.state != nil:
 		s.handleState(i)
 		return
+	case i.strikes != nil:
+		s.handleKnownStrikes(*i.strikes)
+		return
 	}
 	u := i.update
 	s.reachableKinds[u.Kind] = u.Reachable
@@ -315,6 +326,9 @@
 		s.updateUpstreams(u)
 	case s.options.Kinds.Entries:
 		s.updateEntries(u)
+		if u.Reachable {
+			s.endFetchWithoutOthers()
+		}
 	}
 }
 
