--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -108,6 +108,11 @@
 	// instanceIDs lists their instance IDs in the order of the last update.
 	upstreams   map[string]registrar.Upstream
 	instanceIDs []string
+	// missShare is the mean share of the prompt tokens that upstreams have to prefill.
+	missShare float64
+	// deferredTokens is the number of prompt tokens to prefill for the deferred requests
+	// of this entry that wait for their first event.
+	deferredTokens int
 	// usualSlots is the median of the known numbers of slots of the upstreams.
 	usualSlots int
 }
@@ -178,6 +183,7 @@
 			picker:    picker.New[picker.LeastBacklog](d.settings.Seed),
 			upstreams: map[string]registrar.Upstream{},
 			budget:    retrier.Budget{CountAllRetries: true},
+			missShare: 1,
 		}
 		d.services[name] = s
 		d.setBudget(s)
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -17,6 +17,11 @@
 	// many round trips within a region, and ends before the first retransmission
 	// of TCP after 1 s.
 	maxDialTimeout = 300 * time.Millisecond
+	// dialTimeoutDivisor is the ratio of the latency target of a request to the time after
+	// which another upstream is tried if a connection is not established. Nothing has been
+	// sent by then. minDialTimeout allows for a queue at a thin link.
+	dialTimeoutDivisor = 4
+	minDialTimeout     = 60 * time.Millisecond
 	// idleTimeoutFactor is the ratio of the idle timeout of a repeatable request to
 	// its latency target. After the idle timeout, the request is also sent to another
 	// upstream. minIdleTimeout keeps a short congestion from causing a second run of
@@ -33,7 +38,7 @@
 	streamIdleShare       = 0.6
 	// maxNotSent is the number of unsent attempts after which a request fails. An
 	// attempt is unsent if, for example, the upstream was unreachable.
-	maxNotSent = 4
+	maxNotSent = 6
 	// usableConnectionShare is the share of the connection limit of an upstream
 	// that is divided among the entries. The rest is for entries that have just
 	// started.
@@ -89,7 +94,11 @@
 	// pendingTokens is the number of prompt tokens that wait for prefill: all until
 	// the first event, then zero.
 	pendingTokens int
-	sentAt        time.Time
+	// deferred is true for a deferred attempt until its first event, and deferredTokens
+	// the number of prompt tokens that it waits to have prefilled.
+	deferred       bool
+	deferredTokens int
+	sentAt         time.Time
 	// prefillTokens is the number of prompt tokens, its own included, whose prefill the
 	// time to the first event of the attempt shows. It is zero if the time depends on
 	// other things: many requests were on the upstream when it was sent, or an upstream
@@ -160,29 +169,44 @@
 	if !ok {
 		return d.retryOrFail(now, f, retrier.CauseNoUpstream, nil)
 	}
-	if f.attempts == 0 && d.mustShed(s, f, id) {
+	tokens := s.picker.PrefillTokens(now, q, id)
+	wait := s.picker.ExpectedWait(q, id) + time.Duration(tokens)*q.PrefillPerToken
+	placed := d.place(s, f, q, wait)
+	if placed == placedDeferred {
+		q.Deferred = true
+		id, _ = s.picker.Pick(now, q)
+		tokens = s.picker.PrefillTokens(now, q, id)
+	}
+	f.summary.ExpectedStart, f.summary.PrefillTokens, f.summary.Deferred = wait, tokens, placed == placedDeferred
+	if f.attempts == 0 && placed == refused {
 		f.summary.Upstream = id
 		d.remove(f)
 		return []Action{d.failAction(now, f, unavailable("overloaded", "no upstream could begin the request in time"))}
 	}
 	f.attempts++
-	f.run = run{attempt: f.attempts, upstream: id, suspect: q.Suspect, pendingTokens: f.request.PromptTokens, sentAt: now}
+	f.run = run{attempt: f.attempts, upstream: id, suspect: q.Suspect, pendingTokens: tokens, sentAt: now}
+	priority := f.admission.Priority
+	if placed != placedInTurn {
+		priority = matcher.PriorityLevels - 1
+		f.deferred, f.deferredTokens, f.pendingTokens = true, tokens, 0
+		s.deferredTokens += tokens
+	}
 	f.tried = append(f.tried, id)
-	d.recordPlacement(f)
+	s.recordMiss(tokens, f.request.PromptTokens)
 	u := s.picker.Upstream(id)
-	if f.request.PrefixTokens < minPlacementTokens || !s.picker.IsCached(f.request.Prefix) {
+	if !f.deferred && (f.request.PrefixTokens < minPlacementTokens || !s.picker.IsCached(f.request.Prefix)) {
 		f.prefillTokens = prefillTokens(u, f.pendingTokens)
 	}
 	f.summary.Upstream, f.summary.Attempts = id, f.attempts
 	f.summary.Outstanding, f.summary.PendingTokens = u.Outstanding, u.PendingTokens
-	s.picker.Step(now, picker.Event{Kind: picker.EventSent, Upstream: id, Prefix: f.request.Prefix, Suspect: f.suspect, PromptTokens: f.pendingTokens})
+	s.picker.Step(now, picker.Event{Kind: picker.EventSent, Upstream: id, Prefix: f.request.Prefix, Suspect: f.suspect, Deferred: f.deferred, PromptTokens: f.pendingTokens})
 	remaining := f.deadline.Sub(now)
 	source, _ := s.picker.CacheSource(now, q, id)
 	f.summary.CacheSource = source
 	return []Action{{
 		Kind: ActionSend, ID: f.request.ID, Attempt: f.attempt, Upstream: s.upstreams[id], CacheSource: s.upstreams[source].Address,
-		Priority: f.admission.Priority, Organisation: f.admission.Organisation,
-		Deadline: f.deadline, IdleTimeout: idleTimeout(f, remaining), DialTimeout: min(maxDialTimeout, remaining/3),
+		Priority: priority, Organisation: f.admission.Organisation,
+		Deadline: f.deadline, IdleTimeout: idleTimeout(f, remaining), DialTimeout: dialTimeout(f, remaining),
 		Stream: f.admission.Route.Kind == matcher.Streaming, Contested: f.suspended != nil, Begun: f.begun, LastEvent: f.lastEvent, EndIfEmpty: f.foundEmpty,
 		Summary: f.summary,
 	}}
@@ -194,6 +218,7 @@
 		Candidates: s.instanceIDs, AvailabilityZone: d.settings.AvailabilityZone, Exclude: d.exclude(s, f),
 		Tier: f.admission.Priority + 1, TokenGapTarget: f.admission.Route.GapTarget, LatencyTarget: f.admission.Route.LatencyTarget,
 		Prefix: f.request.Prefix, PrefixTokens: f.request.PrefixTokens, PromptTokens: f.request.PromptTokens,
+		PrefillPerToken: s.separator.PrefillPerToken(), CacheResidence: s.separator.CacheResidence(),
 		Suspect:    d.verdict(now, f) != detector.Unsuspected,
 		LongPrompt: f.hasLongPrompt(s), LongPromptShare: s.longPromptShare(),
 		MaxSpilloverTokens: s.separator.MaxSpilloverTokens(), Deferrable: f.isDeferrable(s),
@@ -218,6 +243,16 @@
 	return out
 }
 
+// dialTimeout returns the time after which another upstream is tried if a connection for
+// f is not established.
+func dialTimeout(f *inFlightRequest, remaining time.Duration) time.Duration {
+	limit := min(maxDialTimeout, remaining/3)
+	if target := f.admission.Route.LatencyTarget; target > 0 {
+		limit = min(limit, max(minDialTimeout, target/dialTimeoutDivisor))
+	}
+	return limit
+}
+
 // idleTimeout returns the time without progress after which another upstream is
 // tried for f, or zero if f must not run again.
 func idleTimeout(f *inFlightRequest, remaining time.Duration) time.Duration {
@@ -225,8 +260,7 @@
 		return 0
 	}
 	if f.admission.Route.Kind == matcher.Streaming {
-		patience := max(minCallerPatience, latencyPatienceFactor*f.admission.Route.LatencyTarget, gapPatienceFactor*f.admission.Route.GapTarget)
-		return time.Duration(streamIdleShare * float64(patience))
+		return time.Duration(streamIdleShare * float64(callerPatience(f.admission.Route)))
 	}
 	idle := min(max(minIdleTimeout, idleTimeoutFactor*f.admission.Route.LatencyTarget), remaining/2)
 	if f.suspended != nil {
@@ -252,8 +286,10 @@
 	f.recordPart(e)
 	if e.First {
 		out := d.countBegin(f)
-		s.picker.Step(now, picker.Event{Kind: picker.EventFirstToken, Upstream: f.upstream, Elapsed: e.Elapsed, PromptTokens: f.pendingTokens})
+		s.picker.Step(now, picker.Event{Kind: picker.EventFirstToken, Upstream: f.upstream, Elapsed: e.Elapsed, Prefix: f.request.Prefix, Deferred: f.deferred, PromptTokens: f.pendingTokens})
+		d.recordPlacement(f)
 		f.pendingTokens = 0
+		s.endDeferral(&f.run)
 		if f.prefillTokens > 0 {
 			s.separator.Step(now, separator.Event{Kind: separator.EventPrefilled, Request: f.admission.Route.Name, PromptTokens: f.prefillTokens, Elapsed: e.Elapsed})
 		}
--- a/internal/process/dispatcher/load.go
+++ b/internal/process/dispatcher/load.go
@@ -1,9 +1,11 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"magnoliafront.dev/magnoliafront/internal/process/picker"
+	"magnoliafront.dev/magnoliafront/internal/process/separator"
 )
 
 // Entries report to each other their requests in flight and the upstreams to which
@@ -45,10 +47,22 @@
 	Placements []Placement
 	// Shares has the services in which the entry separates requests with long prompts.
 	Shares []LongPromptShare
+	// Lost has the instance IDs of the upstreams that the entry has lost or could not
+	// connect to since the previous report.
+	Lost []string
+	// Kinds has what the entry has learned of the requests of each service. It is in
+	// one report of kindReportDivisor.
+	Kinds []ServiceKinds
 }
 
-// Placement means that a request with a prompt prefix was sent to an upstream,
-// which therefore caches the prefix for a while.
+// ServiceKinds is what an entry has learned of the requests of one service.
+type ServiceKinds struct {
+	Service string
+	Report  separator.Report
+}
+
+// Placement means that an upstream has begun to answer a request with a prompt prefix,
+// and therefore caches the prefix for a while.
 type Placement struct {
 	// Upstream is the instance ID of the upstream.
 	Upstream string
@@ -62,6 +76,10 @@
 	minPlacementTokens = 1024
 	// maxPlacementsPerReport is the maximum number of placements in one report.
 	maxPlacementsPerReport = 512
+	// kindReportDivisor is the number of reports of which one has the kinds of requests,
+	// so that they are sent each second. Rates and prefill times change more slowly
+	// than the load.
+	kindReportDivisor = 5
 )
 
 // loadExchange is the state of the exchange of load reports with the other entries.
@@ -74,6 +92,10 @@
 	lastReportHadLoads bool
 	// placements are the placements since the last report of this entry.
 	placements []Placement
+	// lost has the upstreams for the next report.
+	lost []string
+	// ticks is the number of ticks so far.
+	ticks int
 }
 
 // receivedReport is a report of another entry, reduced to the upstreams that were
@@ -82,23 +104,45 @@
 	receivedAt time.Time
 	loads      []Load
 	shares     []LongPromptShare
+	// kinds are those of the last report that had some.
+	kinds []ServiceKinds
 }
 
-// recordPlacement records the upstream to which a request with a long prefix is
-// sent, for the next report.
+// recordPlacement records the upstream that has begun to answer a request with a long
+// prefix, for the next report.
 func (d *Dispatcher) recordPlacement(f *inFlightRequest) {
 	if f.request.Prefix != 0 && f.request.PrefixTokens >= minPlacementTokens && len(d.exchange.placements) < maxPlacementsPerReport {
 		d.exchange.placements = append(d.exchange.placements, Placement{f.upstream, f.request.Prefix})
 	}
 }
 
+// recordLost records an upstream that was lost or not reached, for the next report.
+func (d *Dispatcher) recordLost(upstream string) {
+	if !slices.Contains(d.exchange.lost, upstream) {
+		d.exchange.lost = append(d.exchange.lost, upstream)
+	}
+}
+
 // receiveLoad replaces the last report of another entry.
 func (d *Dispatcher) receiveLoad(now time.Time, entry string, r LoadReport) {
 	if d.exchange.reports == nil {
 		d.exchange.reports = map[string]receivedReport{}
 	}
-	d.addSharedLoads(now, d.exchange.reports[entry].loads, -1)
-	d.exchange.reports[entry] = receivedReport{now, d.addSharedLoads(now, r.Loads, 1), r.Shares}
+	last := d.exchange.reports[entry]
+	d.addSharedLoads(now, last.loads, -1)
+	kinds := last.kinds
+	if len(r.Kinds) > 0 {
+		kinds = r.Kinds
+		d.learnKinds(now, kinds)
+	}
+	d.exchange.reports[entry] = receivedReport{now, d.addSharedLoads(now, r.Loads, 1), r.Shares, kinds}
+	for _, id := range r.Lost {
+		for _, s := range d.services {
+			if _, ok := s.upstreams[id]; ok {
+				s.picker.Step(now, picker.Event{Kind: picker.EventDoubted, Upstream: id})
+			}
+		}
+	}
 	for _, p := range r.Placements {
 		for _, s := range d.services {
 			if _, ok := s.upstreams[p.Upstream]; ok {
@@ -148,22 +192,28 @@
 		}
 	}
 	d.sumShares()
+	d.sumKinds()
 	var report LoadReport
+	d.exchange.ticks++
+	withKinds := d.exchange.ticks%kindReportDivisor == 0
 	for name, s := range d.services {
 		if share := s.separator.Share(); share > 0 {
 			report.Shares = append(report.Shares, LongPromptShare{name, share})
 		}
+		if k := s.separator.Report(now); withKinds && len(k.Kinds) > 0 {
+			report.Kinds = append(report.Kinds, ServiceKinds{name, k})
+		}
 		for _, id := range s.instanceIDs {
 			if u := s.picker.Upstream(id); u != nil && u.Outstanding > 0 {
-				report.Loads = append(report.Loads, Load{id, u.Outstanding, u.PendingTokens})
+				report.Loads = append(report.Loads, Load{id, u.OwnRuns(), u.PendingTokens})
 			}
 		}
 	}
-	report.Placements = d.exchange.placements
-	if len(report.Loads)+len(report.Placements) == 0 && !d.exchange.lastReportHadLoads {
+	report.Placements, report.Lost = d.exchange.placements, d.exchange.lost
+	if len(report.Loads)+len(report.Placements)+len(report.Lost) == 0 && !d.exchange.lastReportHadLoads {
 		return nil
 	}
-	d.exchange.lastReportHadLoads, d.exchange.placements = len(report.Loads) > 0, nil
+	d.exchange.lastReportHadLoads, d.exchange.placements, d.exchange.lost = len(report.Loads) > 0, nil, nil
 	return []Action{{Kind: ActionSendLoad, Report: report}}
 }
 
--- a/internal/process/dispatcher/outcome.go
+++ b/internal/process/dispatcher/outcome.go
@@ -103,11 +103,15 @@
 // returns the action that sends the resulting strikes, if there are any.
 func (d *Dispatcher) recordOutcome(now time.Time, f *inFlightRequest, e Event) []Action {
 	s := d.service(f.admission.Service.Name)
-	p := picker.Event{Kind: picker.EventEnded, Upstream: f.upstream, Suspect: f.suspect, PromptTokens: f.pendingTokens}
+	p := picker.Event{Kind: picker.EventEnded, Upstream: f.upstream, Suspect: f.suspect, Deferred: f.deferred, PromptTokens: f.pendingTokens}
 	f.pendingTokens = 0
+	s.endDeferral(&f.run)
 	switch e.Outcome {
 	case OutcomeLost, OutcomeCrashed, OutcomeNotSent:
 		p.Kind = picker.EventLost
+		if e.Outcome != OutcomeLost {
+			d.recordLost(f.upstream)
+		}
 	case OutcomeCancelled:
 		p.Kind = picker.EventWithdrawn
 	case OutcomeFailed:
--- a/internal/process/dispatcher/separation.go
+++ b/internal/process/dispatcher/separation.go
@@ -31,7 +31,7 @@
 		Kind: separator.EventArrived, Request: r.Name, PromptTokens: f.request.PromptTokens,
 		GapTarget: r.GapTarget, LatencyTarget: r.LatencyTarget, Priority: r.Priority,
 	})
-	if !s.separator.Decide(now, s.fleet(d.entries)) {
+	if !s.separator.Decide(now, s.fleet(d.entries, f.admission.Service.KVCapacity)) {
 		return nil
 	}
 	return []Action{{Kind: ActionRoutesSeparated, Summary: Summary{Service: f.admission.Service.Name}, Separation: Separation{
@@ -39,9 +39,51 @@
 	}}}
 }
 
+// learnKinds tells the separators about the targets of the kinds of requests that another
+// entry has reported, of which this one may have got none.
+func (d *Dispatcher) learnKinds(now time.Time, all []ServiceKinds) {
+	for _, k := range all {
+		s := d.services[k.Service]
+		if s == nil || d.table == nil {
+			continue
+		}
+		for _, r := range k.Report.Kinds {
+			if route, ok := d.table.Route(r.Request); ok {
+				s.separator.Step(now, separator.Event{
+					Kind: separator.EventKnown, Request: r.Request,
+					GapTarget: route.GapTarget, LatencyTarget: route.LatencyTarget, Priority: route.Priority,
+				})
+			}
+		}
+	}
+}
+
+// sumKinds passes on to the separators what the other entries have reported together.
+func (d *Dispatcher) sumKinds() {
+	reports := map[string][]separator.Report{}
+	for _, r := range d.exchange.reports {
+		for _, k := range r.kinds {
+			reports[k.Service] = append(reports[k.Service], k.Report)
+		}
+	}
+	for name, s := range d.services {
+		s.separator.SetOthers(separator.Sum(reports[name]))
+	}
+}
+
 // fleet describes the upstreams of s to its separator.
-func (s *service) fleet(entries int) separator.Fleet {
-	return separator.Fleet{Engines: len(s.instanceIDs), Slots: s.usualSlots, Entries: entries}
+func (s *service) fleet(entries, kvCapacity int) separator.Fleet {
+	return separator.Fleet{Engines: len(s.instanceIDs), Slots: s.usualSlots, Entries: entries, KVCapacity: kvCapacity, MissShare: s.missShare}
+}
+
+// missShareWeight is the weight of one request in the moving average of missShare.
+const missShareWeight = 0.02
+
+// recordMiss records how many of the tokens of a prompt an upstream has to prefill.
+func (s *service) recordMiss(tokens, promptTokens int) {
+	if promptTokens > 0 {
+		s.missShare += missShareWeight * (float64(tokens)/float64(promptTokens) - s.missShare)
+	}
 }
 
 // medianSlots returns the median of the known numbers of slots, zero if none is known.
@@ -72,14 +114,6 @@
 	return f.admission.Priority > 0 && s.separator.IsLeastUrgent(f.admission.Route.Name)
 }
 
-// mustShed reports whether a deferrable request must be shed because it would wait
-// for more than half of its latency target on the best upstream. Its first event
-// would be late, and its prompt would delay all others.
-func (d *Dispatcher) mustShed(s *service, f *inFlightRequest, best string) bool {
-	r := f.admission.Route
-	return r.LatencyTarget > 0 && f.isDeferrable(s) && s.picker.ExpectedWait(best, true) > r.LatencyTarget/2
-}
-
 // busyDivisor limits how busy an upstream may be for the time to the first event to show
 // the prefill time. The prompts before a new one may have at most its tokens divided by
 // busyDivisor, and the requests in flight may take at most that part of the slots.
--- a/internal/process/dispatcher/silence.go
+++ b/internal/process/dispatcher/silence.go
@@ -93,9 +93,11 @@
 
 // withdraw ends the current attempt of f, and the suspended one goes on.
 func (d *Dispatcher) withdraw(now time.Time, f *inFlightRequest, reason string) Action {
-	d.service(f.admission.Service.Name).recordEnd(now, picker.Event{
-		Kind: picker.EventWithdrawn, Upstream: f.upstream, Suspect: f.suspect, PromptTokens: f.pendingTokens,
+	s := d.service(f.admission.Service.Name)
+	s.recordEnd(now, picker.Event{
+		Kind: picker.EventWithdrawn, Upstream: f.upstream, Suspect: f.suspect, Deferred: f.deferred, PromptTokens: f.pendingTokens,
 	})
+	s.endDeferral(&f.run)
 	if f.sent {
 		// The current attempt may have been run.
 		f.state.Lost++
@@ -173,9 +175,11 @@
 	if f.suspended == nil {
 		return
 	}
-	d.service(f.admission.Service.Name).recordEnd(now, picker.Event{
-		Kind: picker.EventLost, Upstream: f.suspended.upstream, Suspect: f.suspended.suspect, PromptTokens: f.suspended.pendingTokens,
+	s := d.service(f.admission.Service.Name)
+	s.recordEnd(now, picker.Event{
+		Kind: picker.EventLost, Upstream: f.suspended.upstream, Suspect: f.suspended.suspect, Deferred: f.suspended.deferred, PromptTokens: f.suspended.pendingTokens,
 	})
+	s.endDeferral(f.suspended)
 	d.forgetSuspended(f)
 }
 
--- a/internal/process/dispatcher/summary.go
+++ b/internal/process/dispatcher/summary.go
@@ -21,6 +21,13 @@
 	// of the whole prompt.
 	Prefix       uint64
 	PromptTokens int
+	// ExpectedStart is the time after which the first event of the last attempt was
+	// expected when it was sent or refused, and PrefillTokens the number of prompt tokens
+	// that the upstream was expected to prefill for it. Deferred is true if it was run
+	// after all others.
+	ExpectedStart time.Duration
+	PrefillTokens int
+	Deferred      bool
 	// CacheSource is the instance ID of the upstream from which the prefix was
 	// copied, or empty if there is none.
 	CacheSource string
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -268,7 +268,11 @@
 	t.cancelCalls()
 	logDecision("request ended", a, "begun", a.Begun, "framing", t.framing.String(), "events", t.countEvents(), "first_event", t.firstEvent, "longest_pause", t.longestPause)
 	if f.options.Observe != nil {
-		f.options.Observe(Observation{Route: a.Summary.Route, Result: a.Summary.Reason, Elapsed: a.Summary.Elapsed})
+		s := a.Summary
+		f.options.Observe(Observation{
+			Route: s.Route, Result: s.Reason, Elapsed: s.Elapsed, Sent: s.Attempts > 0,
+			PromptTokens: s.PromptTokens, PrefillTokens: s.PrefillTokens, Deferred: s.Deferred,
+		})
 	}
 	return t
 }
@@ -290,7 +294,7 @@
 	}
 	klog.InfoS(message, append([]any{"request", a.ID, "route", s.Route, "service", s.Service, "organisation", s.Organisation,
 		"version", s.Version, "upstream", s.Upstream, "attempts", s.Attempts, "outstanding", s.Outstanding,
-		"pending_tokens", s.PendingTokens, "prefix", s.Prefix, "cache_source", s.CacheSource, "prompt_tokens", s.PromptTokens, "content", s.Digest, "elapsed", s.Elapsed, "outcome", s.Reason, "status", status}, keysAndValues...)...)
+		"pending_tokens", s.PendingTokens, "prefix", s.Prefix, "cache_source", s.CacheSource, "prompt_tokens", s.PromptTokens, "prefill_tokens", s.PrefillTokens, "expected_start", s.ExpectedStart, "deferred", s.Deferred, "content", s.Digest, "elapsed", s.Elapsed, "outcome", s.Reason, "status", status}, keysAndValues...)...)
 }
 
 // logStrikes logs the strikes of an action: one line for all strikes against content,
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -99,6 +99,12 @@
 	Route   string
 	Result  string
 	Elapsed time.Duration
+	// Sent is true if the request was sent to an upstream, which was expected to prefill
+	// PrefillTokens of its PromptTokens. Deferred is true if it ran after all others.
+	Sent          bool
+	PromptTokens  int
+	PrefillTokens int
+	Deferred      bool
 }
 
 // AnswerObservation describes an answer of an upstream that has ended, for metrics. End
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -50,6 +50,10 @@
 	requestSeconds metric.Float64Histogram
 	// answers counts the answers of upstreams that have ended.
 	answers metric.Int64Counter
+	// promptTokens counts the prompt tokens of requests that were sent, and
+	// deferredRequests those requests that ran after all others.
+	promptTokens     metric.Int64Counter
+	deferredRequests metric.Int64Counter
 	// requestsReceived and requestsEnded count the requests of callers, and
 	// requestsInFlight is the number of those that a stage has not ended.
 	requestsReceived metric.Int64ObservableCounter
@@ -103,6 +107,19 @@
 	))
 }
 
+// Prompt counts the prompt tokens of a request that was sent: those that its upstream was
+// expected to have cached or to copy, and those to prefill.
+func (m *Meter) Prompt(route string, cached, prefill int) {
+	ctx := context.Background()
+	m.promptTokens.Add(ctx, int64(cached), metric.WithAttributes(attribute.String("route", route), attribute.String("source", "cache")))
+	m.promptTokens.Add(ctx, int64(prefill), metric.WithAttributes(attribute.String("route", route), attribute.String("source", "prefill")))
+}
+
+// Deferred counts a request that ran after all others.
+func (m *Meter) Deferred(route string) {
+	m.deferredRequests.Add(context.Background(), 1, metric.WithAttributes(attribute.String("route", route)))
+}
+
 // Answer counts the end of an answer of an upstream. Both labels have a fixed set of values.
 func (m *Meter) Answer(framing, end string) {
 	m.answers.Add(context.Background(), 1, metric.WithAttributes(
@@ -253,6 +270,12 @@
 	if m.answers, err = m.meter.Int64Counter("magnoliafront_answers", metric.WithDescription("Answers of upstreams that have ended.")); err != nil {
 		return err
 	}
+	if m.promptTokens, err = m.meter.Int64Counter("magnoliafront_prompt_tokens", metric.WithDescription("Prompt tokens of requests that were sent, by where they were expected to come from.")); err != nil {
+		return err
+	}
+	if m.deferredRequests, err = m.meter.Int64Counter("magnoliafront_deferred_requests", metric.WithDescription("Requests that upstreams ran after all others.")); err != nil {
+		return err
+	}
 	if m.requestsReceived, err = m.meter.Int64ObservableCounter("magnoliafront_requests_received", metric.WithDescription("Requests of callers that have arrived.")); err != nil {
 		return err
 	}
--- a/internal/process/picker/backlog.go
+++ b/internal/process/picker/backlog.go
@@ -3,10 +3,10 @@
 import "time"
 
 const (
-	// backlogSecondsPerToken is the prefill time of one prompt token that
-	// [LeastBacklog] assumes. Engines prefill about 100 to 200 tokens per
+	// defaultSecondsPerToken is the prefill time of one prompt token that [LeastBacklog]
+	// assumes if the query has none. Engines prefill about 50 to 200 tokens per
 	// millisecond.
-	backlogSecondsPerToken = 7e-6
+	defaultSecondsPerToken = 7e-6
 	// outstandingCostSeconds is the cost of each request in flight: it slows the
 	// other runs of its batch or, on a plain service, occupies a slot.
 	outstandingCostSeconds = 0.0005
@@ -20,6 +20,14 @@
 	// failureRateMargin is the excess over the failure rate of the fleet that is
 	// attributed to chance.
 	failureRateMargin = 0.1
+	// deferredCostSeconds is the cost of each deferred request of this entry that waits
+	// at an upstream, for another one.
+	deferredCostSeconds = 0.1
+	// doubtCostSeconds is the cost of each other entry, up to maxDoubts, that has recently
+	// lost the upstream or could not connect to it. An entry that alone is cut off from an
+	// upstream must not keep the others away from it.
+	doubtCostSeconds = 0.1
+	maxDoubts        = 4
 	// stallCostPerSecond is the cost in seconds of each second without progress
 	// beyond stallGrace.
 	stallCostPerSecond = 0.5
@@ -46,6 +54,9 @@
 	// reserved for requests that are not deferrable. Without free slots, more urgent
 	// requests preempt running ones, whose prompts must then be prefilled again.
 	reservedSlotDivisor = 8
+	// copyTimeShare is the time to copy a cached token from another engine, as a share of
+	// the time to prefill it.
+	copyTimeShare = 0.15
 	// recordedCacheWeight is the weight of a prefix that is recorded as cached on
 	// an upstream other than the preferred one. It is below one because copies on
 	// many upstreams evict other prefixes.
@@ -70,14 +81,11 @@
 
 // Cost implements [Policy]. The unit is seconds.
 func (LeastBacklog) Cost(now time.Time, q Query, f *Fleet, c Candidate) float64 {
-	cached := recordedCacheWeight * c.CachedTokens
-	if c.Rank == 0 {
-		cached = max(cached, preferredCachedShare*float64(q.PrefixTokens))
-	}
-	wait := float64(c.PendingTokens+c.SharedPendingTokens) * backlogSecondsPerToken
+	perToken := q.secondsPerToken()
+	wait := float64(c.PendingTokens+c.SharedPendingTokens) * perToken
 	runs := c.Outstanding + c.SharedRuns
 	cost := discountedWaitWeight*wait + max(0, wait-discountedWaitShare*q.LatencyTarget.Seconds())
-	cost += (float64(q.PromptTokens) - cached) * backlogSecondsPerToken
+	cost += c.prefillTokens(q) * perToken
 	if c.Rank < Unranked {
 		cost -= rankBonusSeconds / float64(int(1)<<c.Rank)
 	}
@@ -94,12 +102,53 @@
 		cost += suspectCostSeconds * float64(c.Suspects)
 	}
 	cost += poolMismatchCost(q, c)
+	cost += doubtCostSeconds * float64(min(c.doubtsAt(now), maxDoubts))
+	if q.Deferred {
+		cost += float64(c.Upstream.Deferred) * deferredCostSeconds
+	}
 	if c.AvailabilityZone != q.AvailabilityZone {
 		cost += backlogCrossZoneSeconds
 	}
 	return cost
 }
 
+// secondsPerToken returns the prefill time of a prompt token in seconds.
+func (q Query) secondsPerToken() float64 {
+	if q.PrefillPerToken > 0 {
+		return q.PrefillPerToken.Seconds()
+	}
+	return defaultSecondsPerToken
+}
+
+// prefillTokens returns the expected number of tokens of the prompt that the candidate has
+// to prefill. What it must copy from another upstream counts with the time of the copy.
+func (c Candidate) prefillTokens(q Query) float64 {
+	cached := c.expectedCachedTokens(q)
+	missing := max(0, float64(q.PrefixTokens)-cached)
+	saved := missing * c.Copyable * (1 - copyTimeShare)
+	return float64(q.PromptTokens) - cached - saved
+}
+
+// PrefillTokens returns the expected number of tokens of the prompt of q that an upstream
+// has to prefill. It uses the ranking of the last [Picker.Pick], which must have been for q.
+func (p *Picker[P]) PrefillTokens(now time.Time, q Query, upstream string) int {
+	u := p.upstreams[upstream]
+	if u == nil {
+		return q.PromptTokens
+	}
+	return int(p.candidate(now, q, u).prefillTokens(q))
+}
+
+// expectedCachedTokens returns the number of tokens of the prompt that the candidate need
+// not prefill.
+func (c Candidate) expectedCachedTokens(q Query) float64 {
+	cached := recordedCacheWeight * c.CachedTokens
+	if c.Rank == 0 {
+		cached = max(cached, preferredCachedShare*float64(q.PrefixTokens))
+	}
+	return cached
+}
+
 // poolMismatchCost returns the cost in seconds of sending a long prompt outside the
 // pool, or a short one into it.
 func poolMismatchCost(q Query, c Candidate) float64 {
@@ -108,7 +157,7 @@
 		return 0
 	case !q.LongPrompt:
 		return shortPromptMismatchSeconds
-	case c.PendingTokens+c.SharedPendingTokens+q.PromptTokens > q.MaxSpilloverTokens:
+	case c.PendingTokens+c.SharedPendingTokens+int(c.prefillTokens(q)) > q.MaxSpilloverTokens:
 		return spilloverDeniedSeconds
 	}
 	return spilloverSeconds
@@ -124,19 +173,19 @@
 	if deferrable {
 		slots -= u.Slots / reservedSlotDivisor
 	}
-	excess := u.Outstanding + u.SharedRuns + 1 - slots
+	excess := u.Runs() + 1 - slots
 	return f.RunTime * float64(max(0, excess)) / float64(u.Slots)
 }
 
 // ExpectedWait returns the expected time until the upstream begins the prefill of
-// a new request, zero if the upstream is unknown. It uses the estimates of
+// the request of q, zero if the upstream is unknown. It uses the estimates of
 // [LeastBacklog] whatever the policy. A deferrable request cannot use the reserved
 // slots.
-func (p *Picker[P]) ExpectedWait(upstream string, deferrable bool) time.Duration {
+func (p *Picker[P]) ExpectedWait(q Query, upstream string) time.Duration {
 	u := p.upstreams[upstream]
 	if u == nil {
 		return 0
 	}
-	wait := float64(u.PendingTokens+u.SharedPendingTokens)*backlogSecondsPerToken + slotWait(&p.fleet, u, deferrable)
+	wait := float64(u.PendingTokens+u.SharedPendingTokens)*q.secondsPerToken() + slotWait(&p.fleet, u, q.Deferrable)
 	return time.Duration(wait * float64(time.Second))
 }
--- a/internal/process/picker/picker.go
+++ b/internal/process/picker/picker.go
@@ -76,6 +76,9 @@
 	// flight on the upstream: RunsDelta requests and PromptTokens pending tokens,
 	// negative for a decrease.
 	EventShared
+	// EventDoubted means that another entry has lost the upstream or could not connect to
+	// it.
+	EventDoubted
 	// EventHeldBack means that the upstream wants no requests from this entry for
 	// RetryAfter.
 	EventHeldBack
@@ -113,6 +116,9 @@
 	// Suspect has the value of the query, with the kinds of events that begin and end
 	// a request.
 	Suspect bool
+	// Deferred is true for a request that the upstream runs after all others, until its
+	// first token. It is set when the request is sent and with the event that ends its wait.
+	Deferred bool
 }
 
 // Query describes a request for which an upstream is to be selected.
@@ -135,6 +141,12 @@
 	Prefix       uint64
 	PrefixTokens int
 	PromptTokens int
+	// PrefillPerToken is the time in which an upstream of the service prefills a prompt
+	// token. Zero means unknown.
+	PrefillPerToken time.Duration
+	// CacheResidence is the time for which an upstream holds a prefix that no request
+	// uses. Zero means unknown.
+	CacheResidence time.Duration
 	// Suspect is true for a request that was in flight on an upstream when it
 	// crashed. The request may have caused the crash.
 	Suspect bool
@@ -147,6 +159,10 @@
 	// MaxSpilloverTokens is the number of pending prompt tokens, with those of this
 	// request, up to which a long prompt may be sent to an upstream outside the pool.
 	MaxSpilloverTokens int
+	// Deferred is true for a request that upstreams run after all others. It is sent to
+	// the best of a few random upstreams, since those of the other entries, which are not
+	// reported, would all be sent to the same one.
+	Deferred bool
 	// Deferrable is true for a request that must leave some slots to more urgent
 	// ones.
 	Deferrable bool
@@ -175,6 +191,9 @@
 	// entries agree: zero for the preferred upstream, then its alternatives in
 	// order. It is [Unranked] for all others.
 	Rank int
+	// Copyable is the probability that another upstream holds the prefix of the query,
+	// from which it can be copied.
+	Copyable float64
 	// PoolMatch is false if the upstream is in the pool for long prompts and the
 	// query has a short one, or the reverse.
 	PoolMatch bool
@@ -196,7 +215,9 @@
 	// and ranking has the upstreams that rank highest for it.
 	prefixHolders []*Upstream
 	ranking       ranking
-	pool          longPromptPool
+	// copyable is the highest probability that an upstream holds the prefix.
+	copyable float64
+	pool     longPromptPool
 	// usable is a buffer for the usable candidates of the current Pick.
 	usable []*Upstream
 }
@@ -226,9 +247,12 @@
 		p.dispatches++
 		u.recordDispatch(now, p.dispatches)
 		u.changeSuspects(e.Suspect, 1)
+		u.changeDeferred(e.Deferred, 1)
 		u.PendingTokens += e.PromptTokens
-		p.prefixes.store(now, e.Prefix, u.Name)
+		p.prefixes.store(now, e.Prefix, u.Name, false)
 	case EventFirstToken:
+		p.prefixes.store(now, e.Prefix, u.Name, true)
+		u.changeDeferred(e.Deferred, -1)
 		u.recordFirstToken(now, e.Elapsed)
 		u.removePending(e.PromptTokens)
 		p.fleet.recordFirstToken(e.Elapsed)
@@ -241,16 +265,19 @@
 		u.removePending(e.PromptTokens)
 		u.recordResult(e.Failed, &p.fleet)
 		u.changeSuspects(e.Suspect, -1)
+		u.changeDeferred(e.Deferred, -1)
 		p.fleet.recordAnswerTokens(e.Tokens)
 	case EventLost:
 		u.recordLoss(now)
 		u.removePending(e.PromptTokens)
 		u.recordResult(true, &p.fleet)
 		u.changeSuspects(e.Suspect, -1)
+		u.changeDeferred(e.Deferred, -1)
 	case EventWithdrawn:
 		u.setOutstanding(now, u.Outstanding-1)
 		u.removePending(e.PromptTokens)
 		u.changeSuspects(e.Suspect, -1)
+		u.changeDeferred(e.Deferred, -1)
 	case EventSilent:
 		u.beginBackoff(now)
 	case EventConnected:
@@ -260,12 +287,14 @@
 	case EventLeaving:
 		u.Leaving = true
 	case EventCached:
-		p.prefixes.store(e.At, e.Prefix, u.Name)
+		p.prefixes.store(e.At, e.Prefix, u.Name, true)
 	case EventUncached:
 		p.prefixes.remove(e.At, e.Prefix, u.Name)
 	case EventShared:
 		u.SharedRuns = max(0, u.SharedRuns+e.RunsDelta)
 		u.SharedPendingTokens = max(0, u.SharedPendingTokens+e.PromptTokens)
+	case EventDoubted:
+		u.recordDoubt(now)
 	case EventHeldBack:
 		u.holdBack(e.At.Add(e.RetryAfter))
 	}
@@ -291,6 +320,10 @@
 // that 512 candidates took 69 µs, above the limit of 50 µs for one Pick.
 const maxScannedCandidates = 192
 
+// deferredSampleSize is the number of upstreams of the own zone, and again of all others,
+// that are compared for a deferred request.
+const deferredSampleSize = 3
+
 // Pick returns the upstream with the lowest cost among the sampled candidates and
 // the candidates that served the prefix. Only candidates that are connected, not
 // leaving, not held back and not excluded are compared. It returns false if there is none.
@@ -299,6 +332,9 @@
 	if sample == 0 || q.Suspect {
 		sample = len(q.Candidates)
 	}
+	if q.Deferred {
+		sample = deferredSampleSize
+	}
 	p.sameZone.reset(sample)
 	p.otherZones.reset(sample)
 	scanned := min(len(q.Candidates), maxScannedCandidates)
@@ -308,7 +344,11 @@
 		}
 		p.sample(now, q, p.upstreams[q.Candidates[i]], true)
 	}
-	p.findPrefixHolders(now, q)
+	p.prefixHolders = p.prefixHolders[:0]
+	if !q.Deferred {
+		p.findPrefixHolders(now, q)
+	}
+	p.copyable = p.prefixes.probability(now, q)
 	p.ranking, p.pool.members = ranking{}, p.pool.members[:0]
 	if len(q.Candidates) <= maxScannedCandidates {
 		p.rankCandidates(now, q)
@@ -361,7 +401,7 @@
 	var best *Upstream
 	lowest, ties := 0.0, 0
 	evaluate := func(u *Upstream) {
-		c := Candidate{Upstream: u, CachedTokens: p.prefixes.cachedTokens(now, q, u.Name), Rank: p.ranking.rankOf(u), PoolMatch: p.pool.matches(u, q.LongPrompt)}
+		c := p.candidate(now, q, u)
 		cost := p.policy.Cost(now, q, &p.fleet, c)
 		switch {
 		case best == nil || cost < lowest:
@@ -388,6 +428,14 @@
 	return best.Name, true
 }
 
+// candidate describes an upstream to the policy.
+func (p *Picker[P]) candidate(now time.Time, q Query, u *Upstream) Candidate {
+	return Candidate{
+		Upstream: u, CachedTokens: p.prefixes.cachedTokens(now, q, u.Name), Rank: p.ranking.rankOf(u),
+		Copyable: p.copyable, PoolMatch: p.pool.matches(u, q.LongPrompt),
+	}
+}
+
 // reservoir is a uniform sample of bounded size from a sequence (reservoir
 // sampling).
 type reservoir struct {
--- a/internal/process/picker/prefix.go
+++ b/internal/process/picker/prefix.go
@@ -56,6 +56,9 @@
 type holder struct {
 	upstream string
 	at       time.Time
+	// filled is true once an answer has begun on the prefix there. Until then the
+	// upstream may still have to prefill it, and it cannot be copied.
+	filled bool
 }
 
 // get returns the holders of a prefix, nil if the prefix is not in the table.
@@ -68,7 +71,7 @@
 
 // store records that an upstream served a prefix. A new holder replaces the least
 // recent one, unless that one is more recent than at.
-func (t *prefixTable) store(at time.Time, prefix uint64, upstream string) {
+func (t *prefixTable) store(at time.Time, prefix uint64, upstream string, filled bool) {
 	if prefix == 0 {
 		return
 	}
@@ -83,7 +86,7 @@
 	oldest := 0
 	for i, h := range all {
 		if h.upstream == upstream {
-			all[i].at = later(at, h.at)
+			all[i].at, all[i].filled = later(at, h.at), filled || h.filled
 			return
 		}
 		if h.at.Before(all[oldest].at) {
@@ -91,7 +94,7 @@
 		}
 	}
 	if all[oldest].at.Before(at) {
-		all[oldest] = holder{upstream: upstream, at: at}
+		all[oldest] = holder{upstream: upstream, at: at, filled: filled}
 	}
 }
 
@@ -130,12 +133,37 @@
 	}
 	for _, h := range all {
 		if h.upstream == upstream {
-			return float64(q.PrefixTokens) * decay(now.Sub(h.at), prefixHalfLife)
+			return float64(q.PrefixTokens) * q.holds(now.Sub(h.at))
 		}
 	}
 	return 0
 }
 
+// probability returns the probability that the upstream that served a prefix last still
+// holds it, zero if none is known.
+func (t *prefixTable) probability(now time.Time, q Query) float64 {
+	all := t.get(q.Prefix)
+	if all == nil {
+		return 0
+	}
+	best := 0.0
+	for _, h := range all {
+		if h.filled {
+			best = max(best, q.holds(now.Sub(h.at)))
+		}
+	}
+	return best
+}
+
+// holds returns the probability that an upstream still holds the prefix of q some time
+// after the last request with it.
+func (q Query) holds(age time.Duration) float64 {
+	if q.CacheResidence > 0 {
+		return decay(age, min(prefixHalfLife, q.CacheResidence))
+	}
+	return decay(age, prefixHalfLife)
+}
+
 // IsCached reports whether an upstream is known to have served a prefix.
 func (p *Picker[P]) IsCached(prefix uint64) bool { return p.prefixes.get(prefix) != nil }
 
--- a/internal/process/picker/ranking.go
+++ b/internal/process/picker/ranking.go
@@ -63,6 +63,10 @@
 // ranking as a cache source.
 const maxSourceAge = 10 * time.Second
 
+// minSourceProbability is the probability that a recorded holder still has the prefix from
+// which it is preferred to the ranking. Where it has not, the prefix is prefilled again.
+const minSourceProbability = 0.25
+
 // CacheSource returns the upstream from which the chosen upstream should copy the
 // cached prefix of q: the one that served the prefix last according to the prefix
 // table, otherwise the one that ranks highest. It uses the ranking of the last
@@ -74,7 +78,7 @@
 	var last holder
 	if all := p.prefixes.get(q.Prefix); all != nil {
 		for _, h := range all {
-			if h.upstream != chosen && now.Sub(h.at) < maxSourceAge && h.at.After(last.at) && p.available(now, q, p.upstreams[h.upstream]) {
+			if h.filled && h.upstream != chosen && now.Sub(h.at) < maxSourceAge && q.holds(now.Sub(h.at)) >= minSourceProbability && h.at.After(last.at) && p.available(now, q, p.upstreams[h.upstream]) {
 				last = h
 			}
 		}
--- a/internal/process/picker/upstream.go
+++ b/internal/process/picker/upstream.go
@@ -34,6 +34,9 @@
 	// upstream. It doubles with each further failure, up to maxBackoff.
 	minBackoff = 500 * time.Millisecond
 	maxBackoff = 8 * time.Second
+	// doubtLifetime is the time for which a report of another entry that lost the upstream
+	// counts. An upstream that has ended is removed from the list by then, or is back.
+	doubtLifetime = time.Second
 	// maxOutstandingSamples is the number of recent values of Outstanding that are
 	// stored to interpret delayed load reports.
 	maxOutstandingSamples = 64
@@ -61,6 +64,9 @@
 	// entries, from the events of kind [EventShared].
 	SharedRuns          int
 	SharedPendingTokens int
+	// Deferred is the number of outstanding requests that the upstream runs after all
+	// others and that wait for their first token.
+	Deferred int
 	// Slots is the number of requests that the upstream runs concurrently, zero if
 	// unknown.
 	Slots int
@@ -89,8 +95,12 @@
 	// HeldBackUntil is the time until which the upstream asked this entry to send it
 	// no requests.
 	HeldBackUntil time.Time
-	failures      int
-	nameHash      uint64
+	// doubts is the number of reports of other entries that lost the upstream, within
+	// doubtLifetime before doubtedAt.
+	doubts    int
+	doubtedAt time.Time
+	failures  int
+	nameHash  uint64
 	// samples is a ring of the last values of Outstanding, and samplesTaken the
 	// number of all values so far.
 	samples      [maxOutstandingSamples]outstandingSample
@@ -181,10 +191,24 @@
 	}
 }
 
+// changeDeferred adds delta to the number of deferred requests if the request is one.
+func (u *Upstream) changeDeferred(deferred bool, delta int) {
+	if deferred {
+		u.Deferred = max(0, u.Deferred+delta)
+	}
+}
+
+// Runs returns the number of requests of all entries in flight on the upstream, without
+// the deferred ones of this entry, which wait behind a new one.
+func (u *Upstream) Runs() int { return u.OwnRuns() + u.SharedRuns }
+
+// OwnRuns returns the number of requests of this entry in flight without the deferred ones.
+func (u *Upstream) OwnRuns() int { return u.Outstanding - u.Deferred }
+
 // recordFirstToken ends a series of failures and updates the time to first token
 // if elapsed is set.
 func (u *Upstream) recordFirstToken(now time.Time, elapsed time.Duration) {
-	u.LastProgress, u.failures = now, 0
+	u.LastProgress, u.failures, u.doubts = now, 0, 0
 	if elapsed > 0 {
 		u.FirstTokenTime = movingAverage(u.FirstTokenTime, elapsed.Seconds(), firstTokenWeight)
 	}
@@ -193,7 +217,7 @@
 // recordGap updates the average token gap. An upstream that becomes slow gets a
 // quota of one request.
 func (u *Upstream) recordGap(now time.Time, elapsed time.Duration, tokens int, f *Fleet) {
-	u.LastProgress = now
+	u.LastProgress, u.doubts = now, 0
 	u.TokenGap = movingAverage(u.TokenGap, min(elapsed.Seconds()/float64(max(1, tokens)), maxGapRatio*f.TokenGap), tokenGapWeight)
 	if u.TokenGap > slowGapRatio*f.TokenGap {
 		u.Quota = 1
@@ -231,6 +255,24 @@
 	u.failures = min(u.failures+1, 8)
 }
 
+// recordDoubt counts a report of another entry that has lost the upstream.
+func (u *Upstream) recordDoubt(now time.Time) {
+	if now.Sub(u.doubtedAt) >= doubtLifetime {
+		u.doubts = 0
+	}
+	u.doubts++
+	u.doubtedAt = now
+}
+
+// doubtsAt returns the number of recent reports of other entries that lost the upstream.
+// Reports before the last progress that this entry has seen do not count.
+func (u *Upstream) doubtsAt(now time.Time) int {
+	if now.Sub(u.doubtedAt) >= doubtLifetime {
+		return 0
+	}
+	return u.doubts
+}
+
 // Fleet holds moving averages over all upstreams. They are the baseline for
 // comparison, and the estimate for an upstream without recent observations.
 type Fleet struct {
--- a/internal/process/separator/model.go
+++ b/internal/process/separator/model.go
@@ -10,6 +10,8 @@
 	Name string
 	// Rate is the number of requests a second, at all entries together.
 	Rate float64
+	// PromptTokens is the mean number of prompt tokens.
+	PromptTokens float64
 	// Prefill is the mean time in which an engine without other prompts reads the
 	// prompt, Run the mean time until the answer is complete, and Gap the mean time
 	// between two events of the answer.
--- a/internal/process/separator/prefill.go
+++ b/internal/process/separator/prefill.go
@@ -16,39 +16,65 @@
 	// minFitSpread is the minimum standard deviation of the prompt lengths, as a share
 	// of their mean, with which the fit is used.
 	minFitSpread = 0.2
+	// maxPrefillSum bounds each sum of [Prefill]. It allows for 1/(1-fitDecay)
+	// observations of prompts of a million tokens.
+	maxPrefillSum = 1e14
 )
 
-// prefillModel estimates the prefill time of a prompt token by a linear fit (weighted
-// least squares) of the time to the first event over the length of the prompt. The
-// part of the time that does not depend on the prompt, such as the network, does not
-// count. The zero value knows no observation.
-type prefillModel struct {
-	n, x, y, xx, xy float64
+// Prefill holds the weighted sums of observations from which the prefill time of a prompt
+// token is estimated by a linear fit (least squares) of the time to the first event over
+// the length of the prompt. The part of the time that does not depend on the prompt, such
+// as the network, does not count. The sums of several entries add up to those of all
+// their observations. The zero value knows no observation.
+type Prefill struct {
+	// N is the number of observations. X and Y are the sums of the tokens and of the times
+	// in seconds, XX and XY those of the squares of the tokens and of the products.
+	N, X, Y, XX, XY float64
+}
+
+// Add adds the observations of another entry.
+func (m *Prefill) Add(o Prefill) {
+	m.N += o.N
+	m.X += o.X
+	m.Y += o.Y
+	m.XX += o.XX
+	m.XY += o.XY
+}
+
+// IsValid reports whether the sums can be those of observations. A message of another
+// entry may hold anything.
+func (m *Prefill) IsValid() bool {
+	for _, sum := range []float64{m.N, m.X, m.Y, m.XX, m.XY} {
+		if !(sum >= 0 && sum <= maxPrefillSum) {
+			return false
+		}
+	}
+	return true
 }
 
 // observe records the time in seconds to the first event after a prompt of the given
 // number of tokens.
-func (m *prefillModel) observe(tokens, seconds float64) {
+func (m *Prefill) observe(tokens, seconds float64) {
 	weight := 1.0
-	if m.n > 0 && seconds > m.y/m.n+m.secondsPerToken()*(tokens-m.x/m.n) {
+	if m.N > 0 && seconds > m.Y/m.N+m.secondsPerToken()*(tokens-m.X/m.N) {
 		weight = longTimeWeight
 	}
-	m.n = fitDecay*m.n + weight
-	m.x = fitDecay*m.x + weight*tokens
-	m.y = fitDecay*m.y + weight*seconds
-	m.xx = fitDecay*m.xx + weight*tokens*tokens
-	m.xy = fitDecay*m.xy + weight*tokens*seconds
+	m.N = fitDecay*m.N + weight
+	m.X = fitDecay*m.X + weight*tokens
+	m.Y = fitDecay*m.Y + weight*seconds
+	m.XX = fitDecay*m.XX + weight*tokens*tokens
+	m.XY = fitDecay*m.XY + weight*tokens*seconds
 }
 
 // secondsPerToken returns the slope of the fit, or the default if the observations
 // do not show it.
-func (m *prefillModel) secondsPerToken() float64 {
-	if m.n < minFitObservations {
+func (m *Prefill) secondsPerToken() float64 {
+	if m.N < minFitObservations {
 		return defaultSecondsPerToken
 	}
-	mean := m.x / m.n
-	variance := m.xx/m.n - mean*mean
-	slope := (m.xy/m.n - mean*m.y/m.n) / max(variance, 1)
+	mean := m.X / m.N
+	variance := m.XX/m.N - mean*mean
+	slope := (m.XY/m.N - mean*m.Y/m.N) / max(variance, 1)
 	if variance < minFitSpread*minFitSpread*mean*mean || slope <= 0 {
 		return defaultSecondsPerToken
 	}
--- a/internal/process/separator/separator.go
+++ b/internal/process/separator/separator.go
@@ -40,7 +40,7 @@
 	// is compared. Below it, its route may have been removed.
 	minRateShare = 0.01
 	// rateHalfLife is the half-life of the arrivals from which a rate is computed.
-	rateHalfLife = 15 * time.Second
+	rateHalfLife = 5 * time.Second
 	// observationWeight is the weight of one answer in the moving averages.
 	observationWeight = 0.05
 	// decisionInterval is the minimum time between two decisions.
@@ -57,9 +57,10 @@
 	// sharedWeight is the weight of the demand of a kind that is not separated. Its
 	// engines must be less busy to keep gaps short.
 	sharedWeight = 3
-	// burstFactor is the factor by which the rate of the kinds that are not separated
-	// may grow before their engines are full, in a burst of separated ones too.
-	burstFactor = 2
+	// burstHeadroom is the headroom of the kinds that are not separated, in a burst of
+	// separated ones too, in units of the square root of their demand (square-root
+	// staffing). It is at most their demand: with more, long prompts spill over to them.
+	burstHeadroom = 1.41
 	// minLossDifference is the share of late requests below which two choices are
 	// equally good.
 	minLossDifference = 0.01
@@ -81,6 +82,8 @@
 	// EventEnded means that an answer was complete Elapsed after the request was
 	// sent.
 	EventEnded
+	// EventKnown carries the targets of a kind of request that other entries report.
+	EventKnown
 )
 
 // Event is an observation of one request. Only the fields of its kind are set.
@@ -91,7 +94,7 @@
 	Elapsed time.Duration
 	Events  int
 	// PromptTokens is set for EventArrived and EventPrefilled. The targets and
-	// Priority are set for EventArrived. A target of zero means none. Priority is
+	// Priority are set for EventArrived and EventKnown. A target of zero means none. Priority is
 	// zero for the most urgent requests.
 	PromptTokens  int
 	GapTarget     time.Duration
@@ -118,7 +121,11 @@
 	threshold time.Duration
 	// maxSpillover is the result of MaxSpilloverTokens.
 	maxSpillover int
-	prefill      prefillModel
+	// residence is the result of CacheResidence.
+	residence time.Duration
+	prefill   Prefill
+	// others is what the other entries have reported.
+	others Report
 }
 
 // kind is what is known of one kind of request.
@@ -135,7 +142,7 @@
 func (s *Separator) Step(now time.Time, e Event) {
 	k := s.kinds[e.Request]
 	if k == nil {
-		if e.Kind != EventArrived && e.Kind != EventEnded {
+		if e.Kind == EventPrefilled || e.Kind == EventProgress {
 			return
 		}
 		k = s.add(now, e.Request)
@@ -152,6 +159,8 @@
 		}
 	case EventEnded:
 		k.profile.Run = average(k.profile.Run, e.Elapsed, observationWeight)
+	case EventKnown:
+		k.setTargets(e)
 	}
 }
 
@@ -180,6 +189,10 @@
 	k.updated = now
 	// The first arrivals have equal weights.
 	k.promptTokens += max(observationWeight, 1/k.arrivals) * (float64(e.PromptTokens) - k.promptTokens)
+	k.setTargets(e)
+}
+
+func (k *kind) setTargets(e Event) {
 	k.profile.GapTarget, k.profile.LatencyTarget, k.profile.Priority = e.GapTarget, e.LatencyTarget, e.Priority
 }
 
@@ -198,6 +211,11 @@
 	Slots   int
 	// Entries is the number of entries, which get equal shares of the requests.
 	Entries int
+	// KVCapacity is the number of tokens in the KV cache of each engine, zero if unknown,
+	// and MissShare the share of the prompt tokens that engines prefill because they are
+	// not cached.
+	KVCapacity int
+	MissShare  float64
 }
 
 // Decide chooses the separated kinds again if the last decision is old enough. It
@@ -215,6 +233,7 @@
 	}
 	s.share = s.separatedShare(profiles, f.Engines, f.Slots)
 	s.maxSpillover = s.tokensWithinGaps(profiles)
+	s.residence = residence(profiles, f)
 	s.leastUrgent = 0
 	for _, p := range profiles {
 		if s.IsSeparated(p.Name) {
@@ -247,7 +266,15 @@
 
 // PrefillPerToken returns the time in which an engine prefills a prompt token.
 func (s *Separator) PrefillPerToken() time.Duration {
-	return time.Duration(s.prefill.secondsPerToken() * float64(time.Second))
+	return time.Duration(s.secondsPerToken() * float64(time.Second))
+}
+
+// secondsPerToken returns the prefill time of a prompt token in seconds, from the
+// observations of all entries.
+func (s *Separator) secondsPerToken() float64 {
+	all := s.prefill
+	all.Add(s.others.Prefill)
+	return all.secondsPerToken()
 }
 
 // allAnswered reports whether each kind has got an answer.
@@ -292,7 +319,7 @@
 	}
 	share := separated / (separated + sharedWeight*shared)
 	if engines > 0 {
-		share = min(share, max(1./engineSteps, 1-burstFactor*shared/float64(engines)))
+		share = min(share, max(1./engineSteps, 1-(shared+min(shared, burstHeadroom*math.Sqrt(shared)))/float64(engines)))
 	}
 	return share
 }
@@ -300,12 +327,13 @@
 // profiles returns the kinds with the most traffic, the longest prefill first.
 func (s *Separator) profiles(now time.Time, entries int) []Profile {
 	out := make([]Profile, 0, len(s.kinds))
-	perToken := s.prefill.secondsPerToken()
-	for _, k := range s.kinds {
-		k.profile.Prefill = time.Duration(k.promptTokens * perToken * float64(time.Second))
+	perToken := s.secondsPerToken()
+	for name, k := range s.kinds {
+		r := s.fleetWide(now, name, k, entries)
+		k.profile.Prefill = time.Duration(r.PromptTokens * perToken * float64(time.Second))
 		p := k.profile
-		p.Rate = k.rate(now) * float64(max(1, entries))
-		if p.Rate > 0 && k.promptTokens > 0 {
+		p.Rate, p.PromptTokens, p.Run, p.Gap = r.Rate, r.PromptTokens, r.Run, r.Gap
+		if p.Rate > 0 && r.PromptTokens > 0 {
 			out = append(out, p)
 		}
 	}
@@ -335,7 +363,7 @@
 	if s.decisive {
 		return s.separated > 0 && k.profile.Prefill >= s.threshold
 	}
-	prefill := k.promptTokens * defaultSecondsPerToken
+	prefill := k.promptTokens * s.secondsPerToken()
 	return prefill >= startStallShare*s.shortestGapTarget().Seconds()
 }
 
@@ -372,7 +400,7 @@
 			room = min(room, max(0, p.GapTarget-p.Gap))
 		}
 	}
-	return int(min(room.Seconds()/s.prefill.secondsPerToken(), math.MaxInt32))
+	return int(min(room.Seconds()/s.secondsPerToken(), math.MaxInt32))
 }
 
 // average returns the moving average after an observation, which is the first one
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -142,7 +142,7 @@
 func newForwarder(lc fx.Lifecycle, s loader.Gateway, c timer.Clock, ref *syncerRef, usage *dutiesRef, m *meter.Meter, rec *recoverer.Recoverer) *forwarder.Forwarder {
 	f := forwarder.New(forwarder.Options{
 		Clock: c, Codec: platform.Codec{}, Recoverer: rec, SendStrikes: ref.sendStrikes, SendLoad: ref.sendLoad, CountUsage: usage.countUsage,
-		Observe:       func(o forwarder.Observation) { m.Request(o.Route, o.Result, o.Elapsed) },
+		Observe:       func(o forwarder.Observation) { observe(m, o) },
 		ObserveAnswer: func(o forwarder.AnswerObservation) { m.Answer(o.Framing, o.End) },
 		Dispatcher: dispatcher.Settings{
 			AvailabilityZone: s.AvailabilityZone, Seed: uint64(c.Now().UnixNano()),
@@ -154,6 +154,17 @@
 	return f
 }
 
+// observe reports the end of a request to the metrics.
+func observe(m *meter.Meter, o forwarder.Observation) {
+	m.Request(o.Route, o.Result, o.Elapsed)
+	if o.Sent && o.PromptTokens > 0 {
+		m.Prompt(o.Route, o.PromptTokens-o.PrefillTokens, o.PrefillTokens)
+	}
+	if o.Deferred {
+		m.Deferred(o.Route)
+	}
+}
+
 func newPeering(lc fx.Lifecycle, s loader.Gateway, self messenger.Peer, c timer.Clock, store *platform.Store, f *forwarder.Forwarder, ref *syncerRef, usage *dutiesRef, rec *recoverer.Recoverer) (*peering, error) {
 	p := &peering{}
 	ready := make(chan struct{})
--- a/internal/process/syncer/learn.go
+++ b/internal/process/syncer/learn.go
@@ -12,7 +12,7 @@
 const (
 	// StrikesWait is the time for which an entry that starts waits for the strikes that
 	// the others know. It must end while other entries are down as well.
-	StrikesWait = time.Second
+	StrikesWait = 400 * time.Millisecond
 	// strikesFetchInterval is the time between two fetches of strikes, and
 	// strikesFetchPeers the number of entries to which each is sent, since some may be
 	// down or have just started, too.
--- a/internal/process/syncer/message.go
+++ b/internal/process/syncer/message.go
@@ -40,6 +40,12 @@
 	Runs   []byte `json:"runs"`
 	Placed []byte `json:"placed,omitempty"`
 	Shares []byte `json:"shares,omitempty"`
+	// Lost has 4 bytes with the hash of the instance ID for each upstream that the sender
+	// has lost since its previous report.
+	Lost []byte `json:"lost,omitempty"`
+	// Kinds is what the sender has learned of the requests of its services; see
+	// [packKinds].
+	Kinds []byte `json:"kinds,omitempty"`
 	// Usage is the packed usage update of the sender; see [packUsage]. A message that has
 	// only an update has no Runs.
 	Usage []byte `json:"usage,omitempty"`
@@ -49,6 +55,7 @@
 	runsRecordSize   = 6
 	placedRecordSize = 12
 	sharesRecordSize = 5
+	lostRecordSize   = 4
 	// pendingTokensUnit is the resolution of pending tokens. An engine prefills
 	// this many tokens in about 7 ms.
 	pendingTokensUnit = 1024
@@ -71,12 +78,16 @@
 		shares = binary.BigEndian.AppendUint32(shares, hashName(s.Service))
 		shares = append(shares, byte(math.Round(min(max(s.Share, 0), 1)*math.MaxUint8)))
 	}
-	return Load{Runs: runs, Placed: placed, Shares: shares}
+	var lost []byte
+	for _, id := range r.Lost {
+		lost = binary.BigEndian.AppendUint32(lost, hashName(id))
+	}
+	return Load{Lost: lost, Runs: runs, Placed: placed, Shares: shares, Kinds: packKinds(r.Kinds)}
 }
 
-// unpack decodes the report as far as it concerns known upstreams and their services.
-// Other records are skipped.
-func (l Load) unpack(known []registrar.Upstream) dispatcher.LoadReport {
+// unpack decodes the report as far as it concerns known upstreams, their services, and
+// routes, whose names are given by their hashes. Other records are skipped.
+func (l Load) unpack(known []registrar.Upstream, routes map[uint32]string) dispatcher.LoadReport {
 	instanceIDs, services := make(map[uint32]string, len(known)), map[uint32]string{}
 	for _, u := range known {
 		id := u.InstanceID()
@@ -99,6 +110,12 @@
 			r.Shares = append(r.Shares, dispatcher.LongPromptShare{Service: name, Share: float64(b[4]) / math.MaxUint8})
 		}
 	}
+	for b := l.Lost; len(b) >= lostRecordSize; b = b[lostRecordSize:] {
+		if id, ok := instanceIDs[binary.BigEndian.Uint32(b)]; ok {
+			r.Lost = append(r.Lost, id)
+		}
+	}
+	r.Kinds = unpackKinds(l.Kinds, services, routes)
 	return r
 }
 
--- a/internal/process/syncer/share.go
+++ b/internal/process/syncer/share.go
@@ -80,7 +80,8 @@
 			return nil, nil
 		}
 		f := s.options.Forwarder
-		f.ReceiveLoad(c.Peer.Identity, l.unpack(f.State().Upstreams))
+		state := f.State()
+		f.ReceiveLoad(c.Peer.Identity, l.unpack(state.Upstreams, s.routesByHash(state.Table)))
 	}
 	return nil, nil
 }
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -128,6 +128,8 @@
 	synced atomic.Bool
 	// platformReachable is true while this entry itself reaches the platform.
 	platformReachable atomic.Bool
+	// routeNames are those of the last configuration for which a report was decoded.
+	routeNames atomic.Pointer[routeNames]
 	// ownEntryDeleted is true once the object of this entry must not be written
 	// again.
 	ownEntryDeleted atomic.Bool
--- a/internal/version/matcher/matcher.go
+++ b/internal/version/matcher/matcher.go
@@ -90,6 +90,9 @@
 	// MaxConnections is the number of connections that each upstream accepts
 	// from all clients together. Zero means that the limit is unknown.
 	MaxConnections int `json:"max_connections"`
+	// KVCapacity is the number of tokens in the KV cache of each upstream. Zero means
+	// that it is unknown.
+	KVCapacity int `json:"kv_capacity,omitempty"`
 }
 
 // Organisation is a customer with its API keys and priority.
@@ -161,6 +164,7 @@
 	Configuration Configuration
 	// routesByHost holds the routes of each host, longest prefix first.
 	routesByHost       map[string][]Route
+	routesByName       map[string]Route
 	servicesByName     map[string]Service
 	organisationsByKey map[string]Organisation
 	// levelsByPriority holds the priority level of each possible priorityKey.
@@ -170,12 +174,13 @@
 // New indexes c, which must not be modified afterwards.
 func New(c Configuration) *Table {
 	t := &Table{
-		Configuration: c, routesByHost: map[string][]Route{},
+		Configuration: c, routesByHost: map[string][]Route{}, routesByName: map[string]Route{},
 		servicesByName: map[string]Service{}, organisationsByKey: map[string]Organisation{},
 	}
 	for _, r := range c.Routes {
 		host := strings.ToLower(r.Host)
 		t.routesByHost[host] = append(t.routesByHost[host], r)
+		t.routesByName[r.Name] = r
 	}
 	for _, routes := range t.routesByHost {
 		slices.SortStableFunc(routes, func(a, b Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
@@ -245,6 +250,12 @@
 	return a, nil
 }
 
+// Route returns the route with the given name.
+func (t *Table) Route(name string) (Route, bool) {
+	r, ok := t.routesByName[name]
+	return r, ok
+}
+
 func (t *Table) findRoute(host, path string) (Route, bool) {
 	for _, r := range t.routesByHost[normaliseHost(host)] {
 		if strings.HasPrefix(path, r.PathPrefix) {
