Record the crash of a trial in any case

Cause: a history of 8 strikes took no further one, so that the crash of a trial was neither recorded nor sent, and the content was tried again and again. The same happened if the trial crashed an upstream that the content had crashed before, which has the same name in the own front end.

Change: strikes of trials are always recorded. Up to 64 others are, so that popular poison content does not count its own crashes as losses with another cause. The bound of the false-positive rate takes all strikes into account. Strikes are sent on for a quarantine only, not for each further strike.

--- a/internal/process/detector/content.go
+++ b/internal/process/detector/content.go
@@ -14,9 +14,10 @@
 	AnswerFreshness = 2 * time.Second
 	// maxAnswers bounds the number of fingerprints with a known answer.
 	maxAnswers = 8192
-	// maxContentStrikes bounds the strikes in one history. No further strike changes
-	// the verdict.
-	maxContentStrikes = 8
+	// maxContentStrikes bounds the strikes in one history, besides those of trials, of
+	// which there are few. Upstreams beyond it count as lost without the content, which
+	// brings the trial forward.
+	maxContentStrikes = 64
 	// maxActiveStrikes bounds the strikes that an entry that has just started gets.
 	maxActiveStrikes = 512
 	// contentRepeatPeriod is the time for which an observer repeats a strike against
@@ -100,7 +101,7 @@
 	}
 	// Entries that do not reach each other learn what makes up a quarantine from those
 	// that reach both.
-	if h := d.histories[m.Fingerprint]; len(h.strikes) >= MaxStrikes {
+	if h := d.histories[m.Fingerprint]; len(h.strikes) == MaxStrikes || len(h.strikes) == MaxBegunStrikes {
 		return h.messages(now, m.Fingerprint)
 	}
 	return nil
@@ -169,13 +170,17 @@
 // loss, the one with the smallest ID counts on all entries.
 func (d *Detector) addStrike(now time.Time, fingerprint string, s contentStrike) bool {
 	h := d.history(now, fingerprint)
+	if s.trial {
+		// The upstream may have crashed with the content before.
+		h.strikes = slices.DeleteFunc(h.strikes, func(o contentStrike) bool { return o.upstream == s.upstream && !o.trial })
+	}
 	if i := slices.IndexFunc(h.strikes, func(o contentStrike) bool { return o.upstream == s.upstream }); i >= 0 {
 		h.strikes[i].observer = min(h.strikes[i].observer, s.observer)
 		h.strikes[i].begun = h.strikes[i].begun && s.begun
 		return false
 	}
 	h.confirmed = h.confirmed || s.trial
-	if len(h.strikes) >= maxContentStrikes {
+	if len(h.strikes) >= maxContentStrikes && !s.trial {
 		return false
 	}
 	h.strikes = append(h.strikes, s)
--- a/internal/process/detector/detector_test.go
+++ b/internal/process/detector/detector_test.go
@@ -114,7 +114,8 @@
 func TestQuarantinedContentIsTriedOnce(t *testing.T) {
 	start := time.Unix(1000, 0)
 	first, second := Detector{ID: 1}, Detector{ID: 2}
-	for i := range MaxBegunStrikes {
+	// As many strikes as are recorded must not hide the one of the trial.
+	for i := range maxContentStrikes {
 		upstream := fmt.Sprint("desk-", i)
 		a, b := crash(&first, start, upstream, "poison"), crash(&second, start, upstream, "poison")
 		teach(&second, start, a)
--- a/internal/process/detector/exposure.go
+++ b/internal/process/detector/exposure.go
@@ -112,13 +112,13 @@
 }
 
 // falsePositive returns an upper bound of the probability that harmless content has
-// lost as many of its attempts by chance as it has strikes, at most MaxBegunStrikes:
-// the number of sets of so many attempts times the probability that all of one are lost.
+// lost as many of its attempts by chance as it has strikes: the number of sets of so
+// many attempts times the probability that all of one are lost.
 func (d *Detector) falsePositive(h *history) float64 {
 	upstreams := max(d.losses.upstreams, h.others+len(h.strikes))
 	p := max(baseLossShare, float64(h.others)/float64(upstreams))
 	out, n := 1.0, h.attempts()
-	for i := range min(len(h.strikes), MaxBegunStrikes) {
+	for i := range h.strikes {
 		out *= p * float64(n-i) / float64(i+1)
 	}
 	return min(1, out)
