--- a/internal/version/matcher/matcher.go
+++ b/internal/version/matcher/matcher.go
@@ -90,6 +90,17 @@
 	// MaxConnections is the number of connections that each upstream accepts
 	// from all clients together. Zero means that the limit is unknown.
 	MaxConnections int `json:"max_connections"`
+	// Scaling is nil if the number of upstreams is fixed.
+	Scaling *Scaling `json:"scaling,omitempty"`
+}
+
+// Scaling holds the limits of the number of upstreams of a service. They apply to each
+// availability zone.
+type Scaling struct {
+	MinReplicas int `json:"min_replicas"`
+	MaxReplicas int `json:"max_replicas"`
+	// StartupTime is the time from an order until a new upstream serves.
+	StartupTime time.Duration `json:"startup_time"`
 }
 
 // Organisation is a customer with its API keys and priority.
