Measure the demand of services over all entries

The scale orders need the demand by service and availability zone, which no entry knew: reports say what runs at an upstream, not where it came from, and refused requests show in no load. The dispatcher now sums the reports by service and by the zone of the reporting entry. Once a second a report also has the arrivals and refusals of the services with limits (8 bytes for each), and is sent by an idle entry too, so that silence can be told from a low demand. Without the setting MeasureDemand the reports are as before.

--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -19,7 +19,9 @@
 // Entries report to each other the load that they put on upstreams and the
 // upstreams that cache long prompt prefixes; see [Load] and [Placement]. The
 // dispatcher derives the total load of an upstream from these reports and sheds
-// deferrable requests that no upstream could begin in time.
+// deferrable requests that no upstream could begin in time. If it is told to, it also
+// derives the demand of the services whose number of upstreams can be ordered; see
+// [Demand].
 //
 // An entry that stops takes, and sends again, only requests that will end before it
 // exits, and answers all others before that; see [Stop].
@@ -56,6 +58,9 @@
 	// RetryCapacity unused retries.
 	RetryRatio    float64
 	RetryCapacity float64
+	// MeasureDemand is true if the demand of services with limits for the number of their
+	// upstreams is measured and reported to the other entries; see [Dispatcher.Demand].
+	MeasureDemand bool
 }
 
 // Dispatcher holds the requests in flight and the state of all services of an
@@ -70,12 +75,16 @@
 	entries  int
 	detector detector.Detector
 	services map[string]*service
-	inFlight map[string]*inFlightRequest
+	// serviceNames holds the name of the service of each upstream that may get requests,
+	// by instance ID.
+	serviceNames map[string]string
+	inFlight     map[string]*inFlightRequest
 	// suspended holds the requests in flight that have a suspended attempt.
 	suspended map[string]*inFlightRequest
 	// trial is the ID of the last request that was sent on trial.
 	trial    string
 	exchange loadExchange
+	demand   demandMeter
 	// stop is set once the entry stops, and finalAnswersGiven is true once the requests
 	// without an answer have got a final one.
 	stop              Stop
@@ -125,6 +134,9 @@
 		// An older configuration must not replace a newer one.
 		if d.table == nil || e.Table.Configuration.Version > d.table.Configuration.Version {
 			d.table = e.Table
+			if d.settings.MeasureDemand {
+				d.demand.configure(now, e.Table.Configuration.Services)
+			}
 		}
 	case EventUpstreams:
 		return d.updateUpstreams(now, e.Upstreams)
@@ -192,11 +204,13 @@
 // updateUpstreams replaces the upstreams that may get requests.
 func (d *Dispatcher) updateUpstreams(now time.Time, all []registrar.Upstream) []Action {
 	byService := map[string]map[string]registrar.Upstream{}
+	d.serviceNames = make(map[string]string, len(all))
 	for _, u := range all {
 		if byService[u.Service] == nil {
 			byService[u.Service] = map[string]registrar.Upstream{}
 		}
 		byService[u.Service][u.InstanceID()] = u
+		d.serviceNames[u.InstanceID()] = u.Service
 	}
 	for name := range byService {
 		d.service(name)
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -129,6 +129,7 @@
 	d.inFlight[r.ID] = f
 	s := d.service(a.Service.Name)
 	s.budget.RequestAdmitted()
+	d.demand.recordOwn(now, d.settings.AvailabilityZone, Arrivals{Service: a.Service.Name, Arrived: 1})
 	return append(d.recordKind(now, s, f), d.send(now, f)...)
 }
 
@@ -150,7 +151,7 @@
 	id, ok := s.picker.Pick(now, q)
 	if !ok && f.attempts == 0 && !d.heldBackUntil(now, f.admission.Service.Name).IsZero() {
 		delete(d.inFlight, f.request.ID)
-		return []Action{d.failAction(now, f, unavailable("held_back", "all upstreams asked to get no requests for some time"))}
+		return []Action{d.failAction(now, f, unavailable(codeHeldBack, "all upstreams asked to get no requests for some time"))}
 	}
 	if !ok {
 		return d.retryOrFail(now, f, retrier.CauseNoUpstream, nil)
@@ -158,7 +159,7 @@
 	if f.attempts == 0 && d.mustShed(s, f, id) {
 		f.summary.Upstream = id
 		delete(d.inFlight, f.request.ID)
-		return []Action{d.failAction(now, f, unavailable("overloaded", "no upstream could begin the request in time"))}
+		return []Action{d.failAction(now, f, unavailable(codeOverloaded, "no upstream could begin the request in time"))}
 	}
 	f.attempts++
 	f.run = run{attempt: f.attempts, upstream: id, suspect: q.Suspect, pendingTokens: f.request.PromptTokens, sentAt: now}
--- a/internal/process/dispatcher/load.go
+++ b/internal/process/dispatcher/load.go
@@ -45,6 +45,10 @@
 	Placements []Placement
 	// Shares has the services in which the entry separates requests with long prompts.
 	Shares []LongPromptShare
+	// Arrivals are the arrivals since the previous report with arrivals.
+	Arrivals []Arrivals
+	// AvailabilityZone is that of the entry. The receiver sets it.
+	AvailabilityZone string
 }
 
 // Placement means that a request with a prompt prefix was sent to an upstream,
@@ -82,6 +86,9 @@
 	receivedAt time.Time
 	loads      []Load
 	shares     []LongPromptShare
+	// byService holds the sums of loads by service, if the demand is measured.
+	byService        map[string]Load
+	availabilityZone string
 }
 
 // recordPlacement records the upstream to which a request with a long prefix is
@@ -98,7 +105,12 @@
 		d.exchange.reports = map[string]receivedReport{}
 	}
 	d.addSharedLoads(now, d.exchange.reports[entry].loads, -1)
-	d.exchange.reports[entry] = receivedReport{now, d.addSharedLoads(now, r.Loads, 1), r.Shares}
+	received := receivedReport{receivedAt: now, loads: d.addSharedLoads(now, r.Loads, 1), shares: r.Shares, availabilityZone: r.AvailabilityZone}
+	if d.MeasuresDemand() {
+		received.byService = d.sumByService(received.loads)
+		d.demand.receive(now, entry, r)
+	}
+	d.exchange.reports[entry] = received
 	for _, p := range r.Placements {
 		for _, s := range d.services {
 			if _, ok := s.upstreams[p.Upstream]; ok {
@@ -126,6 +138,17 @@
 	return known
 }
 
+// sumByService returns the sums of loads by the service of their upstream.
+func (d *Dispatcher) sumByService(loads []Load) map[string]Load {
+	out := map[string]Load{}
+	for _, l := range loads {
+		name := d.serviceNames[l.Upstream]
+		sum := out[name]
+		out[name] = Load{Runs: sum.Runs + l.Runs, PendingTokens: sum.PendingTokens + l.PendingTokens}
+	}
+	return out
+}
+
 // SharedRuns returns the number of requests that the other entries have in flight
 // according to their last reports.
 func (d *Dispatcher) SharedRuns() int {
@@ -139,7 +162,8 @@
 }
 
 // tick deletes expired reports and returns the report of this entry. An entry
-// without load and placements sends no report.
+// without load and placements sends no report, unless one of arrivals is due: the others
+// must know that it is there and has no demand.
 func (d *Dispatcher) tick(now time.Time) []Action {
 	for entry, r := range d.exchange.reports {
 		if now.Sub(r.receivedAt) >= loadReportExpiry {
@@ -160,7 +184,9 @@
 		}
 	}
 	report.Placements = d.exchange.placements
-	if len(report.Loads)+len(report.Placements) == 0 && !d.exchange.lastReportHadLoads {
+	arrivals, arrivalsDue := d.demand.takeDue(now)
+	report.Arrivals = arrivals
+	if len(report.Loads)+len(report.Placements) == 0 && !d.exchange.lastReportHadLoads && !arrivalsDue {
 		return nil
 	}
 	d.exchange.lastReportHadLoads, d.exchange.placements = len(report.Loads) > 0, nil
--- a/internal/process/dispatcher/outcome.go
+++ b/internal/process/dispatcher/outcome.go
@@ -164,6 +164,9 @@
 // failAction returns the action that answers a caller with failure.
 func (d *Dispatcher) failAction(now time.Time, f *inFlightRequest, failure *admitter.Failure) Action {
 	answer := *failure
+	if isRefusedForRoom(failure) {
+		d.demand.recordOwn(now, d.settings.AvailabilityZone, Arrivals{Service: f.admission.Service.Name, Refused: 1})
+	}
 	if answer.Status == http.StatusUnprocessableEntity {
 		// A 4xx status would mean that the request is at fault, which is not certain.
 		answer.Status = http.StatusBadGateway
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -141,6 +141,8 @@
 	SharedRuns int
 	// UpstreamsListed is true once a complete list of the upstreams was applied.
 	UpstreamsListed bool
+	// Demand is the demand at the last load report, empty if it is not measured.
+	Demand dispatcher.Demand
 }
 
 type eventKind int
@@ -352,6 +354,16 @@
 	}
 }
 
+// publishDemand updates State.Demand.
+func (f *Forwarder) publishDemand(now time.Time) {
+	if f.dispatcher.MeasuresDemand() {
+		s := f.State()
+		s.Demand = f.dispatcher.Demand(now)
+		s.Demand.Known = s.Demand.Known && f.upstreamsListed
+		f.state.Store(&s)
+	}
+}
+
 // handleJob starts a request unless its caller has disconnected.
 func (f *Forwarder) handleJob(j Job) {
 	if j.Context.Err() != nil {
--- a/internal/process/forwarder/timers.go
+++ b/internal/process/forwarder/timers.go
@@ -34,6 +34,7 @@
 		f.nextLoadReport = now.Add(dispatcher.LoadReportInterval)
 		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventTick})
 		f.publishSharedRuns()
+		f.publishDemand(now)
 	}
 	for _, p := range f.pools {
 		p.expire(now)
--- a/internal/process/syncer/message.go
+++ b/internal/process/syncer/message.go
@@ -35,17 +35,22 @@
 // [pendingTokensUnit]. Placed has a record for each placement: 4 bytes with the
 // same hash and 8 bytes with the prefix. Shares has a record for each service whose
 // requests with long prompts get upstreams of their own: 4 bytes with the hash of its
-// name and 1 byte with the share of the upstreams in units of 1/255.
+// name and 1 byte with the share of the upstreams in units of 1/255. Arrived has a record
+// for each service whose number of upstreams can be ordered and that has got requests: 4
+// bytes with the hash of its name, and 2 bytes each with the requests that arrived and
+// those that were refused for want of room.
 type Load struct {
-	Runs   []byte `json:"runs"`
-	Placed []byte `json:"placed,omitempty"`
-	Shares []byte `json:"shares,omitempty"`
+	Runs    []byte `json:"runs"`
+	Placed  []byte `json:"placed,omitempty"`
+	Shares  []byte `json:"shares,omitempty"`
+	Arrived []byte `json:"arrived,omitempty"`
 }
 
 const (
-	runsRecordSize   = 6
-	placedRecordSize = 12
-	sharesRecordSize = 5
+	runsRecordSize    = 6
+	placedRecordSize  = 12
+	sharesRecordSize  = 5
+	arrivedRecordSize = 8
 	// pendingTokensUnit is the resolution of pending tokens. An engine prefills
 	// this many tokens in about 7 ms.
 	pendingTokensUnit = 1024
@@ -68,7 +73,7 @@
 		shares = binary.BigEndian.AppendUint32(shares, hashName(s.Service))
 		shares = append(shares, byte(math.Round(min(max(s.Share, 0), 1)*math.MaxUint8)))
 	}
-	return Load{runs, placed, shares}
+	return Load{Runs: runs, Placed: placed, Shares: shares, Arrived: packArrivals(r.Arrivals)}
 }
 
 // unpack decodes the report as far as it concerns known upstreams and their services.
--- a/internal/process/syncer/share.go
+++ b/internal/process/syncer/share.go
@@ -58,7 +58,10 @@
 			return nil, err
 		}
 		f := s.options.Forwarder
-		f.ReceiveLoad(c.Peer.Identity, l.unpack(f.State().Upstreams))
+		state := f.State()
+		report := l.unpack(state.Upstreams)
+		report.Arrivals, report.AvailabilityZone = l.unpackArrivals(state.Table), c.Peer.AvailabilityZone
+		f.ReceiveLoad(c.Peer.Identity, report)
 	}
 	return nil, nil
 }
