--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -61,6 +61,8 @@
 	// MeasureDemand is true if the demand of services with limits for the number of their
 	// upstreams is measured and reported to the other entries; see [Dispatcher.Demand].
 	MeasureDemand bool
+	// CountUsage is true if the requests that upstreams begin are counted.
+	CountUsage bool
 }
 
 // Dispatcher holds the requests in flight and the state of all services of an
--- a/internal/process/syncer/message.go
+++ b/internal/process/syncer/message.go
@@ -44,6 +44,9 @@
 	Placed  []byte `json:"placed,omitempty"`
 	Shares  []byte `json:"shares,omitempty"`
 	Arrived []byte `json:"arrived,omitempty"`
+	// Usage is the packed usage update of the sender; see [packUsage]. A message that has
+	// only an update has no Runs.
+	Usage []byte `json:"usage,omitempty"`
 }
 
 const (
