Leave duties to others after the scale lease was given up

Entries that gave up the lease of the usage reports count as unable to do duties for 30 s, but not those that gave up that of the scale orders, which they do if the API does not answer.

--- a/internal/process/starter/duties.go
+++ b/internal/process/starter/duties.go
@@ -47,6 +47,9 @@
 type duties struct {
 	usageLease *leaser.Leaser
 	reporter   *reporter.Reporter
+	// scaleLease is nil until the configuration has a service whose number of upstreams
+	// can be ordered.
+	scaleLease atomic.Pointer[leaser.Leaser]
 	// living holds the other entries that live, nil until this entry can know them.
 	living atomic.Pointer[accountant.Living]
 	// storeReachable reports whether this entry reaches the store.
@@ -134,8 +137,12 @@
 // isEligible reports whether this entry can do duties: it reaches the store and has not
 // given one up lately.
 func (d *duties) isEligible() bool {
-	gaveUp := d.usageLease != nil && d.usageLease.GaveUpWithin(ineligiblePeriod)
-	return d.storeReachable() && !d.stopping.Load() && !gaveUp
+	for _, lease := range []*leaser.Leaser{d.usageLease, d.scaleLease.Load()} {
+		if lease != nil && lease.GaveUpWithin(ineligiblePeriod) {
+			return false
+		}
+	}
+	return d.storeReachable() && !d.stopping.Load()
 }
 
 // newReporter returns the reporter. Without the duty of the usage reports it only tells
--- a/internal/process/starter/provisioning.go
+++ b/internal/process/starter/provisioning.go
@@ -23,10 +23,9 @@
 // until there is one.
 const scalingCheckInterval = time.Second
 
-// provisioning holds the components of the duty of the scale orders. They are nil until
-// the configuration has a service whose number of upstreams can be ordered.
+// provisioning holds the duty of the scale orders. It is nil until the configuration has a
+// service whose number of upstreams can be ordered.
 type provisioning struct {
-	lease       atomic.Pointer[leaser.Leaser]
 	provisioner atomic.Pointer[provisioner.Provisioner]
 	cancel      context.CancelFunc
 	done        chan struct{}
@@ -40,7 +39,7 @@
 		close(p.done)
 		return p, nil
 	}
-	if err := m.WatchDuty(dutyScale, p.held); err != nil {
+	if err := m.WatchDuty(dutyScale, d.scaleHeld); err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -51,7 +50,7 @@
 			return
 		}
 		lease := d.newLease(dutyScale, s, c.Now(), c, store)
-		p.lease.Store(lease)
+		d.scaleLease.Store(lease)
 		duty := provisioner.New(provisioner.Options{
 			Clock: c, Lease: lease, Sender: orderSender{api: api, holder: s.Identity},
 			Pace:     leaser.NewPace(s.Duties.CallsPerSecond, scaleCallShare),
@@ -76,9 +75,10 @@
 	lc.Append(fx.StopHook(func() { p.cancel() }))
 }
 
-// held returns the fencing token of the duty and whether this entry is the holder.
-func (p *provisioning) held() (int64, bool) {
-	if lease := p.lease.Load(); lease != nil {
+// scaleHeld returns the fencing token of the scale orders and whether this entry is the
+// holder.
+func (d *duties) scaleHeld() (int64, bool) {
+	if lease := d.scaleLease.Load(); lease != nil {
 		return lease.Held()
 	}
 	return 0, false
