Know the demand beside entries that stay listed after their end

The demand was known only while three quarters of the listed entries were heard. The store keeps the object of a killed entry, so that after many replacements all orders would have been held for ever. After 30 s the entries that were heard within 10 minutes count, if they are a quarter of those listed.

Tests of dispatcher pass with the race detector.

--- a/internal/process/dispatcher/demand.go
+++ b/internal/process/dispatcher/demand.go
@@ -23,6 +23,14 @@
 	// demand to be known. Entries that have just started or ended are silent although
 	// there is no partition.
 	minHeardShare = 0.75
+	// recentPeriod is the time for which an entry that fell silent is expected to be heard
+	// again. The store may list entries that were killed for much longer. minListedShare
+	// is the share of the listed entries that must be heard nevertheless, since an entry
+	// cut off from most others sees a fraction of the demand, and learningTime the time
+	// after the first configuration until the entries that were heard count.
+	recentPeriod   = 10 * time.Minute
+	minListedShare = 0.25
+	learningTime   = 30 * time.Second
 	// demandSettleTime is the time after the first configuration within which the demand
 	// is unknown: the other entries have then had time to send a report each.
 	demandSettleTime = 2 * arrivalsInterval
@@ -186,11 +194,26 @@
 	}
 }
 
-// isKnown reports whether reports of enough of the other entries have arrived.
+// isKnown reports whether reports of enough of the other entries have arrived. The store
+// lists the given number of entries.
 func (m *demandMeter) isKnown(now time.Time, entries int) bool {
-	maps.DeleteFunc(m.heardAt, func(_ string, at time.Time) bool { return now.Sub(at) >= heardExpiry })
-	settled := !m.startedAt.IsZero() && now.Sub(m.startedAt) >= demandSettleTime
-	return settled && float64(len(m.heardAt)) >= minHeardShare*float64(entries-1)
+	if m.startedAt.IsZero() || now.Sub(m.startedAt) < demandSettleTime {
+		return false
+	}
+	heard := 0
+	for entry, at := range m.heardAt {
+		switch silence := now.Sub(at); {
+		case silence < heardExpiry:
+			heard++
+		case silence >= recentPeriod:
+			delete(m.heardAt, entry)
+		}
+	}
+	listed, recent := float64(entries-1), float64(len(m.heardAt))
+	if float64(heard) >= minHeardShare*listed {
+		return true
+	}
+	return now.Sub(m.startedAt) >= learningTime && float64(heard) >= minHeardShare*recent && float64(heard) >= minListedShare*listed
 }
 
 // isRefusedForRoom reports whether a request failed because no upstream had room for it,
