Keep upstreams that an earlier holder has ordered

A new holder took the upstreams that were there as its orders and sent them, which would have stopped those that the earlier one had ordered and that were still starting.

Tests of scaler and provisioner pass with the race detector.

--- a/internal/process/provisioner/pair.go
+++ b/internal/process/provisioner/pair.go
@@ -27,6 +27,8 @@
 	// ordered is true once there is an order. Until then desired is the number of
 	// upstreams that are there.
 	ordered bool
+	// orderedAt is the time of the first order.
+	orderedAt time.Time
 	// raisedFrom is the number before the order was raised at raisedAt.
 	raisedFrom int
 	raisedAt   time.Time
@@ -62,13 +64,16 @@
 }
 
 func (p *pair) setOrder(now time.Time, o scaler.Order) {
+	if !p.ordered {
+		p.ordered, p.orderedAt = true, now
+	}
 	switch {
 	case o.Desired > p.desired:
 		p.raisedAt = now
 	case o.Desired < p.desired:
 		p.raisedFrom = min(p.raisedFrom, o.Desired)
 	}
-	p.desired, p.reason, p.ordered = o.Desired, o.Reason, true
+	p.desired, p.reason = o.Desired, o.Reason
 }
 
 func (p *pair) markSent(now time.Time) {
@@ -98,7 +103,7 @@
 // urgency returns whether and how urgently a call is due.
 func (p *pair) urgency(now time.Time) urgency {
 	switch {
-	case p.pending, !p.ordered:
+	case p.pending, !p.ordered, p.mayStillGrow(now):
 		return urgencyNone
 	case p.desired > p.previous():
 		return urgencyRaised
@@ -112,6 +117,13 @@
 	return urgencyNone
 }
 
+// mayStillGrow reports whether the number of upstreams that were there at the start of the
+// term may not be complete yet: an earlier holder may have ordered more, which are
+// starting and must not be stopped.
+func (p *pair) mayStillGrow(now time.Time) bool {
+	return !p.wasSent && p.reason == scaler.ReasonAdopted && now.Sub(p.orderedAt) < p.startup+mismatchMargin
+}
+
 // differs reports whether the number of upstreams differs from the order, whether or not
 // the platform counts those that leave.
 func (p *pair) differs() bool {
--- a/internal/process/scaler/scaler.go
+++ b/internal/process/scaler/scaler.go
@@ -134,7 +134,9 @@
 	name    string
 	desired int
 	reason  Reason
-	backlog backlog
+	// adoptedAt is the time of the first order.
+	adoptedAt time.Time
+	backlog   backlog
 	// need is the number of upstreams that the demand of the zone takes at
 	// TargetUtilisation, and replacement the number that makes up for those that leave.
 	need        float64
@@ -185,7 +187,7 @@
 // step updates the orders of one service.
 func (s *service) step(now time.Time, in Service) {
 	in.Limits.Startup = max(in.Limits.Startup, minStartup)
-	s.adoptZones(in)
+	s.adoptZones(now, in)
 	s.applyLimits(in.Limits)
 	s.measure(now, in)
 	level := s.need()
@@ -200,13 +202,20 @@
 }
 
 // adoptZones adds the zones that are new, with the upstreams that are there as their
-// orders, and removes those that are gone.
-func (s *service) adoptZones(in Service) {
+// orders, and removes those that are gone. An order that has not changed since then
+// includes upstreams that get ready within a start-up time: an earlier holder has ordered
+// them.
+func (s *service) adoptZones(now time.Time, in Service) {
 	seen := map[string]struct{}{}
-	for _, z := range in.Zones {
-		seen[z.Name] = struct{}{}
-		if s.zones[z.Name] == nil {
-			s.zones[z.Name] = &zone{name: z.Name, desired: z.Ready + z.Starting, reason: ReasonAdopted}
+	for _, o := range in.Zones {
+		seen[o.Name] = struct{}{}
+		z := s.zones[o.Name]
+		if z == nil {
+			z = &zone{name: o.Name, reason: ReasonAdopted, adoptedAt: now}
+			s.zones[o.Name] = z
+		}
+		if z.reason == ReasonAdopted && now.Sub(z.adoptedAt) <= in.Limits.Startup {
+			z.desired = max(z.desired, o.Ready+o.Starting)
 		}
 	}
 	maps.DeleteFunc(s.zones, func(name string, _ *zone) bool {
