Join the tests of calls at the end of a lease

Three tests with the same steps differed in the lease only. The table has the same cases; in each one, the sender now also waits for the end of its context.

Tests of provisioner pass with the race detector.

--- a/internal/process/provisioner/provisioner_test.go
+++ b/internal/process/provisioner/provisioner_test.go
@@ -59,39 +59,35 @@
 
 const manyCalls = 1 << 40
 
-// A lease that ends between a decision and its call belongs to another entry at the time
-// of the call.
-func TestNoCallAfterLeaseEnded(t *testing.T) {
-	is := is.New(t)
-	l := &fakeLease{remaining: time.Second}
-	l.heldCalls.Store(1)
-	var sent atomic.Int64
-	outcomes := start(t, l, func(context.Context, int64, Target) Outcome {
-		sent.Add(1)
-		return OutcomeConfirmed
-	})
-	is.Equal(<-outcomes, OutcomeNotSent)
-	is.Equal(sent.Load(), int64(0))
-}
-
-// A call without an answer must end before the lease does: afterwards the next holder may
-// send newer orders.
-func TestCallEndsBeforeLease(t *testing.T) {
-	l := &fakeLease{remaining: leaseMargin + 20*time.Millisecond}
-	l.heldCalls.Store(manyCalls)
-	outcomes := start(t, l, func(ctx context.Context, _ int64, _ Target) Outcome {
-		<-ctx.Done()
-		return OutcomeUnknown
-	})
-	is.New(t).Equal(<-outcomes, OutcomeUnknown)
-}
-
-// No call must be made if there is no time for it before the end of the lease.
-func TestNoCallAtEndOfLease(t *testing.T) {
-	l := &fakeLease{remaining: leaseMargin}
-	l.heldCalls.Store(manyCalls)
-	outcomes := start(t, l, func(context.Context, int64, Target) Outcome { return OutcomeConfirmed })
-	is.New(t).Equal(<-outcomes, OutcomeNotSent)
+// A call must neither be made nor go on after the end of the lease: the next holder may
+// have sent newer orders by then.
+func TestCallsEndWithLease(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		heldCalls int64
+		remaining time.Duration
+		want      Outcome
+		sent      int64
+	}{
+		{"lease lost between the decision and the call", 1, time.Second, OutcomeNotSent, 0},
+		{"no time left for a call", manyCalls, leaseMargin, OutcomeNotSent, 0},
+		{"lease ends during the call", manyCalls, leaseMargin + 20*time.Millisecond, OutcomeUnknown, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := &fakeLease{remaining: c.remaining}
+			l.heldCalls.Store(c.heldCalls)
+			var sent atomic.Int64
+			outcomes := start(t, l, func(ctx context.Context, _ int64, _ Target) Outcome {
+				sent.Add(1)
+				<-ctx.Done()
+				return OutcomeUnknown
+			})
+			is := is.New(t)
+			is.Equal(<-outcomes, c.want)
+			is.True(sent.Load() >= c.sent)
+			is.True(c.sent > 0 || sent.Load() == 0)
+		})
+	}
 }
 
 // A refused token must reach the lease, or this entry would renew it.
