Stop the scale lease without waiting for the store

A stop of an entry waited for up to four calls of a store out of reach. The lease now ends by itself then, as that of the usage reports.

--- a/internal/process/starter/provisioning.go
+++ b/internal/process/starter/provisioning.go
@@ -60,7 +60,7 @@
 		p.provisioner.Store(duty)
 		<-ctx.Done()
 		duty.Stop()
-		lease.Stop()
+		stopLease(c, lease)
 	}()
 	lc.Append(fx.StopHook(func() {
 		p.cancel()
