Let lowered upstreams drain for long in the test of replacements

With upstreams that left within half a second, the test passed also if those that leave because of a lowered order were made up for. They now drain for 20 s, several at a time; with that fault the test fails.

Tests of scaler pass.

--- a/internal/process/scaler/scaler_test.go
+++ b/internal/process/scaler/scaler_test.go
@@ -244,12 +244,19 @@
 // Upstreams that shut down because an order was lowered must not be made up for, or the
 // order would rise again.
 func TestLoweredUpstreamsAreNotMadeUpFor(t *testing.T) {
+	const drainTime = 20 * time.Second
 	w := newWorld(8, constant(2*perUpstream))
 	last, z := 8, w.zones[0]
+	var drained []time.Duration
 	w.run(2*time.Minute, func() {
 		is.New(t).True(z.desired <= last)
-		z.Leaving = last - z.desired
-		last = z.desired
+		for ; last > z.desired; last-- {
+			drained = append(drained, w.elapsed+drainTime)
+		}
+		for len(drained) > 0 && drained[0] <= w.elapsed {
+			drained = drained[1:]
+		}
+		z.Leaving = len(drained)
 	})
 	assertDesired(t, w, 3)
 }
