Check when orders are lowered while upstreams drain

The test now ends after the start-up times that lowering takes.

With the fault the test fails; without it the tests of scaler pass.

--- a/internal/process/scaler/scaler_test.go
+++ b/internal/process/scaler/scaler_test.go
@@ -242,13 +242,14 @@
 }
 
 // Upstreams that shut down because an order was lowered must not be made up for, or the
-// order would rise again.
+// order would rise again or stay high until they have ended.
 func TestLoweredUpstreamsAreNotMadeUpFor(t *testing.T) {
 	const drainTime = 20 * time.Second
 	w := newWorld(8, constant(2*perUpstream))
 	last, z := 8, w.zones[0]
 	var drained []time.Duration
-	w.run(2*time.Minute, func() {
+	// The order is lowered by 5, once in each start-up time after the first three.
+	w.run((lowerDelayStartups+5)*testStartup, func() {
 		is.New(t).True(z.desired <= last)
 		for ; last > z.desired; last-- {
 			drained = append(drained, w.elapsed+drainTime)
