--- a/internal/process/dispatcher/load.go
+++ b/internal/process/dispatcher/load.go
@@ -53,6 +53,10 @@
 	// Kinds has what the entry has learned of the requests of each service. It is in
 	// one report of kindReportDivisor.
 	Kinds []ServiceKinds
+	// Arrivals are the arrivals since the previous report with arrivals.
+	Arrivals []Arrivals
+	// AvailabilityZone is that of the entry. The receiver sets it.
+	AvailabilityZone string
 }
 
 // ServiceKinds is what an entry has learned of the requests of one service.
@@ -106,6 +110,8 @@
 	shares     []LongPromptShare
 	// kinds are those of the last report that had some.
 	kinds []ServiceKinds
+	// availabilityZone is that of the entry.
+	availabilityZone string
 }
 
 // recordPlacement records the upstream that has begun to answer a request with a long
@@ -135,7 +141,10 @@
 		kinds = r.Kinds
 		d.learnKinds(now, kinds)
 	}
-	d.exchange.reports[entry] = receivedReport{now, d.addSharedLoads(now, r.Loads, 1), r.Shares, kinds}
+	d.exchange.reports[entry] = receivedReport{now, d.addSharedLoads(now, r.Loads, 1), r.Shares, kinds, r.AvailabilityZone}
+	if d.MeasuresDemand() {
+		d.demand.receive(now, entry, r)
+	}
 	for _, id := range r.Lost {
 		for _, s := range d.services {
 			if _, ok := s.upstreams[id]; ok {
@@ -183,7 +192,8 @@
 }
 
 // tick deletes expired reports and returns the report of this entry. An entry
-// without load and placements sends no report.
+// without load and placements sends no report, unless one of arrivals is due: the others
+// must know that it is there and has no demand.
 func (d *Dispatcher) tick(now time.Time) []Action {
 	for entry, r := range d.exchange.reports {
 		if now.Sub(r.receivedAt) >= loadReportExpiry {
@@ -210,7 +220,9 @@
 		}
 	}
 	report.Placements, report.Lost = d.exchange.placements, d.exchange.lost
-	if len(report.Loads)+len(report.Placements)+len(report.Lost) == 0 && !d.exchange.lastReportHadLoads {
+	arrivals, arrivalsDue := d.demand.takeDue(now)
+	report.Arrivals = arrivals
+	if len(report.Loads)+len(report.Placements)+len(report.Lost) == 0 && !d.exchange.lastReportHadLoads && !arrivalsDue {
 		return nil
 	}
 	d.exchange.lastReportHadLoads, d.exchange.placements, d.exchange.lost = len(report.Loads) > 0, nil, nil
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -123,6 +123,8 @@
 	state   atomic.Pointer[State]
 	// inFlightCount is the length of inFlight, for other goroutines to read.
 	inFlightCount atomic.Int64
+	// demandWantedAt is the time at which the demand was last asked for, nil if it was not.
+	demandWantedAt atomic.Pointer[time.Time]
 
 	// The fields below are owned by the goroutine.
 	dispatcher *dispatcher.Dispatcher
@@ -135,6 +137,8 @@
 	pools    map[string]*pool
 	// nextLoadReport is the time of the next load report to the other entries.
 	nextLoadReport time.Time
+	// nextDemand is the time at which the demand is computed again.
+	nextDemand time.Time
 }
 
 // State is a snapshot of the configuration and the upstreams of an entry. It is
@@ -153,6 +157,9 @@
 	// StrikesLearned is true once the entry knows the strikes of the others, or has
 	// waited long enough for them.
 	StrikesLearned bool
+	// Demand is the demand of all entries, empty if nobody has asked for it lately with
+	// [Forwarder.Demand].
+	Demand dispatcher.Demand
 }
 
 type eventKind int
--- a/internal/process/forwarder/timers.go
+++ b/internal/process/forwarder/timers.go
@@ -35,6 +35,7 @@
 		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventTick})
 		f.publishSharedRuns()
 		f.publishStrikesLearned()
+		f.publishDemand(now)
 	}
 	for _, p := range f.pools {
 		p.expire(now)
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"os"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -71,19 +72,19 @@
 			func() *syncerRef { return &syncerRef{} },
 			func() *recoverer.Recoverer { return &recoverer.Recoverer{} },
 			func() *dutiesRef { return &dutiesRef{} },
-			newAPI, newDuties, newStore, newMeter, newForwarder, newPeering, newReceiver, newAnswerBudget,
+			newAPI, newDuties, newProvisioning, newStore, newMeter, newForwarder, newPeering, newReceiver, newAnswerBudget,
 		),
 		fx.Invoke(serveGatewayMetrics),
 		fx.Invoke(func(m *meter.Meter, b *reserver.Budget) error { return m.WatchAnswers(b.Stats) }),
 		fx.Invoke(func(m *meter.Meter, r *recoverer.Recoverer) error { return m.WatchPanics(&r.Panics) }),
-		fx.Invoke(func(m *meter.Meter, f *forwarder.Forwarder, p *peering, r *receiver.Receiver, d *duties) error {
+		fx.Invoke(func(m *meter.Meter, f *forwarder.Forwarder, p *peering, r *receiver.Receiver, d *duties, v *provisioning) error {
 			return m.WatchRings(func() []buffer.Stats {
-				return append(append(append(f.Stats(), p.syncer.Stats()...), d.stats()...), r.Stats())
+				return slices.Concat(f.Stats(), p.syncer.Stats(), d.stats(), v.stats(), []buffer.Stats{r.Stats()})
 			})
 		}),
 		fx.Invoke(watchRequests),
 		fx.Invoke(drainGateway),
-		fx.Invoke(resignDuties),
+		fx.Invoke(resignDuties, resignProvisioning),
 	)
 }
 
@@ -147,7 +148,7 @@
 		Dispatcher: dispatcher.Settings{
 			AvailabilityZone: s.AvailabilityZone, Seed: uint64(c.Now().UnixNano()),
 			RetryRatio: s.RetryShare, RetryCapacity: s.RetrySlack, StrikesWait: syncer.StrikesWait,
-			CountUsage: s.Duties != nil && bool(s.Duties.Usage),
+			CountUsage: s.Duties != nil && bool(s.Duties.Usage), MeasureDemand: s.Duties != nil && bool(s.Duties.Scale),
 		},
 	})
 	lc.Append(fx.StopHook(f.Stop))
--- a/internal/process/syncer/message.go
+++ b/internal/process/syncer/message.go
@@ -35,7 +35,10 @@
 // [pendingTokensUnit]. Placed has a record for each placement: 4 bytes with the
 // same hash and 8 bytes with the prefix. Shares has a record for each service whose
 // requests with long prompts get upstreams of their own: 4 bytes with the hash of its
-// name and 1 byte with the share of the upstreams in units of 1/255.
+// name and 1 byte with the share of the upstreams in units of 1/255. Arrived has a record
+// for each service whose number of upstreams can be ordered and that has got requests: 4
+// bytes with the hash of its name, and 2 bytes each with the requests that arrived and
+// those that were refused for want of room.
 type Load struct {
 	Runs   []byte `json:"runs"`
 	Placed []byte `json:"placed,omitempty"`
@@ -45,17 +48,19 @@
 	Lost []byte `json:"lost,omitempty"`
 	// Kinds is what the sender has learned of the requests of its services; see
 	// [packKinds].
-	Kinds []byte `json:"kinds,omitempty"`
+	Kinds   []byte `json:"kinds,omitempty"`
+	Arrived []byte `json:"arrived,omitempty"`
 	// Usage is the packed usage update of the sender; see [packUsage]. A message that has
 	// only an update has no Runs.
 	Usage []byte `json:"usage,omitempty"`
 }
 
 const (
-	runsRecordSize   = 6
-	placedRecordSize = 12
-	sharesRecordSize = 5
-	lostRecordSize   = 4
+	runsRecordSize    = 6
+	placedRecordSize  = 12
+	sharesRecordSize  = 5
+	lostRecordSize    = 4
+	arrivedRecordSize = 8
 	// pendingTokensUnit is the resolution of pending tokens. An engine prefills
 	// this many tokens in about 7 ms.
 	pendingTokensUnit = 1024
@@ -82,7 +87,9 @@
 	for _, id := range r.Lost {
 		lost = binary.BigEndian.AppendUint32(lost, hashName(id))
 	}
-	return Load{Lost: lost, Runs: runs, Placed: placed, Shares: shares, Kinds: packKinds(r.Kinds)}
+	return Load{
+		Runs: runs, Placed: placed, Shares: shares, Lost: lost, Kinds: packKinds(r.Kinds), Arrived: packArrivals(r.Arrivals),
+	}
 }
 
 // unpack decodes the report as far as it concerns known upstreams, their services, and
--- a/internal/process/syncer/share.go
+++ b/internal/process/syncer/share.go
@@ -81,7 +81,9 @@
 		}
 		f := s.options.Forwarder
 		state := f.State()
-		f.ReceiveLoad(c.Peer.Identity, l.unpack(state.Upstreams, s.routesByHash(state.Table)))
+		report := l.unpack(state.Upstreams, s.routesByHash(state.Table))
+		report.Arrivals, report.AvailabilityZone = l.unpackArrivals(state.Table), c.Peer.AvailabilityZone
+		f.ReceiveLoad(c.Peer.Identity, report)
 	}
 	return nil, nil
 }
--- a/internal/version/matcher/matcher.go
+++ b/internal/version/matcher/matcher.go
@@ -93,6 +93,17 @@
 	// KVCapacity is the number of tokens in the KV cache of each upstream. Zero means
 	// that it is unknown.
 	KVCapacity int `json:"kv_capacity,omitempty"`
+	// Scaling is nil if the number of upstreams is fixed.
+	Scaling *Scaling `json:"scaling,omitempty"`
+}
+
+// Scaling holds the limits of the number of upstreams of a service. They apply to each
+// availability zone.
+type Scaling struct {
+	MinReplicas int `json:"min_replicas"`
+	MaxReplicas int `json:"max_replicas"`
+	// StartupTime is the time from an order until a new upstream serves.
+	StartupTime time.Duration `json:"startup_time"`
 }
 
 // Organisation is a customer with its API keys and priority.
