Bound the connections of callers and enforce the configured limits on them

Cause: idle connections used up the descriptors of an entry, and max_header_bytes, header_timeout_ms and idle_timeout_ms were decoded and read by nobody.

Change: a drainer may have a maximum of connections. Near it, its owner closes those that package evictor chooses; at it, no connection is accepted until one has closed, or after 2 s with all in use the connection is answered with 503. A connection that is chosen is spared if a byte has arrived. The read deadlines between two answers follow the limits in force, and are set anew on open connections when the configuration changes. A head over its limit gets 431, one that is too slow or dawdles 408; net/http took a part of a request line for a malformed one. Nothing is added for a request but some readings of the clock. The readiness listener has a drainer as well.

--- a/internal/connection/closer/closer.go
+++ b/internal/connection/closer/closer.go
@@ -33,6 +33,7 @@
 	"k8s.io/klog/v2"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/peeker"
+	"magnoliafront.dev/magnoliafront/pkg/timer"
 )
 
 // phase is what a connection is used for at a moment.
@@ -65,6 +66,13 @@
 	net.Conn
 	// OnClose is called once, when the connection is closed.
 	OnClose func(*Conn)
+	// OnIdle is called when an answer has ended. It may be nil.
+	OnIdle func(*Conn)
+	// Limits returns the limits in force. It must not block. If it is nil, the server sets
+	// them.
+	Limits func() Limits
+	// Clock is that of the limits. If it is nil, it is the system's.
+	Clock timer.Clock
 
 	mu    sync.Mutex
 	phase phase
@@ -82,6 +90,19 @@
 	// deadline.
 	lateBytes int
 	closed    bool
+	// idleSince is the start of the wait for a request, headSince the time of the first
+	// byte of a head and lastRead that of its last one. answered is true once an answer
+	// has ended.
+	idleSince time.Time
+	headSince time.Time
+	lastRead  time.Time
+	answered  bool
+	// headBytes is the number of bytes that had been read when the last head was complete.
+	headBytes int
+	// evicted is true once the connection is to make room for another, until a byte
+	// arrives, and cause why it is closed.
+	evicted bool
+	cause   Cause
 	// handled is true while a handler runs that has not taken the connection over. Nobody
 	// else should close the connection meanwhile.
 	handled bool
@@ -98,10 +119,14 @@
 // arrived, or an error if there is nothing. It is that of the deadline: at any other,
 // net/http may answer 400.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.isHeadTooLarge() {
+		return 0, c.refuseHead()
+	}
 	n, err := c.Conn.Read(p)
 	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		limit := c.lateLimit(len(p))
 		if limit == 0 || peeker.Peek(c.Conn) != peeker.DataAvailable {
+			c.endAtTimeout()
 			return 0, err
 		}
 		_ = c.Conn.SetReadDeadline(time.Time{})
@@ -120,7 +145,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == phaseIdle || c.phase == phaseHead {
+	if c.awaitsHead() {
 		return min(n, c.lateBytes)
 	}
 	return 0
@@ -144,6 +169,10 @@
 	if n == 0 || c.phase == phaseRequest {
 		return
 	}
+	c.lastRead, c.evicted = c.now(), false
+	if c.idle() {
+		c.headSince = c.lastRead
+	}
 	c.unserved += n
 	_ = c.applyReadDeadline()
 }
@@ -163,7 +192,7 @@
 }
 
 // SetReadDeadline sets the deadline of reads. It is in force unless the connection is
-// draining and idle.
+// draining and idle, or the limits of the connection ask for another.
 //
 // On an idle connection, net/http sets the deadline for the first bytes of a request, and
 // then that for the rest of its head. The first bytes need not have been read meanwhile.
@@ -173,6 +202,7 @@
 	c.readDeadline, c.lateBytes = t, maxLateBytes
 	if c.phase == phaseIdle && c.awaited {
 		c.phase = phaseHead
+		c.beginHead()
 	}
 	c.awaited = true
 	return c.applyReadDeadline()
@@ -238,13 +268,23 @@
 }
 
 func (c *Conn) setState(s http.ConnState) {
+	c.followState(s)
+	if s == http.StateIdle && c.OnIdle != nil {
+		c.OnIdle(c)
+	}
+}
+
+func (c *Conn) followState(s http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch s {
+	case http.StateNew:
+		c.beginIdle(false)
 	case http.StateActive:
-		c.phase, c.unserved = phaseRequest, 0
+		c.beginRequest()
 	case http.StateIdle:
 		c.phase, c.awaited = phaseIdle, false
+		c.beginIdle(true)
 		c.unguard()
 	case http.StateHijacked:
 		c.handled = false
@@ -252,6 +292,31 @@
 	_ = c.applyReadDeadline()
 }
 
+// beginIdle notes that the server begins to wait for a request, of which a part may have
+// been read. answered is true if an answer has ended. The caller holds the lock.
+func (c *Conn) beginIdle(answered bool) {
+	c.idleSince, c.answered = c.now(), answered
+	if c.unserved > 0 {
+		c.beginHead()
+	}
+}
+
+// beginRequest notes that a head has been read. net/http also tells so when it gives one up.
+// The caller holds the lock.
+func (c *Conn) beginRequest() {
+	c.headBytes, c.unserved, c.evicted = c.unserved, 0, false
+	if c.phase != phaseEnded {
+		c.phase = phaseRequest
+	}
+}
+
+// beginHead notes that the server begins to read a head of which a part has been read
+// before. The caller holds the lock.
+func (c *Conn) beginHead() {
+	c.headSince = c.now()
+	c.lastRead = c.headSince
+}
+
 // Drain makes the connection close as soon as it is idle.
 func (c *Conn) Drain() {
 	c.mu.Lock()
@@ -273,8 +338,11 @@
 // applyReadDeadline puts the deadline in force that the state asks for: a past one wakes
 // the server from its wait for the next request. The caller holds the lock.
 func (c *Conn) applyReadDeadline() error {
-	if c.draining && c.idle() {
+	switch {
+	case c.draining && c.idle(), c.evicted && c.awaitsHead():
 		return c.Conn.SetReadDeadline(time.Unix(1, 0))
+	case c.awaitsHead():
+		return c.Conn.SetReadDeadline(c.limitDeadline())
 	}
 	return c.Conn.SetReadDeadline(c.readDeadline)
 }
--- a/internal/process/drainer/drainer.go
+++ b/internal/process/drainer/drainer.go
@@ -9,9 +9,15 @@
 // One goroutine of a drainer accepts connections. Another owns the set of the open ones;
 // it gets their events over a ring, whose senders block while it is full.
 //
+// The number of connections may be bounded, so that callers cannot use up the descriptors
+// of the process. Near the bound, the owner closes the connections that package evictor
+// chooses. At the bound, no connection is accepted until one has closed: those that wait in
+// the kernel use no descriptor. If all are in use for longer than [acceptPatience], those
+// that wait are answered with 503.
+//
 // # Usage
 //
-//	d := drainer.Serve(&http.Server{Handler: h}, listener)
+//	d := drainer.Serve(&http.Server{Handler: h}, listener, drainer.Options{Clock: c, Name: "callers", MaxConns: 1000})
 //	err := d.Stop(ctx)
 package drainer
 
@@ -19,15 +25,13 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"magnoliafront.dev/magnoliafront/internal/connection/closer"
-	"magnoliafront.dev/magnoliafront/internal/connection/peeker"
+	"magnoliafront.dev/magnoliafront/internal/connection/listener"
 	"magnoliafront.dev/magnoliafront/pkg/buffer"
+	"magnoliafront.dev/magnoliafront/pkg/timer"
 )
 
 // eventsCapacity is the capacity of the ring of events. When it is full, connections
@@ -51,6 +55,12 @@
 	eventDrain
 	eventAwaitIdle
 	eventCutOff
+	eventAdmit
+	eventConnIdle
+	eventLimits
+	eventRefused
+	// eventWake is the time of the next look at the connections.
+	eventWake
 )
 
 // event is an input of the goroutine. Only the fields of its kind are set.
@@ -60,12 +70,30 @@
 	// idle is closed once no connection is open, and handled once the event is handled.
 	idle    chan struct{}
 	handled chan struct{}
+	// admitted gets a value once there is room for another connection, and false if there
+	// is none by refuseAt.
+	admitted chan bool
+	refuseAt time.Time
+}
+
+// Options configures a drainer. The zero value sets no bounds.
+type Options struct {
+	// Clock is the clock of all limits. If it is nil, it is the system's.
+	Clock timer.Clock
+	// Name is that of the server in log lines and metrics.
+	Name string
+	// MaxConns is the maximum number of open connections. Zero means no maximum.
+	MaxConns int
+	// Limits returns the limits of connections. The drainer calls it at its start and
+	// after [Drainer.RefreshLimits]. If it is nil, the server sets them.
+	Limits func() closer.Limits
 }
 
 // Drainer is a running HTTP server and its open connections.
 type Drainer struct {
+	options  Options
 	server   *http.Server
-	listener net.Listener
+	listener *listener.Listener
 	events   *buffer.Ring[event, buffer.Block]
 	// accepted is closed when no more connections are accepted, and done when the
 	// goroutine that owns the open connections has ended.
@@ -73,26 +101,34 @@
 	done     chan struct{}
 	// stopping is true once only connections that wait already are accepted.
 	stopping atomic.Bool
+	// short is true while no connection is accepted for lack of room.
+	short    atomic.Bool
+	limits   atomic.Pointer[closer.Limits]
+	counters counters
 }
 
 // Serve starts to serve connections that l accepts. It wraps the handler of srv and sets its
 // hooks ConnState and ConnContext.
-func Serve(srv *http.Server, l net.Listener) *Drainer {
+func Serve(srv *http.Server, l net.Listener, o Options) *Drainer {
+	if o.Clock == nil {
+		o.Clock = timer.System{}
+	}
 	d := &Drainer{
-		server: srv, listener: l,
+		options: o, server: srv, listener: &listener.Listener{Listener: l, Clock: o.Clock, Name: o.Name},
 		events:   buffer.New[event, buffer.Block]("caller_connections", eventsCapacity),
 		accepted: make(chan struct{}),
 		done:     make(chan struct{}),
 	}
+	d.loadLimits()
 	srv.Handler = closer.Guard(srv.Handler)
 	srv.ConnState, srv.ConnContext = closer.FollowState, closer.WithConn
 	go func() {
 		defer close(d.done)
-		d.run()
+		(&owner{drainer: d, open: map[*closer.Conn]struct{}{}}).run()
 	}()
 	go func() {
 		defer close(d.accepted)
-		_ = srv.Serve(followingListener{Listener: l, drainer: d})
+		_ = srv.Serve(followingListener{Listener: d.listener, drainer: d})
 	}()
 	return d
 }
@@ -133,53 +169,28 @@
 	return err
 }
 
+// Close stops the server at once and cuts off what is in flight.
+func (d *Drainer) Close() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = d.Stop(ctx)
+}
+
 // Stats returns the state of the ring of events.
 func (d *Drainer) Stats() buffer.Stats { return d.events.Stats() }
 
-// run handles events until the ring is closed.
-func (d *Drainer) run() {
-	open := map[*closer.Conn]struct{}{}
-	var awaiting []chan struct{}
-	draining := false
-	for {
-		e, ok := d.events.Take(context.Background())
-		if !ok {
-			closeAll(awaiting)
-			return
-		}
-		switch e.kind {
-		case eventOpened:
-			open[e.conn] = struct{}{}
-			if draining {
-				e.conn.Drain()
-			}
-		case eventClosed:
-			delete(open, e.conn)
-		case eventDrain:
-			draining = true
-			for c := range open {
-				c.Drain()
-			}
-		case eventAwaitIdle:
-			awaiting = append(awaiting, e.idle)
-		case eventCutOff:
-			for c := range open {
-				c.CutOff()
-			}
-			close(e.handled)
-		}
-		if len(open) > 0 {
-			continue
-		}
-		closeAll(awaiting)
-		awaiting = nil
-	}
-}
+// RefreshLimits puts the present limits in force, on open connections too.
+func (d *Drainer) RefreshLimits() { d.put(event{kind: eventLimits}) }
 
-func closeAll(channels []chan struct{}) {
-	for _, c := range channels {
-		close(c)
+// Limits returns the limits in force.
+func (d *Drainer) Limits() closer.Limits { return *d.limits.Load() }
+
+func (d *Drainer) loadLimits() {
+	l := closer.Limits{}
+	if d.options.Limits != nil {
+		l = d.options.Limits()
 	}
+	d.limits.Store(&l)
 }
 
 // cutOff makes the answers that have not ended look cut off when their connections close.
@@ -197,43 +208,8 @@
 // if the listener were closed at once.
 func (d *Drainer) stopAccepting() {
 	d.stopping.Store(true)
-	if l, ok := d.listener.(deadliner); ok && l.SetDeadline(time.Unix(1, 0)) == nil {
+	if l, ok := d.listener.Listener.(deadliner); ok && l.SetDeadline(time.Unix(1, 0)) == nil {
 		return
 	}
 	_ = d.listener.Close()
 }
-
-// followingListener wraps the connections that it accepts.
-type followingListener struct {
-	net.Listener
-	drainer *Drainer
-}
-
-// Accept waits for the next connection.
-func (l followingListener) Accept() (net.Conn, error) {
-	conn, err := l.acceptNext()
-	if err != nil {
-		return nil, err
-	}
-	c := &closer.Conn{Conn: conn, OnClose: func(c *closer.Conn) { l.drainer.put(event{kind: eventClosed, conn: c}) }}
-	l.drainer.put(event{kind: eventOpened, conn: c})
-	return c, nil
-}
-
-// acceptNext waits for the next connection. Once the drainer stops, it returns those that
-// wait already, then [net.ErrClosed].
-func (l followingListener) acceptNext() (net.Conn, error) {
-	d := l.drainer
-	for {
-		if d.stopping.Load() && !peeker.HasWaiting(l.Listener) {
-			return nil, net.ErrClosed
-		}
-		conn, err := l.Listener.Accept()
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			return conn, err
-		}
-		// The deadline of stopAccepting has passed. Another lets the next call take what
-		// waits, and bounds it if the caller has left meanwhile.
-		_ = l.Listener.(deadliner).SetDeadline(time.Now().Add(acceptTimeout))
-	}
-}
--- a/internal/process/drainer/drainer_log_test.go
+++ b/internal/process/drainer/drainer_log_test.go
@@ -53,7 +53,7 @@
 		if abort {
 			panic(http.ErrAbortHandler)
 		}
-	})}, l)
+	})}, l, Options{})
 	caller, err = net.Dial("tcp", l.Addr().String())
 	is.NoErr(err)
 	t.Cleanup(func() { _ = caller.Close() })
--- a/internal/process/drainer/drainer_test.go
+++ b/internal/process/drainer/drainer_test.go
@@ -70,7 +70,7 @@
 		if release != nil {
 			<-release
 		}
-	})}, l)
+	})}, l, Options{})
 }
 
 // startStop stops d in the background and returns once it has begun. The function that
@@ -217,7 +217,7 @@
 		if err == nil {
 			taken <- conn
 		}
-	})}, l)
+	})}, l, Options{})
 	write(t, l.dial(t), requestStart+requestRest)
 	conn := <-taken
 	defer func() { _ = conn.Close() }()
--- a/internal/process/drainer/unframed_test.go
+++ b/internal/process/drainer/unframed_test.go
@@ -49,7 +49,7 @@
 		os.Exit(1)
 	}
 	fmt.Println(l.Addr())
-	Serve(&http.Server{Handler: http.HandlerFunc(streamHandler)}, l)
+	Serve(&http.Server{Handler: http.HandlerFunc(streamHandler)}, l, Options{})
 	select {}
 }
 
@@ -92,7 +92,7 @@
 			t.Helper()
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			is.New(t).NoErr(err)
-			return Serve(&http.Server{Handler: http.HandlerFunc(streamHandler)}, l), l.Addr().String()
+			return Serve(&http.Server{Handler: http.HandlerFunc(streamHandler)}, l, Options{}), l.Addr().String()
 		}
 		stop := func(d *Drainer) {
 			ctx, cancel := context.WithCancel(context.Background())
--- a/internal/process/drainer/unsent_test.go
+++ b/internal/process/drainer/unsent_test.go
@@ -75,7 +75,7 @@
 				_ = http.NewResponseController(w).Flush()
 				close(l.stall)
 				_, _ = io.WriteString(w, "id: 2\n\n")
-			})}, l)
+			})}, l, Options{})
 			stream := openStream(t, l.Addr().String(), kind.path, kind.protocol)
 			<-l.stalled
 			ctx, cancel := context.WithCancel(t.Context())
--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -29,6 +29,7 @@
 	"k8s.io/klog/v2"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/carrier"
+	"magnoliafront.dev/magnoliafront/internal/process/allocator"
 	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
 	"magnoliafront.dev/magnoliafront/internal/process/drainer"
 	"magnoliafront.dev/magnoliafront/internal/process/forwarder"
@@ -40,16 +41,9 @@
 )
 
 const (
-	// headerReadTimeout is the maximum time to read the head of a request,
-	// bodyReadTimeout the maximum time to read its body, and idleConnTimeout the
-	// maximum time between two requests on a connection. The configuration does
-	// not change them.
-	headerReadTimeout = 5 * time.Second
-	bodyReadTimeout   = 30 * time.Second
-	idleConnTimeout   = time.Minute
-	// maxHeaderBytes is the maximum size of a request head, and defaultMaxBodyBytes
-	// the maximum size of a body if the configuration sets none.
-	maxHeaderBytes      = 64 << 10
+	// bodyReadTimeout is the maximum time to read the body of a request.
+	bodyReadTimeout = 30 * time.Second
+	// defaultMaxBodyBytes is the maximum size of a body if the configuration sets none.
 	defaultMaxBodyBytes = 4 << 20
 )
 
@@ -72,6 +66,9 @@
 	Codec       Codec
 	Forwarder   *forwarder.Forwarder
 	Clock       timer.Clock
+	// Descriptors are the shares of the descriptors of the process. Zero shares set no
+	// bound.
+	Descriptors allocator.Shares
 	// Answers is the budget of the bytes of answers that are held for callers. If it is
 	// nil, they are not limited.
 	Answers *reserver.Budget
@@ -81,7 +78,7 @@
 type Receiver struct {
 	options         Options
 	callerServer    *drainer.Drainer
-	readinessServer *http.Server
+	readinessServer *drainer.Drainer
 	draining        atomic.Bool
 	requests        requestCounters
 }
@@ -104,12 +101,14 @@
 func serve(o Options, callers, readiness net.Listener) *Receiver {
 	r := &Receiver{options: o}
 	r.callerServer = drainer.Serve(&http.Server{
-		Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleConnTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}, callers)
+		Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: defaultHeadTimeout, IdleTimeout: defaultIdleTimeout,
+		MaxHeaderBytes: maxConfiguredHeadBytes,
+	}, callers, drainer.Options{Clock: o.Clock, Name: "callers", MaxConns: o.Descriptors.Callers, Limits: r.connLimits})
 	routes := mux.NewRouter()
 	routes.HandleFunc(o.ReadyPath, r.serveReadiness).Methods(http.MethodGet)
-	r.readinessServer = &http.Server{Handler: routes, ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleConnTimeout}
-	go func() { _ = r.readinessServer.Serve(readiness) }()
+	r.readinessServer = drainer.Serve(&http.Server{
+		Handler: routes, ReadHeaderTimeout: defaultHeadTimeout, IdleTimeout: defaultIdleTimeout,
+	}, readiness, drainer.Options{Clock: o.Clock, Name: "readiness", MaxConns: o.Descriptors.Readiness})
 	return r
 }
 
@@ -137,13 +136,18 @@
 // which cuts off what is left.
 func (r *Receiver) Stop(ctx context.Context) error {
 	err := r.callerServer.Stop(ctx)
-	_ = r.readinessServer.Close()
+	r.readinessServer.Close()
 	if err != nil {
 		return &Error{Op: "stop", Kind: ErrorTimeout, Err: err}
 	}
 	return nil
 }
 
+// Connections returns the state of the connections of callers and of readiness checks.
+func (r *Receiver) Connections() []drainer.Connections {
+	return []drainer.Connections{r.callerServer.Connections(), r.readinessServer.Connections()}
+}
+
 // Stats returns the state of the ring of the connections of callers.
 func (r *Receiver) Stats() buffer.Stats { return r.callerServer.Stats() }
 
@@ -177,6 +181,11 @@
 	if r.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if failure := r.checkHead(req); failure != nil {
+		w.Header().Set("Connection", "close")
+		r.options.Codec.WriteFailure(w, failure)
+		return endingRefused
+	}
 	body, failure := r.readBody(w, req, now)
 	if failure != nil {
 		r.options.Codec.WriteFailure(w, failure)
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -22,6 +22,7 @@
 
 	"github.com/gorilla/mux"
 
+	"magnoliafront.dev/magnoliafront/internal/connection/closer"
 	"magnoliafront.dev/magnoliafront/internal/process/drainer"
 	"magnoliafront.dev/magnoliafront/internal/process/router"
 	"magnoliafront.dev/magnoliafront/internal/request/admitter"
@@ -52,6 +53,8 @@
 	Router   *router.Router
 	// Metrics is the handler of /metrics. If it is nil, the path is not served.
 	Metrics http.Handler
+	// MaxConns is the maximum number of connections of callers. Zero means no maximum.
+	MaxConns int
 }
 
 // Server accepts the HTTP requests of callers.
@@ -78,10 +81,18 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-	}, l)
+	}, l, drainer.Options{Clock: o.Clock, Name: "callers", MaxConns: o.MaxConns, Limits: connLimits})
 	return s, nil
 }
 
+// connLimits returns the limits of the connections of callers.
+func connLimits() closer.Limits {
+	return closer.Limits{HeadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeadBytes: maxHeaderBytes}
+}
+
+// Connections returns the state of the connections of callers.
+func (s *Server) Connections() drainer.Connections { return s.http.Connections() }
+
 // Address returns the address on which the server listens.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
--- a/internal/process/server/server_test.go
+++ b/internal/process/server/server_test.go
@@ -123,7 +123,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	h := http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { write(s, w, req) })
-	d := drainer.Serve(&http.Server{Handler: h}, l)
+	d := drainer.Serve(&http.Server{Handler: h}, l, drainer.Options{})
 	t.Cleanup(func() { _ = d.Stop(context.Background()) })
 	return l.Addr().String()
 }
