Go on accepting peers, and bound their connections

Cause: the loop of package acceptor ended at the first error of Accept, after which the process took no connection of other entries until it was restarted. The number of connections was not bounded.

Change: the loop accepts through package listener. An acceptor may have a maximum of connections, and of those whose handshake is not complete. At it, the one that has been without authentication for longest makes room; if all are authenticated, new ones are closed after 2 s. The handshake is limited to 5 s as before.

--- a/internal/connection/messenger/messenger.go
+++ b/internal/connection/messenger/messenger.go
@@ -280,6 +280,9 @@
 	}
 }
 
+// Authenticated reports whether the peer has proved that it knows the shared secret.
+func (c *Conn) Authenticated() bool { return c.authenticated() }
+
 // deferredHandler blocks the reader goroutine, which jsonrpc2.NewConn starts,
 // until newConn has set Conn.rpc.
 type deferredHandler struct {
--- a/internal/process/acceptor/acceptor.go
+++ b/internal/process/acceptor/acceptor.go
@@ -15,13 +15,15 @@
 package acceptor
 
 import (
-	"context"
 	"net"
+	"time"
 
 	"github.com/go-faster/errors"
 
+	"magnoliafront.dev/magnoliafront/internal/connection/listener"
 	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
 	"magnoliafront.dev/magnoliafront/pkg/buffer"
+	"magnoliafront.dev/magnoliafront/pkg/timer"
 )
 
 // Routes maps methods to their handlers. The handler of the empty method is
@@ -32,28 +34,51 @@
 // connections.
 const ringCapacity = 64
 
+// Limits bounds the connections of an acceptor. Zero means no bound.
+type Limits struct {
+	// Clock is the clock of all waits. If it is nil, it is the system's.
+	Clock timer.Clock
+	// MaxConns is the maximum number of connections, and MaxUnauthenticated that of
+	// connections whose handshake is not complete.
+	MaxConns           int
+	MaxUnauthenticated int
+}
+
 // Acceptor accepts connections on one listener.
 type Acceptor struct {
-	listener   net.Listener
+	listener   *listener.Listener
+	limits     Limits
 	accepted   *buffer.Ring[*messenger.Conn, buffer.Block]
 	ended      *buffer.Ring[*messenger.Conn, buffer.Block]
+	admissions *buffer.Ring[admission, buffer.Block]
 	draining   chan struct{}
 	acceptDone chan struct{}
 	connsDone  chan struct{}
+	counters   counters
+}
+
+// New is [NewLimited] without limits.
+func New(address string, o messenger.Options, routes Routes) (*Acceptor, error) {
+	return NewLimited(address, o, routes, Limits{})
 }
 
-// New listens on address and starts two goroutines: one accepts connections, the
+// NewLimited listens on address and starts two goroutines: one accepts connections, the
 // other owns the set of open connections. It replaces the handler in o with one
 // that dispatches to routes.
-func New(address string, o messenger.Options, routes Routes) (*Acceptor, error) {
+func NewLimited(address string, o messenger.Options, routes Routes, limits Limits) (*Acceptor, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, &Error{Op: "listen on " + address, Kind: ErrorListen, Err: err}
 	}
+	if limits.Clock == nil {
+		limits.Clock = timer.System{}
+	}
 	a := &Acceptor{
-		listener:   l,
+		listener:   &listener.Listener{Listener: l, Clock: limits.Clock, Name: "peers"},
+		limits:     limits,
 		accepted:   buffer.New[*messenger.Conn, buffer.Block]("acceptor_accepted", ringCapacity),
 		ended:      buffer.New[*messenger.Conn, buffer.Block]("acceptor_ended", ringCapacity),
+		admissions: buffer.New[admission, buffer.Block]("acceptor_admissions", 1),
 		draining:   make(chan struct{}),
 		acceptDone: make(chan struct{}),
 		connsDone:  make(chan struct{}),
@@ -61,17 +86,12 @@
 	o.Handle = a.dispatch(routes)
 	go func() {
 		defer close(a.acceptDone)
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			a.accepted.Put(context.Background(), messenger.Accept(nc, o))
+		for a.acceptNext(o) {
 		}
 	}()
 	go func() {
 		defer close(a.connsDone)
-		a.trackConns()
+		(&tracker{acceptor: a, conns: map[*messenger.Conn]struct{}{}, unauthenticated: map[*messenger.Conn]time.Time{}}).run()
 	}()
 	return a, nil
 }
@@ -83,36 +103,12 @@
 // them.
 func (a *Acceptor) Stop() {
 	_ = a.listener.Close()
+	a.admissions.Close()
 	<-a.acceptDone
 	close(a.draining)
 	<-a.connsDone
 }
 
-// trackConns tracks the open connections. When draining is closed, it drains them
-// and returns once all have ended.
-func (a *Acceptor) trackConns() {
-	conns := map[*messenger.Conn]struct{}{}
-	ctx := context.Background()
-	closing := a.draining
-	for closing != nil || len(conns) > 0 {
-		select {
-		case c := <-a.accepted.C():
-			conns[c] = struct{}{}
-			go func() {
-				<-c.Done()
-				a.ended.Put(ctx, c)
-			}()
-		case c := <-a.ended.C():
-			delete(conns, c)
-		case <-closing:
-			closing = nil
-			for c := range conns {
-				c.Drain()
-			}
-		}
-	}
-}
-
 // dispatch returns a handler that calls the handler of the message's method.
 func (a *Acceptor) dispatch(routes Routes) messenger.Handler {
 	return func(c *messenger.Conn, m messenger.Message) (any, error) {
