Bound the connections to upstreams

Cause: connections to upstreams could take descriptors of other uses.

Change: a forwarder may have a maximum of connections. At it, the idle one that expires first is closed for a new one. If all are in use, a request that arrives gets 503, not run. The limits of the configuration are announced to a callback once they are in force.

--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -103,9 +104,14 @@
 	c := t.pool.get(now)
 	if c == nil {
 		p := t.pool
+		var dial func(context.Context, string, string) (net.Conn, error)
+		if !f.makeRoom() {
+			dial = refuseDial
+		}
 		p.connections++
+		f.connections.Add(1)
 		c = carrier.New(carrier.Options{
-			Address: p.upstream.Address, Clock: f.options.Clock, Recoverer: f.options.Recoverer,
+			Address: p.upstream.Address, Clock: f.options.Clock, Recoverer: f.options.Recoverer, Dial: dial,
 			Report: func(r carrier.Report) { f.put(event{kind: eventReport, pool: p, report: r}) },
 			ReportNotice: func(request string, n carrier.Notice) {
 				f.put(event{kind: eventNotice, pool: p, request: request, notice: n})
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -87,6 +87,12 @@
 	// ObserveAnswer is called at the end of each answer of an upstream, whether or not
 	// its caller got it. It must not block. It may be nil.
 	ObserveAnswer func(AnswerObservation)
+	// Configured is called after another configuration has come into force. It must not
+	// block. It may be nil.
+	Configured func()
+	// MaxConns is the maximum number of connections to upstreams. Near it, those that have
+	// been idle for longest are closed. Zero means no maximum.
+	MaxConns int
 	// Recoverer handles panics while an event or a call is handled. It may be nil.
 	Recoverer *recoverer.Recoverer
 }
@@ -114,6 +120,10 @@
 	state   atomic.Pointer[State]
 	// inFlightCount is the length of inFlight, for other goroutines to read.
 	inFlightCount atomic.Int64
+	// connections is the number of connections to upstreams; see [Connections].
+	connections atomic.Int64
+	evicted     atomic.Uint64
+	refused     atomic.Uint64
 
 	// The fields below are owned by the goroutine.
 	dispatcher *dispatcher.Dispatcher
@@ -311,6 +321,9 @@
 		if s.Table == nil || e.table.Configuration.Version > s.Table.Configuration.Version {
 			s.Table = e.table
 			f.state.Store(&s)
+			if f.options.Configured != nil {
+				f.options.Configured()
+			}
 		}
 	case eventRegistrar:
 		f.registrar.HandleEvent(now, e.registrar)
@@ -357,6 +370,10 @@
 	if j.Context.Err() != nil {
 		return
 	}
+	if !f.hasRoom() {
+		f.refuseJob(j)
+		return
+	}
 	if f.inFlight[j.Request.ID] == nil {
 		f.inFlight[j.Request.ID] = &inFlightRequest{job: j}
 		f.dispatch(f.options.Clock.Now(), dispatcher.Event{Kind: dispatcher.EventArrived, Request: j.Request})
--- a/internal/process/forwarder/pool.go
+++ b/internal/process/forwarder/pool.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -29,6 +30,8 @@
 	busy map[*carrier.Conn]struct{}
 	// connections is the number of idle and busy connections.
 	connections int
+	// total is the number of connections of all pools.
+	total *atomic.Int64
 	// removed is true once the upstream gets no more requests.
 	removed bool
 }
@@ -111,6 +114,7 @@
 func (p *pool) closeConn(c *carrier.Conn) {
 	c.Close()
 	p.connections--
+	p.total.Add(-1)
 }
 
 func (p *pool) closeIdle() {
@@ -132,7 +136,7 @@
 		p = nil
 	}
 	if p == nil {
-		p = &pool{upstream: u, busy: map[*carrier.Conn]struct{}{}}
+		p = &pool{upstream: u, busy: map[*carrier.Conn]struct{}{}, total: &f.connections}
 		f.pools[id] = p
 	}
 	return p
