Divide the descriptors of each process among its uses

Cause: the descriptors of a process were first come, first served: a crowd of idle connections to any listener kept out callers, readiness checks, peers, the store and the connections to upstreams.

Change: each process divides its own limit with package allocator. The listeners for callers, readiness and metrics, the acceptor, the linker, the client of the store and the forwarder keep to their shares, in the gateway, the own front end and agents. A changed configuration reaches the receiver through the forwarder. The connections and what limits closed are exported as metrics. The own front end bounds heads and idle connections as before, now by the drainer.

--- a/internal/process/drainer/drainer.go
+++ b/internal/process/drainer/drainer.go
@@ -78,7 +78,8 @@
 
 // Options configures a drainer. The zero value sets no bounds.
 type Options struct {
-	// Clock is the clock of all limits. If it is nil, it is the system's.
+	// Clock is the clock of all limits. Deadlines of connections are computed from it, so
+	// that it must not fall behind the system's, which it is if it is nil.
 	Clock timer.Clock
 	// Name is that of the server in log lines and metrics.
 	Name string
--- a/internal/process/linker/linker.go
+++ b/internal/process/linker/linker.go
@@ -51,6 +51,9 @@
 	// Count is called with the method of each message before it is sent. It may be
 	// nil.
 	Count func(method string)
+	// MaxLinks is the maximum number of entries to which connections are kept. Messages to
+	// further ones are dropped and counted. Zero means no maximum.
+	MaxLinks int
 	// Recoverer handles panics of Handle. It may be nil.
 	Recoverer *recoverer.Recoverer
 }
@@ -61,7 +64,7 @@
 	messages   *buffer.Ring[outMessage, buffer.Reject]
 	connEvents *buffer.Ring[connEvent, buffer.Block]
 	done       chan struct{}
-	// dropped counts the messages for which no room was left on a link.
+	// dropped counts the messages for which no room was left on a link, or for a link.
 	dropped atomic.Uint64
 	// links holds the links by identity. It is owned by the linker's goroutine.
 	links map[string]*link
@@ -165,6 +168,11 @@
 		go k.dialer.Stop()
 		k = nil
 	}
+	if k == nil && l.isFull() {
+		l.dropped.Add(1)
+		l.closeIdle()
+		return
+	}
 	if k == nil {
 		k = l.dial(address)
 		l.links[m.identity] = k
@@ -179,6 +187,11 @@
 	l.closeIdle()
 }
 
+// isFull reports whether no other entry may be dialled.
+func (l *Linker) isFull() bool {
+	return l.options.MaxLinks > 0 && len(l.links) >= l.options.MaxLinks
+}
+
 // queue adds a message to those that wait for the connection. A load report replaces
 // the last one: reports are sent all the time, and would leave no room for strikes.
 func (l *Linker) queue(k *link, m outMessage) {
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -81,7 +81,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-	}, l, drainer.Options{Clock: o.Clock, Name: "callers", MaxConns: o.MaxConns, Limits: connLimits})
+	}, l, drainer.Options{Name: "callers", MaxConns: o.MaxConns, Limits: connLimits})
 	return s, nil
 }
 
--- a/internal/process/soaker/crowd_test.go
+++ b/internal/process/soaker/crowd_test.go
@@ -92,7 +92,7 @@
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "limited")
 	script := fmt.Sprintf("#!/bin/sh\nulimit -n %d\nexec '%s' \"$@\"\n", crowdDescriptors, program)
-	is.New(t).NoErr(os.WriteFile(path, []byte(script), 0o700)) //nolint:gosec // The test runs it.
+	is.New(t).NoErr(os.WriteFile(path, []byte(script), 0o700))
 	return path
 }
 
--- a/internal/process/starter/agent.go
+++ b/internal/process/starter/agent.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"time"
 
 	"go.uber.org/fx"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/reader"
 	"magnoliafront.dev/magnoliafront/internal/process/accessor"
+	"magnoliafront.dev/magnoliafront/internal/process/allocator"
 	"magnoliafront.dev/magnoliafront/internal/process/exchanger"
 	"magnoliafront.dev/magnoliafront/internal/process/executor"
 	"magnoliafront.dev/magnoliafront/internal/process/loader"
@@ -60,18 +59,11 @@
 
 // serveMetrics serves /metrics on the address Metrics of the settings. Without
 // an address there is no endpoint.
-func serveMetrics(lc fx.Lifecycle, s loader.Agent, m *meter.Meter) error {
+func serveMetrics(lc fx.Lifecycle, s loader.Agent, m *meter.Meter, c timer.Clock, shares allocator.Shares) error {
 	if s.Metrics == "" {
 		return nil
 	}
-	l, err := net.Listen("tcp", s.Metrics)
-	if err != nil {
-		return &Error{Op: "listen on " + s.Metrics, Kind: ErrorListen, Err: err}
-	}
 	h := http.NewServeMux()
 	h.Handle("GET /metrics", m.Handler())
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = srv.Serve(l) }()
-	lc.Append(fx.StopHook(srv.Shutdown))
-	return nil
+	return listenForMetrics(lc, s.Metrics, h, c, shares)
 }
--- a/internal/process/starter/entry.go
+++ b/internal/process/starter/entry.go
@@ -9,6 +9,7 @@
 
 	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
 	"magnoliafront.dev/magnoliafront/internal/process/accessor"
+	"magnoliafront.dev/magnoliafront/internal/process/allocator"
 	"magnoliafront.dev/magnoliafront/internal/process/claimer"
 	"magnoliafront.dev/magnoliafront/internal/process/detector"
 	"magnoliafront.dev/magnoliafront/internal/process/exchanger"
@@ -25,8 +26,8 @@
 	"magnoliafront.dev/magnoliafront/pkg/tracer"
 )
 
-func newLinker(lc fx.Lifecycle, s loader.Common, self messenger.Peer, c timer.Clock, x *exchanger.Exchanger, refs *entryRefs) *linker.Linker {
-	l := linker.New(linker.Options{Self: self, Secret: []byte(s.SharedSecret), Clock: c, Members: x.Members, Handle: refs.handleShare})
+func newLinker(lc fx.Lifecycle, s loader.Common, self messenger.Peer, c timer.Clock, x *exchanger.Exchanger, refs *entryRefs, shares allocator.Shares) *linker.Linker {
+	l := linker.New(linker.Options{Self: self, Secret: []byte(s.SharedSecret), Clock: c, Members: x.Members, Handle: refs.handleShare, MaxLinks: shares.PeersDialled})
 	lc.Append(fx.StopHook(l.Stop))
 	return l
 }
@@ -138,8 +139,8 @@
 	}
 }
 
-func newServer(lc fx.Lifecycle, s loader.Entry, c timer.Clock, r *router.Router, m *meter.Meter) (*server.Server, error) {
-	srv, err := server.New(server.Options{Listen: s.Listen, Identity: s.Identity, Clock: c, Router: r, Metrics: m.Handler()})
+func newServer(lc fx.Lifecycle, s loader.Entry, c timer.Clock, r *router.Router, m *meter.Meter, shares allocator.Shares) (*server.Server, error) {
+	srv, err := server.New(server.Options{Listen: s.Listen, Identity: s.Identity, Clock: c, Router: r, Metrics: m.Handler(), MaxConns: shares.Callers})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -17,6 +16,7 @@
 	"magnoliafront.dev/magnoliafront/internal/connection/carrier"
 	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
 	"magnoliafront.dev/magnoliafront/internal/process/acceptor"
+	"magnoliafront.dev/magnoliafront/internal/process/allocator"
 	"magnoliafront.dev/magnoliafront/internal/process/detector"
 	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
 	"magnoliafront.dev/magnoliafront/internal/process/forwarder"
@@ -41,8 +41,7 @@
 	// listener and of idle connections. Callers that have just connected still send their
 	// requests within it.
 	closeDelay = 500 * time.Millisecond
-	// withdrawTimeout bounds the call that deletes a leaving entry from the store. It
-	// also bounds the reading of request headers at the metrics endpoint.
+	// withdrawTimeout bounds the call that deletes a leaving entry from the store.
 	withdrawTimeout = time.Second
 	// maxIdleStoreConnections is the maximum number of idle connections to the
 	// store: one for each of the three watched kinds of objects, and one for other
@@ -69,8 +68,9 @@
 		fx.Provide(
 			func() timer.Clock { return timer.System{} },
 			func() *syncerRef { return &syncerRef{} },
+			func() *receiverRef { return &receiverRef{} },
 			func() *recoverer.Recoverer { return &recoverer.Recoverer{} },
-			newStore, newMeter, newForwarder, newPeering, newReceiver, newAnswerBudget,
+			newShares, newStore, newMeter, newForwarder, newPeering, newReceiver, newAnswerBudget,
 		),
 		fx.Invoke(serveGatewayMetrics),
 		fx.Invoke(func(m *meter.Meter, b *reserver.Budget) error { return m.WatchAnswers(b.Stats) }),
@@ -78,7 +78,7 @@
 		fx.Invoke(func(m *meter.Meter, f *forwarder.Forwarder, p *peering, r *receiver.Receiver) error {
 			return m.WatchRings(func() []buffer.Stats { return append(append(f.Stats(), p.syncer.Stats()...), r.Stats()) })
 		}),
-		fx.Invoke(watchRequests),
+		fx.Invoke(watchRequests, watchGatewayConnections),
 		fx.Invoke(drainGateway),
 	)
 }
@@ -95,7 +95,7 @@
 	})
 }
 
-func newStore(s loader.Gateway) (*platform.Store, error) {
+func newStore(s loader.Gateway, shares allocator.Shares) (*platform.Store, error) {
 	u, err := url.Parse(s.Platform)
 	if err != nil {
 		return nil, &Error{Op: "read the address of the platform", Kind: ErrorSettings, Err: err}
@@ -103,6 +103,7 @@
 	return &platform.Store{Address: u.Host, HTTPClient: &http.Client{Transport: &http.Transport{
 		DialContext:         carrier.Dialer().DialContext,
 		MaxIdleConnsPerHost: maxIdleStoreConnections,
+		MaxConnsPerHost:     shares.Store,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 	}}}, nil
@@ -135,9 +136,10 @@
 	}
 }
 
-func newForwarder(lc fx.Lifecycle, s loader.Gateway, c timer.Clock, ref *syncerRef, m *meter.Meter, rec *recoverer.Recoverer) *forwarder.Forwarder {
+func newForwarder(lc fx.Lifecycle, s loader.Gateway, c timer.Clock, ref *syncerRef, receiver *receiverRef, m *meter.Meter, rec *recoverer.Recoverer, shares allocator.Shares) *forwarder.Forwarder {
 	f := forwarder.New(forwarder.Options{
 		Clock: c, Codec: platform.Codec{}, Recoverer: rec, SendStrikes: ref.sendStrikes, SendLoad: ref.sendLoad,
+		Configured: receiver.refreshLimits, MaxConns: shares.Upstreams,
 		Observe:       func(o forwarder.Observation) { m.Request(o.Route, o.Result, o.Elapsed) },
 		ObserveAnswer: func(o forwarder.AnswerObservation) { m.Answer(o.Framing, o.End) },
 		Dispatcher: dispatcher.Settings{
@@ -149,7 +151,7 @@
 	return f
 }
 
-func newPeering(lc fx.Lifecycle, s loader.Gateway, self messenger.Peer, c timer.Clock, store *platform.Store, f *forwarder.Forwarder, ref *syncerRef, rec *recoverer.Recoverer) (*peering, error) {
+func newPeering(lc fx.Lifecycle, s loader.Gateway, self messenger.Peer, c timer.Clock, store *platform.Store, f *forwarder.Forwarder, ref *syncerRef, rec *recoverer.Recoverer, shares allocator.Shares) (*peering, error) {
 	p := &peering{}
 	ready := make(chan struct{})
 	handle := func(conn *messenger.Conn, m messenger.Message) (any, error) {
@@ -160,7 +162,7 @@
 		<-ready
 		return p.syncer.Members()
 	}
-	p.linker = linker.New(linker.Options{Self: self, Secret: []byte(s.SharedSecret), Clock: c, Members: members, Handle: handle, Recoverer: rec})
+	p.linker = linker.New(linker.Options{Self: self, Secret: []byte(s.SharedSecret), Clock: c, Members: members, Handle: handle, MaxLinks: shares.PeersDialled, Recoverer: rec})
 	p.syncer = syncer.New(syncer.Options{
 		Self: self, MaxDrainDelay: s.LeavingLimitDuration(), MaxStall: s.StallLimitDuration(), Address: s.PeerListen, Seeds: s.Peers, Store: store, Clock: c, Forwarder: f,
 		Kinds: syncer.Kinds{Configuration: platform.KindConfiguration, Upstreams: platform.KindUpstreams, Entries: platform.KindEntries},
@@ -171,9 +173,9 @@
 	})
 	close(ready)
 	var err error
-	p.acceptor, err = acceptor.New(s.PeerListen, messenger.Options{Self: self, Secret: []byte(s.SharedSecret), Recoverer: rec}, acceptor.Routes{
+	p.acceptor, err = listenForPeers(s.PeerListen, messenger.Options{Self: self, Secret: []byte(s.SharedSecret), Recoverer: rec}, acceptor.Routes{
 		messenger.MethodFetchState: handle, messenger.MethodStrike: handle, messenger.MethodLoad: handle,
-	})
+	}, c, shares)
 	if err != nil {
 		p.syncer.Stop()
 		p.linker.Stop()
@@ -214,25 +216,23 @@
 	return reserver.NewBudget(reserver.AnswerBytes(limit))
 }
 
-func newReceiver(s loader.Gateway, c timer.Clock, f *forwarder.Forwarder, b *reserver.Budget) (*receiver.Receiver, error) {
-	return receiver.New(receiver.Options{
+func newReceiver(s loader.Gateway, c timer.Clock, f *forwarder.Forwarder, b *reserver.Budget, ref *receiverRef, shares allocator.Shares) (*receiver.Receiver, error) {
+	r, err := receiver.New(receiver.Options{
 		Listen: s.Listen, ReadyListen: s.ReadyListen, ReadyPath: platform.ReadyPath,
-		Codec: platform.Codec{}, Forwarder: f, Clock: c, Answers: b,
+		Codec: platform.Codec{}, Forwarder: f, Clock: c, Descriptors: shares, Answers: b,
 	})
+	if err != nil {
+		return nil, err
+	}
+	ref.set(r)
+	return r, nil
 }
 
-func serveGatewayMetrics(lc fx.Lifecycle, s loader.Gateway, m *meter.Meter) error {
+func serveGatewayMetrics(lc fx.Lifecycle, s loader.Gateway, m *meter.Meter, c timer.Clock, shares allocator.Shares) error {
 	if s.Metrics == "" {
 		return nil
 	}
-	l, err := net.Listen("tcp", s.Metrics)
-	if err != nil {
-		return &Error{Op: "listen on " + s.Metrics, Kind: ErrorListen, Err: err}
-	}
-	srv := &http.Server{Handler: m.Handler(), ReadHeaderTimeout: withdrawTimeout}
-	go func() { _ = srv.Serve(l) }()
-	lc.Append(fx.StopHook(func() { _ = srv.Close() }))
-	return nil
+	return listenForMetrics(lc, s.Metrics, m.Handler(), c, shares)
 }
 
 // drainGateway registers the first step of a graceful stop: the entry becomes
--- a/internal/process/starter/records.go
+++ b/internal/process/starter/records.go
@@ -10,6 +10,7 @@
 	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
 	"magnoliafront.dev/magnoliafront/internal/process/acceptor"
 	"magnoliafront.dev/magnoliafront/internal/process/accessor"
+	"magnoliafront.dev/magnoliafront/internal/process/allocator"
 	"magnoliafront.dev/magnoliafront/internal/process/exchanger"
 	"magnoliafront.dev/magnoliafront/internal/process/loader"
 	"magnoliafront.dev/magnoliafront/internal/process/meter"
@@ -110,8 +111,8 @@
 	return refused, m.WatchPeerRefused(refused)
 }
 
-func newAcceptor(lc fx.Lifecycle, s loader.Common, self messenger.Peer, refused *atomic.Uint64, routes acceptor.Routes, x *exchanger.Exchanger) (*acceptor.Acceptor, error) {
-	a, err := acceptor.New(s.PeerListen, messenger.Options{Self: self, Secret: []byte(s.SharedSecret), Refused: refused}, routes)
+func newAcceptor(lc fx.Lifecycle, s loader.Common, self messenger.Peer, refused *atomic.Uint64, routes acceptor.Routes, x *exchanger.Exchanger, c timer.Clock, shares allocator.Shares) (*acceptor.Acceptor, error) {
+	a, err := listenForPeers(s.PeerListen, messenger.Options{Self: self, Secret: []byte(s.SharedSecret), Refused: refused}, routes, c, shares)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/starter/starter.go
+++ b/internal/process/starter/starter.go
@@ -59,7 +59,7 @@
 		fx.Invoke(func(m *meter.Meter, r *router.Router) error { return m.WatchRings(r.Stats) }),
 		fx.Invoke(func(m *meter.Meter, c *claimer.Claimer) error { return m.WatchRings(c.Stats) }),
 		fx.Invoke(func(*acceptor.Acceptor, *server.Server, *watcher.Watcher) {}),
-		fx.Invoke(drainEntry, recordStopping),
+		fx.Invoke(watchEntryConnections, drainEntry, recordStopping),
 		fx.Provide(func(r *router.Router) []func(*compiler.Snapshot) {
 			return []func(*compiler.Snapshot){r.Apply}
 		}),
@@ -78,7 +78,7 @@
 			return m.WatchRings(func() []buffer.Stats { return []buffer.Stats{x.Stats(), g.Stats()} })
 		}),
 		fx.Invoke(func(*acceptor.Acceptor, *watcher.Watcher) {}),
-		fx.Invoke(serveMetrics, drainAgent, recordStopping),
+		fx.Invoke(watchAgentConnections, serveMetrics, drainAgent, recordStopping),
 		fx.Provide(func(x *executor.Executor) []func(*compiler.Snapshot) {
 			return []func(*compiler.Snapshot){x.Apply}
 		}),
@@ -95,7 +95,7 @@
 		fx.Provide(
 			func() timer.Clock { return timer.System{} },
 			func() accessor.Store { return &accessor.Client{URL: s.Platform, HTTP: &http.Client{}} },
-			newMeter, newPeerRefusedCounter, newRecorder, newWatcherRef, newExchanger, newWatcher, newAcceptor,
+			newShares, newMeter, newPeerRefusedCounter, newRecorder, newWatcherRef, newExchanger, newWatcher, newAcceptor,
 		),
 	)
 }
