Refuse waiting connections at once after the first, and do not delay a stop

Cause: with all connections in use, each one that waited was refused 2 s after the one before it, so that a queue of them waited without an end. A stop that found the accept loop waiting for room was delayed by up to 2 s, beyond the margin of the exit.

Change: after a refusal, the next connection waits 10 ms for room, and so does each once the server stops. The same for peers, without the stop, where the wait ends with the acceptor.

--- a/internal/process/acceptor/acceptor.go
+++ b/internal/process/acceptor/acceptor.go
@@ -86,7 +86,9 @@
 	o.Handle = a.dispatch(routes)
 	go func() {
 		defer close(a.acceptDone)
-		for a.acceptNext(o) {
+		patience, ok := acceptPatience, true
+		for ok {
+			patience, ok = a.acceptNext(o, patience)
 		}
 	}()
 	go func() {
--- a/internal/process/acceptor/tracker.go
+++ b/internal/process/acceptor/tracker.go
@@ -15,6 +15,9 @@
 	// acceptPatience is the time for which connections wait to be accepted before they are
 	// closed. One that is not authenticated makes room before.
 	acceptPatience = 2 * time.Second
+	// refusalPause is acceptPatience after a connection was closed. Those behind have
+	// waited as well.
+	refusalPause = 10 * time.Millisecond
 	// logInterval is the minimum time between two log lines on closed connections.
 	logInterval = time.Second
 )
@@ -54,20 +57,21 @@
 	}
 }
 
-// acceptNext accepts one connection. It returns false once the listener is closed.
-func (a *Acceptor) acceptNext(o messenger.Options) bool {
-	admitted := a.awaitRoom(acceptPatience)
+// acceptNext accepts one connection, for which it waits for room. It returns false once the
+// listener is closed, and else the time to wait for room for the next.
+func (a *Acceptor) acceptNext(o messenger.Options, patience time.Duration) (time.Duration, bool) {
+	admitted := a.awaitRoom(patience)
 	conn, err := a.listener.Accept()
 	if err != nil {
-		return false
+		return 0, false
 	}
 	// There may be room since, if it took long until somebody connected.
 	if !admitted && !a.awaitRoom(0) {
 		a.counters.refused.Add(1)
 		_ = conn.Close()
-		return true
+		return refusalPause, true
 	}
-	return a.accepted.Put(context.Background(), messenger.Accept(conn, o))
+	return acceptPatience, a.accepted.Put(context.Background(), messenger.Accept(conn, o))
 }
 
 // awaitRoom waits until another connection may be open, but no longer than patience, and
--- a/internal/process/drainer/accept.go
+++ b/internal/process/drainer/accept.go
@@ -11,22 +11,28 @@
 	"magnoliafront.dev/magnoliafront/internal/connection/peeker"
 )
 
-// acceptPatience is the time for which connections wait to be accepted before they are
-// refused. It is longer than a connection without a request may be kept from making room.
-const acceptPatience = 2 * time.Second
+const (
+	// acceptPatience is the time for which connections wait to be accepted before they are
+	// refused. It is longer than a connection without a request may be kept from making room.
+	acceptPatience = 2 * time.Second
+	// refusalPause is acceptPatience after a refusal. Those behind have waited as well.
+	refusalPause = 10 * time.Millisecond
+)
 
 // followingListener wraps the connections that it accepts.
 type followingListener struct {
 	net.Listener
 	drainer *Drainer
+	// patience is the time to wait for room for the next connection.
+	patience time.Duration
 }
 
 // Accept waits for the next connection that is served. It refuses those for which there is
 // no room.
-func (l followingListener) Accept() (net.Conn, error) {
+func (l *followingListener) Accept() (net.Conn, error) {
 	d := l.drainer
 	for {
-		admitted := d.awaitRoom(acceptPatience)
+		admitted := d.awaitRoom(l.patience)
 		conn, err := l.acceptNext()
 		if err != nil {
 			return nil, err
@@ -35,8 +41,10 @@
 		// There may be room since, if it took long until somebody connected.
 		if admitted || d.awaitRoom(0) {
 			d.put(event{kind: eventOpened, conn: c})
+			l.patience = acceptPatience
 			return c, nil
 		}
+		l.patience = refusalPause
 		c.OnClose = func(*closer.Conn) { d.put(event{kind: eventRefused}) }
 		c.Refuse()
 	}
@@ -71,7 +79,7 @@
 
 // acceptNext waits for the next connection. Once the drainer stops, it returns those that
 // wait already, then [net.ErrClosed].
-func (l followingListener) acceptNext() (net.Conn, error) {
+func (l *followingListener) acceptNext() (net.Conn, error) {
 	d := l.drainer
 	for {
 		if d.stopping.Load() && !peeker.HasWaiting(d.listener.Listener) {
--- a/internal/process/drainer/drainer.go
+++ b/internal/process/drainer/drainer.go
@@ -59,6 +59,7 @@
 	eventConnIdle
 	eventLimits
 	eventRefused
+	eventStopping
 	// eventWake is the time of the next look at the connections.
 	eventWake
 )
@@ -129,7 +130,7 @@
 	}()
 	go func() {
 		defer close(d.accepted)
-		_ = srv.Serve(followingListener{Listener: d.listener, drainer: d})
+		_ = srv.Serve(&followingListener{Listener: d.listener, drainer: d, patience: acceptPatience})
 	}()
 	return d
 }
@@ -209,6 +210,7 @@
 // if the listener were closed at once.
 func (d *Drainer) stopAccepting() {
 	d.stopping.Store(true)
+	d.put(event{kind: eventStopping})
 	if l, ok := d.listener.Listener.(deadliner); ok && l.SetDeadline(time.Unix(1, 0)) == nil {
 		return
 	}
--- a/internal/process/drainer/limits_test.go
+++ b/internal/process/drainer/limits_test.go
@@ -123,13 +123,19 @@
 	s.await(func(c Connections) bool { return c.Closed["evicted"] >= 2 })
 }
 
-// A connection that found no place waited without an end.
-func TestConnectionIsRefusedWhileAllAreInUse(t *testing.T) {
+// Connections that found no place waited without an end, or one after the other.
+func TestConnectionsAreRefusedWhileAllAreInUse(t *testing.T) {
 	s := newBoundedServer(t, Options{MaxConns: 1})
 	busy := s.connect(longAnswer)
-	resp := s.assertAnswer(s.connect(request), http.StatusServiceUnavailable)
-	is.New(t).Equal(resp.Header.Get("Retry-After"), "1")
-	s.await(func(c Connections) bool { return c.Refused == 1 })
+	var refused []net.Conn
+	for range 20 {
+		refused = append(refused, s.connect(request))
+	}
+	for _, conn := range refused {
+		resp := s.assertAnswer(conn, http.StatusServiceUnavailable)
+		is.New(t).Equal(resp.Header.Get("Retry-After"), "1")
+	}
+	s.await(func(c Connections) bool { return c.Refused == uint64(len(refused)) })
 	s.release <- struct{}{}
 	s.assertAnswer(busy, http.StatusOK)
 	s.answered()
--- a/internal/process/drainer/owner.go
+++ b/internal/process/drainer/owner.go
@@ -59,6 +59,8 @@
 	open    map[*closer.Conn]struct{}
 	// awaiting holds the channels to close once no connection is open.
 	awaiting []chan struct{}
+	// stopping is true once the server stops, and draining once it accepts no more.
+	stopping bool
 	draining bool
 	// admission is the event of the connection that waits for room, if any. wake is the
 	// time of the next look at the connections, while one waits.
@@ -141,6 +143,10 @@
 		close(e.handled)
 	case eventAdmit:
 		o.admission = &e
+		o.limitPatience()
+	case eventStopping:
+		o.stopping = true
+		o.limitPatience()
 	case eventConnIdle:
 		if o.evicting == 0 {
 			// Another look finds it, or one that is idle for longer.
@@ -158,6 +164,17 @@
 	o.drainer.counters.open.Store(int64(len(o.open)))
 }
 
+// limitPatience lets the connection that waits for room wait no longer than a moment if the
+// server stops, since Stop waits for it.
+func (o *owner) limitPatience() {
+	if !o.stopping || o.admission == nil {
+		return
+	}
+	if latest := o.drainer.options.Clock.Now().Add(refusalPause); o.admission.refuseAt.After(latest) {
+		o.admission.refuseAt = latest
+	}
+}
+
 // admit answers the connection that waits for room, if there is room or its time has come.
 // Near the maximum, it closes connections first.
 func (o *owner) admit() {
