Read bodies within one memory budget, and refuse without draining

Cause: each body was read whole with io.ReadAll, whose buffer doubles, and was copied again with the head for each attempt. The sum was bounded by nothing, the receive buffers grew to megabytes, and a body announced as too large was read up to the limit before it was refused. Change: reserver has one budget with parts for heads, bodies and answers. collector reads a body into segments that are reserved before they are read; large bodies, and small ones that find no room, are listed with its duty, for which package shedder decides who waits and who is given up. carrier sends the head and the segments without a copy. Receive buffers have a fixed size. A refused body is not drained; net/http closes the connection in two steps, so that the answer is read. 503 no_memory carries Retry-After; 408 is for bodies that stall or are slow.

--- a/internal/connection/carrier/attempt.go
+++ b/internal/connection/carrier/attempt.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"net"
 	"net/http"
 	"time"
 
@@ -36,7 +37,7 @@
 	firstEvent   time.Duration
 	longestPause time.Duration
 	// unsent is the rest of the request, and sent the number of bytes before it.
-	unsent []byte
+	unsent net.Buffers
 	sent   int
 	// reserved is the number of bytes that are reserved for the call in the account of
 	// its replies, beyond its share.
--- a/internal/connection/carrier/carrier.go
+++ b/internal/connection/carrier/carrier.go
@@ -75,7 +75,8 @@
 	Context context.Context
 	// Head is the request line and the header to write.
 	Head *http.Request
-	Body []byte
+	// Body holds the segments of the body. It is neither copied nor changed.
+	Body [][]byte
 	// DialTimeout is the maximum time for establishing a connection.
 	DialTimeout time.Duration
 	// Deadline is the time at which the call ends. IdleTimeout is the time without
--- a/internal/connection/carrier/request.go
+++ b/internal/connection/carrier/request.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"io"
+	"net"
+	"net/http"
 	"os"
 	"syscall"
 	"time"
@@ -14,20 +16,46 @@
 // early response.
 const writePollInterval = 50 * time.Millisecond
 
+// headOnly is a body that ends the encoding of its request after the head.
+type headOnly struct {
+	// read is true once the head is written. net/http wraps the error of the body in one
+	// that does not unwrap to it.
+	read bool
+}
+
+// Read implements io.Reader.
+func (h *headOnly) Read([]byte) (int, error) {
+	h.read = true
+	return 0, io.ErrUnexpectedEOF
+}
+
+// encodeHead returns the head of a message as it is sent, whose body has n bytes.
+func encodeHead(m *http.Request, n int) ([]byte, error) {
+	var b bytes.Buffer
+	body := &headOnly{}
+	if n > 0 {
+		m.Body = io.NopCloser(body)
+		m.ContentLength = int64(n)
+	}
+	if err := m.Write(&b); err != nil && !body.read {
+		return nil, errors.Wrap(err, "encode the request")
+	}
+	return b.Bytes(), nil
+}
+
 // writeRequest writes the request. It returns early, without an error, if a response
-// arrives before the whole request was sent.
+// arrives before the whole request was sent. The body is sent from the segments that the
+// call holds.
 func (c *Conn) writeRequest(a *attempt) error {
-	var b bytes.Buffer
-	b.Grow(len(a.call.Body) + 1024)
-	m := a.call.Head
-	if len(a.call.Body) > 0 {
-		m.Body = io.NopCloser(bytes.NewReader(a.call.Body))
-		m.ContentLength = int64(len(a.call.Body))
+	n := 0
+	for _, segment := range a.call.Body {
+		n += len(segment)
 	}
-	if err := m.Write(&b); err != nil {
-		return errors.Wrap(err, "encode the request")
+	head, err := encodeHead(a.call.Head, n)
+	if err != nil {
+		return err
 	}
-	a.unsent = b.Bytes()
+	a.unsent = append(net.Buffers{head}, a.call.Body...)
 	return c.writeUnsent(a)
 }
 
@@ -39,9 +67,9 @@
 			return os.ErrDeadlineExceeded
 		}
 		_ = c.conn.SetWriteDeadline(earlier(a.call.Deadline, now.Add(writePollInterval)))
-		n, err := c.conn.Write(a.unsent)
-		a.sent += n
-		a.unsent = a.unsent[n:]
+		// WriteTo takes what was written out of the buffers.
+		n, err := a.unsent.WriteTo(c.conn)
+		a.sent += int(n)
 		switch {
 		case err == nil:
 		case !errors.Is(err, os.ErrDeadlineExceeded):
@@ -54,7 +82,7 @@
 			return nil
 		}
 	}
-	// An empty slice would keep the written request in memory until the call ends.
+	// Empty buffers would keep the written request in memory until the call ends.
 	a.unsent = nil
 	return nil
 }
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -84,7 +84,7 @@
 	t.liveCall = liveCall{number: a.Attempt, cancel: cancel, pool: p}
 	t.call = carrier.Call{
 		Request: a.ID, Attempt: a.Attempt, Context: ctx,
-		Head: f.options.Codec.Encode(t.job, a, a.Deadline.Sub(now)), Body: t.job.Body,
+		Head: f.options.Codec.Encode(t.job, a, a.Deadline.Sub(now)), Body: t.job.Body.Parts(),
 		DialTimeout: a.DialTimeout, Deadline: a.Deadline.Add(dispatcher.DeadlineGrace), IdleTimeout: a.IdleTimeout,
 		Contested: a.Contested, Stream: a.Stream, Begun: a.Begun, LastEvent: a.LastEvent, EndIfEmpty: a.EndIfEmpty,
 		Framed:       t.headFraming.MarksEnd(),
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/carrier"
+	"magnoliafront.dev/magnoliafront/internal/process/collector"
 	"magnoliafront.dev/magnoliafront/internal/process/detector"
 	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
 	"magnoliafront.dev/magnoliafront/internal/process/recoverer"
@@ -51,9 +52,9 @@
 	// Context is cancelled when the caller disconnects. This aborts the request.
 	Context context.Context
 	// Head is the request line and the header as the caller sent them, and Body the
-	// complete body.
+	// complete body. It may be nil.
 	Head *http.Request
-	Body []byte
+	Body *collector.Body
 	// Replies receives the answer for the caller.
 	Replies *relayer.Ring
 }
--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -18,17 +18,17 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
 	"k8s.io/klog/v2"
 
+	"magnoliafront.dev/magnoliafront/internal/connection/bounder"
 	"magnoliafront.dev/magnoliafront/internal/connection/carrier"
+	"magnoliafront.dev/magnoliafront/internal/process/collector"
 	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
 	"magnoliafront.dev/magnoliafront/internal/process/drainer"
 	"magnoliafront.dev/magnoliafront/internal/process/forwarder"
@@ -40,12 +40,10 @@
 )
 
 const (
-	// headerReadTimeout is the maximum time to read the head of a request,
-	// bodyReadTimeout the maximum time to read its body, and idleConnTimeout the
-	// maximum time between two requests on a connection. The configuration does
-	// not change them.
+	// headerReadTimeout is the maximum time to read the head of a request, and
+	// idleConnTimeout the maximum time between two requests on a connection. The
+	// configuration does not change them.
 	headerReadTimeout = 5 * time.Second
-	bodyReadTimeout   = 30 * time.Second
 	idleConnTimeout   = time.Minute
 	// maxHeaderBytes is the maximum size of a request head, and defaultMaxBodyBytes
 	// the maximum size of a body if the configuration sets none.
@@ -57,7 +55,7 @@
 type Codec interface {
 	// ParseRequest returns the properties of a request whose body has been read at
 	// now, or the failure of an invalid one.
-	ParseRequest(r *http.Request, body []byte, now time.Time) (dispatcher.Request, *admitter.Failure)
+	ParseRequest(r *http.Request, body [][]byte, now time.Time) (dispatcher.Request, *admitter.Failure)
 	// WriteFailure answers a request with a failure.
 	WriteFailure(w http.ResponseWriter, f *admitter.Failure)
 }
@@ -72,9 +70,9 @@
 	Codec       Codec
 	Forwarder   *forwarder.Forwarder
 	Clock       timer.Clock
-	// Answers is the budget of the bytes of answers that are held for callers. If it is
-	// nil, they are not limited.
-	Answers *reserver.Budget
+	// Memory holds the budgets of what is held for callers. Without budgets it is not
+	// limited.
+	Memory reserver.Memory
 }
 
 // Receiver is the HTTP server for callers and readiness checks.
@@ -84,6 +82,7 @@
 	readinessServer *http.Server
 	draining        atomic.Bool
 	requests        requestCounters
+	bodies          *collector.Collector
 }
 
 // New listens on both addresses and starts the servers.
@@ -102,7 +101,7 @@
 
 // serve starts the servers on two listeners.
 func serve(o Options, callers, readiness net.Listener) *Receiver {
-	r := &Receiver{options: o}
+	r := &Receiver{options: o, bodies: collector.New(collector.Options{Clock: o.Clock, Budget: o.Memory.Bodies})}
 	r.callerServer = drainer.Serve(&http.Server{
 		Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleConnTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}, callers)
@@ -114,7 +113,7 @@
 }
 
 func listen(address string) (net.Listener, error) {
-	c := net.ListenConfig{KeepAliveConfig: carrier.KeepAlive()}
+	c := net.ListenConfig{KeepAliveConfig: carrier.KeepAlive(), Control: bounder.Control}
 	l, err := c.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, &Error{Op: "listen on " + address, Kind: ErrorListen, Err: err}
@@ -137,6 +136,7 @@
 // which cuts off what is left.
 func (r *Receiver) Stop(ctx context.Context) error {
 	err := r.callerServer.Stop(ctx)
+	r.bodies.Stop()
 	_ = r.readinessServer.Close()
 	if err != nil {
 		return &Error{Op: "stop", Kind: ErrorTimeout, Err: err}
@@ -144,8 +144,14 @@
 	return nil
 }
 
-// Stats returns the state of the ring of the connections of callers.
-func (r *Receiver) Stats() buffer.Stats { return r.callerServer.Stats() }
+// Stats returns the states of the rings.
+func (r *Receiver) Stats() []buffer.Stats {
+	return []buffer.Stats{r.callerServer.Stats(), r.bodies.Stats().Ring}
+}
+
+// Bodies returns the numbers of bodies that were not read to their end, and the state of
+// the budget for large ones.
+func (r *Receiver) Bodies() collector.Stats { return r.bodies.Stats() }
 
 func (r *Receiver) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if !r.Ready() {
@@ -179,24 +185,25 @@
 	}
 	body, failure := r.readBody(w, req, now)
 	if failure != nil {
-		r.options.Codec.WriteFailure(w, failure)
+		r.refuseBody(w, failure)
 		return endingRefused
 	}
-	request, failure := r.options.Codec.ParseRequest(req, body, now)
+	defer body.Release()
+	request, failure := r.options.Codec.ParseRequest(req, body.Parts(), now)
 	if failure != nil {
 		klog.InfoS("request refused", "request", request.ID, "reason", failure.Code, "detail", failure.Message)
 		r.options.Codec.WriteFailure(w, failure)
 		return endingRefused
 	}
-	account := r.options.Answers.Open()
+	account := r.options.Memory.Answers.Open()
 	defer account.Close()
-	j := forwarder.Job{Request: request, Context: req.Context(), Head: req, Body: body, Replies: relayer.NewLimitedRing(account)}
-	if !r.options.Forwarder.Submit(req.Context(), j) {
+	replies := relayer.NewLimitedRing(account)
+	if !r.options.Forwarder.Submit(req.Context(), forwarder.Job{Request: request, Context: req.Context(), Head: req, Body: body, Replies: replies}) {
 		klog.InfoS("request refused", "request", request.ID, "reason", "entry_overloaded")
 		r.options.Codec.WriteFailure(w, admitter.OverloadedFailure())
 		return endingRefused
 	}
-	err := relayer.Relay(req.Context(), w, j.Replies, r.options.Codec.WriteFailure)
+	err := relayer.Relay(req.Context(), w, replies, r.options.Codec.WriteFailure)
 	switch {
 	case err == nil:
 		return endingAnswered
@@ -212,27 +219,3 @@
 	}
 	return endingCutOff
 }
-
-// readBody reads the body of a request and returns a failure if it is too large or
-// incomplete.
-func (r *Receiver) readBody(w http.ResponseWriter, req *http.Request, now time.Time) ([]byte, *admitter.Failure) {
-	limit := int64(defaultMaxBodyBytes)
-	if t := r.options.Forwarder.State().Table; t != nil && t.Configuration.Limits.MaxBodyBytes > 0 {
-		limit = int64(t.Configuration.Limits.MaxBodyBytes)
-	}
-	if req.Body == nil || req.Body == http.NoBody {
-		return nil, nil
-	}
-	c := http.NewResponseController(w)
-	_ = c.SetReadDeadline(now.Add(bodyReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, limit))
-	_ = c.SetReadDeadline(time.Time{})
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return nil, &admitter.Failure{Status: http.StatusRequestEntityTooLarge, Code: "body_too_large", Message: "the body is larger than the configuration allows", Outcome: admitter.OutcomeNotRun}
-	case err != nil:
-		return nil, &admitter.Failure{Status: http.StatusBadRequest, Code: "body_incomplete", Message: "the body could not be read to its end", Outcome: admitter.OutcomeNotRun}
-	}
-	return body, nil
-}
--- a/internal/process/reserver/reserver.go
+++ b/internal/process/reserver/reserver.go
@@ -1,19 +1,22 @@
-// Package reserver bounds the bytes of answers that a process holds for its callers.
+// Package reserver bounds the bytes that a process holds for its callers.
 //
-// Each answer may hold a fixed share, [ShareBytes]. What an answer holds beyond its
-// share is reserved in the [Budget] of the process, which follows from the memory that
-// the process may use. A reservation never waits: an answer that gets none is relayed
-// as it arrives, or is given up. So answers cannot wait for each other, and a sound
-// answer within its share is served even if nothing is left in the budget.
+// One [Budget], which follows from the memory that the process may use, covers the heads
+// and bodies of requests and the answers. Each of these has a part of it with a limit of
+// its own, so that none takes all; see [Memory]. A reservation is counted in its part and
+// in all budgets above it, and is refused if it does not fit into one of them. It never
+// waits. Package collector makes bodies wait for room.
 //
-// An [Account] holds the reservations of one request. Goroutines of its caller and of
-// its upstreams use it; it is counted atomically, so that a reservation costs them no
-// wait for the owner of the budget.
+// Each answer and each body may hold a fixed share, [ShareBytes], without a reservation.
+// So a sound answer within its share is served even if nothing is left in the budget.
+//
+// An [Account] holds the reservations of one request in one budget. Goroutines of its
+// caller and of its upstreams use it; it is counted atomically, so that a reservation
+// costs them no wait for the owner of the budget.
 //
 // # Usage
 //
-//	budget := reserver.NewBudget(reserver.AnswerBytes(memoryLimit))
-//	account := budget.Open()
+//	memory := reserver.NewMemory(memoryLimit)
+//	account := memory.Answers.Open()
 //	defer account.Close()
 //	if account.Reserve(n) {
 //		defer account.Release(n)
@@ -23,30 +26,75 @@
 import "sync/atomic"
 
 const (
-	// ShareBytes is the number of bytes of an answer, or of a part of one that waits for
-	// its caller, that are held without a reservation. It leaves room for as many requests
-	// as an entry of 284 MB has sockets for, each with some parts that wait.
+	// ShareBytes is the number of bytes of a body, of an answer, or of a part of one that
+	// waits for its caller, that are held without a reservation. It leaves room for as many
+	// requests as an entry of 284 MB has sockets for, each with some parts that wait.
 	ShareBytes = 4 << 10
 	// DefaultMemoryLimit is the memory in bytes that a process may use if its settings
 	// do not say.
 	DefaultMemoryLimit = 256 << 20
-	// answerPart and runtimePart are the parts of the memory of a process, in eighths, for
-	// the answers in the budget and for all that the Go runtime uses. The rest is for the
-	// program itself, bytes in sockets and garbage that is collected late.
-	answerPart  = 1
-	runtimePart = 5
-	allParts    = 8
 	// closed marks an account without reservations that gets no more.
 	closed = -1
 )
 
-// AnswerBytes returns the budget of a process that may use memoryLimit bytes.
-func AnswerBytes(memoryLimit int64) int64 { return memoryLimit / allParts * answerPart }
+// The parts of the memory of a process, in sixteenths. All that is held for callers has
+// totalPart, and no kind of it more than its own part. The Go runtime uses at most
+// runtimePart for these and for all else. The rest is for the program itself, bytes in
+// sockets and garbage that is collected late.
+const (
+	totalPart      = 4
+	bodyPart       = 3
+	answerPart     = 2
+	headPart       = 1
+	connectionPart = 6
+	runtimePart    = 10
+	allParts       = 16
+)
+
+const (
+	// SocketBytes is the receive buffer of the connection of a caller as it is asked for.
+	// The kernel holds up to twice as much and does not let it grow. Smaller ones stall
+	// connections over the loopback interface, whose packets have 64 KB.
+	SocketBytes = 32 << 10
+	// connectionBytes is the memory of a connection apart from what is reserved: the stack
+	// of its goroutine, the buffers of net/http, the share of a body and of an answer, and
+	// its receive buffer.
+	connectionBytes = 24<<10 + 2*SocketBytes
+)
 
 // RuntimeBytes returns the memory limit of the Go runtime for a process that may use
 // memoryLimit bytes. Near it, garbage is collected more often.
 func RuntimeBytes(memoryLimit int64) int64 { return memoryLimit / allParts * runtimePart }
 
+// MaxConnections returns the number of connections of callers for which a process that may
+// use memoryLimit bytes has memory.
+func MaxConnections(memoryLimit int64) int {
+	return int(memoryLimit / allParts * connectionPart / connectionBytes)
+}
+
+// Memory holds the budgets of a process for what it holds for its callers.
+type Memory struct {
+	// Total covers all others. Heads and Bodies are those of requests.
+	Total   *Budget
+	Heads   *Budget
+	Bodies  *Budget
+	Answers *Budget
+}
+
+// NewMemory returns the budgets of a process that may use memoryLimit bytes. If it is zero,
+// [DefaultMemoryLimit] is assumed.
+func NewMemory(memoryLimit int64) Memory {
+	if memoryLimit == 0 {
+		memoryLimit = DefaultMemoryLimit
+	}
+	unit := memoryLimit / allParts
+	total := NewBudget(unit * totalPart)
+	return Memory{
+		Total: total, Heads: total.NewPart(unit * headPart),
+		Bodies: total.NewPart(unit * bodyPart), Answers: total.NewPart(unit * answerPart),
+	}
+}
+
 // Stats is a snapshot of a budget.
 type Stats struct {
 	// Held is the number of reserved bytes, and Limit their maximum.
@@ -56,16 +104,50 @@
 	Refused uint64
 }
 
-// Budget is the number of bytes that all answers of a process may hold beyond their
-// shares.
+// Budget is a number of bytes that may be held.
 type Budget struct {
 	limit   int64
 	held    atomic.Int64
 	refused atomic.Uint64
+	// parent is the budget of which this one is a part. It is nil for the whole.
+	parent *Budget
+	// released gets a value after a release while awaited is true. Only the whole has it.
+	released chan struct{}
+	awaited  atomic.Bool
 }
 
 // NewBudget returns a budget of limit bytes.
-func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
+func NewBudget(limit int64) *Budget {
+	return &Budget{limit: limit, released: make(chan struct{}, 1)}
+}
+
+// NewPart returns a part of b of at most limit bytes. What is reserved in it is reserved in
+// b as well.
+func (b *Budget) NewPart(limit int64) *Budget { return &Budget{limit: limit, parent: b} }
+
+// whole returns the budget that b is a part of, or b itself.
+func (b *Budget) whole() *Budget {
+	for b.parent != nil {
+		b = b.parent
+	}
+	return b
+}
+
+// Released returns a channel that gets a value after bytes were released in any part of
+// the whole budget, while they are awaited; see [Budget.Await].
+func (b *Budget) Released() <-chan struct{} { return b.whole().released }
+
+// Await tells whether somebody waits for bytes to be released.
+func (b *Budget) Await(awaited bool) { b.whole().awaited.Store(awaited) }
+
+// Free returns the number of bytes that can be reserved in b at the moment.
+func (b *Budget) Free() int64 {
+	free := b.limit - b.held.Load()
+	if b.parent != nil {
+		free = min(free, b.parent.Free())
+	}
+	return max(0, free)
+}
 
 // Stats returns the current state. A nil budget has none.
 func (b *Budget) Stats() Stats {
@@ -83,12 +165,25 @@
 	return &Account{budget: b}
 }
 
-// take takes n bytes if they are left.
+// take takes n bytes if they are left in b and in all budgets above it.
 func (b *Budget) take(n int64) bool {
+	if !b.add(n) {
+		b.refused.Add(1)
+		return false
+	}
+	if b.parent == nil || b.parent.take(n) {
+		return true
+	}
+	b.held.Add(-n)
+	b.refused.Add(1)
+	return false
+}
+
+// add adds n to the held bytes if that does not exceed the limit.
+func (b *Budget) add(n int64) bool {
 	for {
 		held := b.held.Load()
 		if held+n > b.limit {
-			b.refused.Add(1)
 			return false
 		}
 		if b.held.CompareAndSwap(held, held+n) {
@@ -97,7 +192,20 @@
 	}
 }
 
-// Account holds the reservations of one request. A nil account reserves anything.
+// give gives back n bytes.
+func (b *Budget) give(n int64) {
+	for ; b != nil; b = b.parent {
+		b.held.Add(-n)
+		if b.parent == nil && b.awaited.Load() {
+			select {
+			case b.released <- struct{}{}:
+			default:
+			}
+		}
+	}
+}
+
+// Account holds the reservations of one request in a budget. A nil account reserves anything.
 type Account struct {
 	budget *Budget
 	// reserved is the number of reserved bytes, or closed.
@@ -114,7 +222,7 @@
 		return false
 	}
 	if !a.add(int64(n)) {
-		a.budget.held.Add(-int64(n))
+		a.budget.give(int64(n))
 		return false
 	}
 	return true
@@ -123,7 +231,7 @@
 // Release gives back n reserved bytes. It does nothing after Close.
 func (a *Account) Release(n int) {
 	if a != nil && n > 0 && a.add(-int64(n)) {
-		a.budget.held.Add(-int64(n))
+		a.budget.give(int64(n))
 	}
 }
 
@@ -133,7 +241,7 @@
 		return
 	}
 	if n := a.reserved.Swap(closed); n > 0 {
-		a.budget.held.Add(-n)
+		a.budget.give(n)
 	}
 }
 
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"os"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -70,13 +71,13 @@
 			func() timer.Clock { return timer.System{} },
 			func() *syncerRef { return &syncerRef{} },
 			func() *recoverer.Recoverer { return &recoverer.Recoverer{} },
-			newStore, newMeter, newForwarder, newPeering, newReceiver, newAnswerBudget,
+			newStore, newMeter, newForwarder, newPeering, newReceiver, newMemory,
 		),
 		fx.Invoke(serveGatewayMetrics),
-		fx.Invoke(func(m *meter.Meter, b *reserver.Budget) error { return m.WatchAnswers(b.Stats) }),
+		fx.Invoke(watchMemory),
 		fx.Invoke(func(m *meter.Meter, r *recoverer.Recoverer) error { return m.WatchPanics(&r.Panics) }),
 		fx.Invoke(func(m *meter.Meter, f *forwarder.Forwarder, p *peering, r *receiver.Receiver) error {
-			return m.WatchRings(func() []buffer.Stats { return append(append(f.Stats(), p.syncer.Stats()...), r.Stats()) })
+			return m.WatchRings(func() []buffer.Stats { return slices.Concat(f.Stats(), p.syncer.Stats(), r.Stats()) })
 		}),
 		fx.Invoke(watchRequests),
 		fx.Invoke(drainGateway),
@@ -203,21 +204,37 @@
 	lc.Append(fx.StopHook(r.Stop))
 }
 
-// newAnswerBudget returns the budget for the answers that are held for callers. If the
-// memory of the process is known, the Go runtime is told to stay within its part of it.
-func newAnswerBudget(s loader.Gateway) *reserver.Budget {
+// newMemory returns the budgets for what is held for callers. If the memory of the process
+// is known, the Go runtime is told to stay within its part of it.
+func newMemory(s loader.Gateway) reserver.Memory {
 	limit := s.MemoryLimitBytes()
-	if limit == 0 {
-		return reserver.NewBudget(reserver.AnswerBytes(reserver.DefaultMemoryLimit))
+	if limit > 0 {
+		debug.SetMemoryLimit(reserver.RuntimeBytes(limit))
 	}
-	debug.SetMemoryLimit(reserver.RuntimeBytes(limit))
-	return reserver.NewBudget(reserver.AnswerBytes(limit))
+	return reserver.NewMemory(limit)
 }
 
-func newReceiver(s loader.Gateway, c timer.Clock, f *forwarder.Forwarder, b *reserver.Budget) (*receiver.Receiver, error) {
+// watchMemory exports the budgets, and the bodies that were not read to their end.
+func watchMemory(m *meter.Meter, memory reserver.Memory, r *receiver.Receiver) error {
+	if err := m.WatchAnswers(memory.Answers.Stats); err != nil {
+		return err
+	}
+	return m.WatchMemory(func() meter.Memory {
+		bodies := r.Bodies()
+		return meter.Memory{
+			Parts: map[string]reserver.Stats{
+				"total": memory.Total.Stats(), "heads": memory.Heads.Stats(), "bodies": memory.Bodies.Stats(),
+				"large_bodies": bodies.Large, "answers": memory.Answers.Stats(),
+			},
+			RefusedBodies: bodies.Refused,
+		}
+	})
+}
+
+func newReceiver(s loader.Gateway, c timer.Clock, f *forwarder.Forwarder, memory reserver.Memory) (*receiver.Receiver, error) {
 	return receiver.New(receiver.Options{
 		Listen: s.Listen, ReadyListen: s.ReadyListen, ReadyPath: platform.ReadyPath,
-		Codec: platform.Codec{}, Forwarder: f, Clock: c, Answers: b,
+		Codec: platform.Codec{}, Forwarder: f, Clock: c, Memory: memory,
 	})
 }
 
