Bound the heads of requests, and drop bodies that are not sent again

Cause: the head of a request was bounded for each connection only, and a head of many short lines takes many times its size. A body was held until its request ended, also when no other attempt could follow. Change: package bounder listens for callers. The forwarder drops the body once the answer of the last possible attempt has begun and the request is written. A request without a body is written with Write again: with writev the race detector reported an order of two test goroutines that it had taken from the system calls before (TestManyEndlessAnswersUseBoundedMemory, one run). Measured: tests of bounder, carrier, collector, forwarder, receiver with -race pass.

--- a/internal/connection/carrier/attempt.go
+++ b/internal/connection/carrier/attempt.go
@@ -71,7 +71,7 @@
 	return Report{
 		Conn: a.conn, Request: a.call.Request, Attempt: a.call.Attempt,
 		Begun: a.begun, LastEvent: a.lastEvent, Unresumable: a.isUnresumable(),
-		Framing: a.framing, RelayedEvents: a.relayedEvents,
+		Framing: a.framing, RelayedEvents: a.relayedEvents, Written: a.requestWritten(),
 	}
 }
 
--- a/internal/connection/carrier/carrier.go
+++ b/internal/connection/carrier/carrier.go
@@ -31,6 +31,7 @@
 	"time"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/prober"
+	"magnoliafront.dev/magnoliafront/internal/process/collector"
 	"magnoliafront.dev/magnoliafront/internal/process/recoverer"
 	"magnoliafront.dev/magnoliafront/internal/request/relayer"
 	"magnoliafront.dev/magnoliafront/pkg/buffer"
@@ -75,8 +76,8 @@
 	Context context.Context
 	// Head is the request line and the header to write.
 	Head *http.Request
-	// Body holds the segments of the body. It is neither copied nor changed.
-	Body [][]byte
+	// Body is the body, which is not copied. It may be nil.
+	Body *collector.Body
 	// DialTimeout is the maximum time for establishing a connection.
 	DialTimeout time.Duration
 	// Deadline is the time at which the call ends. IdleTimeout is the time without
@@ -180,6 +181,8 @@
 	// response that were relayed since the start of the call.
 	Framing       Framing
 	RelayedEvents int
+	// Written is true if the whole request has been written. It is set in progress reports.
+	Written bool
 	// FirstEvent is the time from the start of the call to the first event of a
 	// stream. LongestPause is the longest time between two later reads that
 	// completed events. Both are zero if there were none.
--- a/internal/connection/carrier/foreign_test.go
+++ b/internal/connection/carrier/foreign_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"magnoliafront.dev/magnoliafront/internal/process/collector"
 )
 
 // classifyForeign returns the verdict for the header that an upstream of these tests
@@ -79,7 +81,7 @@
 	}()
 	u := &rawUpstream{address: l.Addr().String()}
 	r, replies := u.call(t, func(c *Call) {
-		c.Body, c.Classify, c.IdleTimeout = [][]byte{make([]byte, size)}, classifyForeign, 20*time.Second
+		c.Body, c.Classify, c.IdleTimeout = collector.NewBody(make([]byte, size)), classifyForeign, 20*time.Second
 	})
 	is := is.New(t)
 	is.Equal(r.Outcome, OutcomeAnswered)
--- a/internal/connection/carrier/late_test.go
+++ b/internal/connection/carrier/late_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/peeker"
+	"magnoliafront.dev/magnoliafront/internal/process/collector"
 	"magnoliafront.dev/magnoliafront/pkg/timer"
 )
 
@@ -172,7 +173,7 @@
 	r, replies := u.call(t, func(c *Call) {
 		// The body does not fit into the buffers of the connection, so that it is being
 		// written when the answer arrives.
-		c.Body = [][]byte{make([]byte, 64<<20)}
+		c.Body = collector.NewBody(make([]byte, 64<<20))
 	})
 	is.Equal(r.Outcome, OutcomeAnswered)
 	is.Equal(string(replies[0].Bytes), "full")
--- a/internal/connection/carrier/request.go
+++ b/internal/connection/carrier/request.go
@@ -44,18 +44,18 @@
 }
 
 // writeRequest writes the request. It returns early, without an error, if a response
-// arrives before the whole request was sent. The body is sent from the segments that the
-// call holds.
+// arrives before the whole request was sent. The body is sent from the segments of the
+// call.
 func (c *Conn) writeRequest(a *attempt) error {
-	n := 0
-	for _, segment := range a.call.Body {
-		n += len(segment)
+	size, parts := a.call.Body.Len(), a.call.Body.Parts()
+	if size > 0 && parts == nil {
+		return errors.New("the body is not held any more")
 	}
-	head, err := encodeHead(a.call.Head, n)
+	head, err := encodeHead(a.call.Head, size)
 	if err != nil {
 		return err
 	}
-	a.unsent = append(net.Buffers{head}, a.call.Body...)
+	a.unsent = append(net.Buffers{head}, parts...)
 	return c.writeUnsent(a)
 }
 
@@ -67,9 +67,8 @@
 			return os.ErrDeadlineExceeded
 		}
 		_ = c.conn.SetWriteDeadline(earlier(a.call.Deadline, now.Add(writePollInterval)))
-		// WriteTo takes what was written out of the buffers.
-		n, err := a.unsent.WriteTo(c.conn)
-		a.sent += int(n)
+		n, err := c.writeOnce(a)
+		a.sent += n
 		switch {
 		case err == nil:
 		case !errors.Is(err, os.ErrDeadlineExceeded):
@@ -87,6 +86,21 @@
 	return nil
 }
 
+// writeOnce writes as much of the unsent rest as the connection takes. Several buffers are
+// written with one system call.
+func (c *Conn) writeOnce(a *attempt) (int, error) {
+	if len(a.unsent) > 1 {
+		// WriteTo takes what was written out of the buffers.
+		n, err := a.unsent.WriteTo(c.conn)
+		return int(n), err
+	}
+	n, err := c.conn.Write(a.unsent[0])
+	if a.unsent[0] = a.unsent[0][n:]; len(a.unsent[0]) == 0 {
+		a.unsent = nil
+	}
+	return n, err
+}
+
 // requestWritten reports whether the whole request was sent and no mismatched response
 // was skipped. Otherwise the connection is not reused, and a timeout ends the call as
 // lost rather than as expired or silent.
--- a/internal/connection/carrier/reset_test.go
+++ b/internal/connection/carrier/reset_test.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
 	"golang.org/x/sys/unix"
+	"magnoliafront.dev/magnoliafront/internal/process/collector"
 )
 
 // awaitFinAcknowledged waits until the peer has acknowledged the end of a connection. A
@@ -61,7 +63,7 @@
 func TestResetThatWriteReportsCutsAnswer(t *testing.T) {
 	// The body does not fit into the buffers of the connection, so that it is being
 	// written when the connection is reset.
-	withBody := func(c *Call) { c.Body, c.IdleTimeout = [][]byte{make([]byte, 64<<20)}, 20*time.Second }
+	withBody := func(c *Call) { c.Body, c.IdleTimeout = collector.NewBody(make([]byte, 64<<20)), 20*time.Second }
 	t.Run("answer that ends with its connection", func(t *testing.T) {
 		u := newEarlyUpstream(t, "HTTP/1.1 200 OK\r\n\r\nhalf", false)
 		r, replies := u.call(t, withBody)
--- a/internal/process/collector/reading.go
+++ b/internal/process/collector/reading.go
@@ -33,6 +33,7 @@
 	collector *Collector
 	source    Source
 	body      *Body
+	segments  [][]byte
 	received  int64
 	// start is the time at which the body began, later by the time for which it has waited.
 	start       time.Time
@@ -58,6 +59,7 @@
 		return nil, err
 	}
 	_ = s.SetReadDeadline(time.Time{})
+	r.body.set(r.segments)
 	return r.body, nil
 }
 
@@ -81,7 +83,7 @@
 			return err
 		}
 		if n > 0 {
-			r.body.Segments = append(r.body.Segments, segment[:n])
+			r.segments = append(r.segments, segment[:n])
 		}
 		if ended {
 			return nil
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -81,10 +81,10 @@
 		t.suspended = &silent
 	}
 	ctx, cancel := context.WithCancel(t.job.Context)
-	t.liveCall = liveCall{number: a.Attempt, cancel: cancel, pool: p}
+	t.liveCall = liveCall{number: a.Attempt, cancel: cancel, pool: p, final: a.IdleTimeout == 0}
 	t.call = carrier.Call{
 		Request: a.ID, Attempt: a.Attempt, Context: ctx,
-		Head: f.options.Codec.Encode(t.job, a, a.Deadline.Sub(now)), Body: t.job.Body.Parts(),
+		Head: f.options.Codec.Encode(t.job, a, a.Deadline.Sub(now)), Body: t.job.Body,
 		DialTimeout: a.DialTimeout, Deadline: a.Deadline.Add(dispatcher.DeadlineGrace), IdleTimeout: a.IdleTimeout,
 		Contested: a.Contested, Stream: a.Stream, Begun: a.Begun, LastEvent: a.LastEvent, EndIfEmpty: a.EndIfEmpty,
 		Framed:       t.headFraming.MarksEnd(),
@@ -128,6 +128,9 @@
 	current := t != nil && t.number == r.Attempt
 	suspended := t != nil && t.suspended != nil && t.suspended.number == r.Attempt
 	t.recordAnswer(r)
+	if current {
+		t.dropBody(r)
+	}
 	if !r.Ended {
 		if current || suspended && r.Ready {
 			f.dispatch(now, t.interimEvent(r))
--- a/internal/process/forwarder/request.go
+++ b/internal/process/forwarder/request.go
@@ -40,6 +40,16 @@
 	call   carrier.Call
 	cancel context.CancelFunc
 	pool   *pool
+	// final is true if the request must not run again once the call has been answered.
+	final bool
+}
+
+// dropBody drops the body once the answer of the current call has begun, if no other call
+// may send it.
+func (t *inFlightRequest) dropBody(r carrier.Report) {
+	if r.Begun && r.Written && t.suspended == nil && (t.final || r.Unresumable) {
+		t.job.Body.Drop()
+	}
 }
 
 // cancelCalls cancels the calls of a request.
--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -87,11 +87,11 @@
 
 // New listens on both addresses and starts the servers.
 func New(o Options) (*Receiver, error) {
-	callers, err := listen(o.Listen)
+	callers, err := listen(o.Listen, o.Memory.Heads)
 	if err != nil {
 		return nil, err
 	}
-	readiness, err := listen(o.ReadyListen)
+	readiness, err := listen(o.ReadyListen, nil)
 	if err != nil {
 		_ = callers.Close()
 		return nil, err
@@ -103,7 +103,7 @@
 func serve(o Options, callers, readiness net.Listener) *Receiver {
 	r := &Receiver{options: o, bodies: collector.New(collector.Options{Clock: o.Clock, Budget: o.Memory.Bodies})}
 	r.callerServer = drainer.Serve(&http.Server{
-		Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleConnTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: bounder.Guard(http.HandlerFunc(r.serve)), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleConnTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}, callers)
 	routes := mux.NewRouter()
 	routes.HandleFunc(o.ReadyPath, r.serveReadiness).Methods(http.MethodGet)
@@ -112,9 +112,9 @@
 	return r
 }
 
-func listen(address string) (net.Listener, error) {
-	c := net.ListenConfig{KeepAliveConfig: carrier.KeepAlive(), Control: bounder.Control}
-	l, err := c.Listen(context.Background(), "tcp", address)
+// listen listens on an address. The heads of requests are held within the budget.
+func listen(address string, heads *reserver.Budget) (net.Listener, error) {
+	l, err := bounder.Listen(context.Background(), net.ListenConfig{KeepAliveConfig: carrier.KeepAlive()}, address, heads)
 	if err != nil {
 		return nil, &Error{Op: "listen on " + address, Kind: ErrorListen, Err: err}
 	}
