Read the bodies of the own front end within a budget

Cause: the own front end read each body whole with io.ReadAll; the sum had no bound, and a refused body was drained. Change: server reads bodies with package collector, within a third of the budget for bodies, since a body is held up to three times there. Its listener is that of package bounder. The decoder takes a body that has been read. Receiver and server share the failures and the close of an unread body.

--- a/internal/connection/carrier/reset_test.go
+++ b/internal/connection/carrier/reset_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
-
 	"golang.org/x/sys/unix"
+
 	"magnoliafront.dev/magnoliafront/internal/process/collector"
 )
 
--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -185,7 +185,8 @@
 	}
 	body, failure := r.readBody(w, req, now)
 	if failure != nil {
-		r.refuseBody(w, failure)
+		collector.CloseUnread(w)
+		r.options.Codec.WriteFailure(w, failure)
 		return endingRefused
 	}
 	defer body.Release()
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -22,7 +22,10 @@
 
 	"github.com/gorilla/mux"
 
+	"magnoliafront.dev/magnoliafront/internal/connection/bounder"
+	"magnoliafront.dev/magnoliafront/internal/process/collector"
 	"magnoliafront.dev/magnoliafront/internal/process/drainer"
+	"magnoliafront.dev/magnoliafront/internal/process/reserver"
 	"magnoliafront.dev/magnoliafront/internal/process/router"
 	"magnoliafront.dev/magnoliafront/internal/request/admitter"
 	"magnoliafront.dev/magnoliafront/internal/request/decoder"
@@ -31,10 +34,9 @@
 )
 
 const (
-	// readHeaderTimeout and readBodyTimeout limit how long a slow caller can keep
-	// a connection open before its request is complete.
+	// readHeaderTimeout limits how long a slow caller can keep a connection open before
+	// the head of its request is complete.
 	readHeaderTimeout = 5 * time.Second
-	readBodyTimeout   = 30 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 16 << 10
 	// finalAnswersMargin is the time before the exit at which requests in flight fail.
@@ -50,6 +52,9 @@
 	Identity string
 	Clock    timer.Clock
 	Router   *router.Router
+	// Memory holds the budgets of what is held for callers. Without budgets it is not
+	// limited.
+	Memory reserver.Memory
 	// Metrics is the handler of /metrics. If it is nil, the path is not served.
 	Metrics http.Handler
 }
@@ -64,17 +69,18 @@
 	startNanos   int64
 	requestCount atomic.Uint64
 	leaving      atomic.Bool
+	bodies       *collector.Collector
 }
 
 // New listens on the address in o and starts to serve requests.
 func New(o Options) (*Server, error) {
-	l, err := net.Listen("tcp", o.Listen)
+	l, err := bounder.Listen(context.Background(), net.ListenConfig{}, o.Listen, o.Memory.Heads)
 	if err != nil {
 		return nil, &Error{Op: "listen on " + o.Listen, Kind: ErrorListen, Err: err}
 	}
-	s := &Server{options: o, listener: l, startNanos: o.Clock.Now().UnixNano()}
+	s := &Server{options: o, listener: l, startNanos: o.Clock.Now().UnixNano(), bodies: newCollector(o)}
 	s.http = drainer.Serve(&http.Server{
-		Handler:           s.closeConnsWhenLeaving(s.routes()),
+		Handler:           bounder.Guard(s.closeConnsWhenLeaving(s.routes())),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -99,6 +105,7 @@
 // ends. In the second case it closes the remaining connections and returns an
 // error of kind [ErrorTimeout].
 func (s *Server) Stop(ctx context.Context) error {
+	defer s.bodies.Stop()
 	if err := s.http.Stop(ctx); err != nil {
 		return &Error{Op: "stop listening on " + s.Address(), Kind: ErrorTimeout, Err: err}
 	}
@@ -152,7 +159,12 @@
 
 func (s *Server) handleCompletion(w http.ResponseWriter, req *http.Request) {
 	id, now := s.startRequest(w)
-	c, f := decoder.ReadCompletion(w, req, id, now)
+	body, ok := s.readBody(w, req)
+	if !ok {
+		return
+	}
+	defer body.Release()
+	c, f := decoder.ReadCompletion(req, join(body), id, now)
 	if f != nil {
 		responder.WriteFailure(w, f)
 		return
@@ -174,11 +186,12 @@
 func (s *Server) handleServiceCall(w http.ResponseWriter, req *http.Request) {
 	id, now := s.startRequest(w)
 	vars := mux.Vars(req)
-	q, f := decoder.ReadCall(w, req, vars["service"], "/"+vars["path"], id, now)
-	if f != nil {
-		responder.WriteFailure(w, f)
+	body, ok := s.readBody(w, req)
+	if !ok {
 		return
 	}
+	defer body.Release()
+	q := decoder.ReadCall(req, join(body), vars["service"], "/"+vars["path"], id, now)
 	replies, ok := s.submit(w, req, router.Job{Request: q})
 	if !ok {
 		return
@@ -208,15 +221,11 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// startRequest assigns an ID to a request, sets the deadline for reading the body
-// and returns the ID and the current time.
+// startRequest assigns an ID to a request and returns the ID and the current time.
 func (s *Server) startRequest(w http.ResponseWriter) (string, time.Time) {
 	n := s.requestCount.Add(1)
 	id := fmt.Sprintf("%s-%s-%d", s.options.Identity, strconv.FormatInt(s.startNanos, 36), n)
 	now := s.options.Clock.Now()
-	// The error is ignored: a test's ResponseWriter that doesn't support deadlines
-	// needs none.
-	_ = http.NewResponseController(w).SetReadDeadline(now.Add(readBodyTimeout))
 	w.Header().Set("X-Request-Id", id)
 	return id, now
 }
@@ -224,9 +233,6 @@
 // submit passes a job to the router and returns the ring of its replies. If the
 // router doesn't accept the job, it writes a failure and returns false.
 func (s *Server) submit(w http.ResponseWriter, req *http.Request, j router.Job) (*responder.Ring, bool) {
-	// The body has been read. Waiting for the response may take longer than
-	// readBodyTimeout.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	j.Replies = responder.NewRing()
 	if s.options.Router.Submit(req.Context(), j) {
 		return j.Replies, true
--- a/internal/process/starter/entry.go
+++ b/internal/process/starter/entry.go
@@ -17,6 +17,7 @@
 	"magnoliafront.dev/magnoliafront/internal/process/loader"
 	"magnoliafront.dev/magnoliafront/internal/process/meter"
 	"magnoliafront.dev/magnoliafront/internal/process/recorder"
+	"magnoliafront.dev/magnoliafront/internal/process/reserver"
 	"magnoliafront.dev/magnoliafront/internal/process/router"
 	"magnoliafront.dev/magnoliafront/internal/process/server"
 	"magnoliafront.dev/magnoliafront/internal/process/sharer"
@@ -139,7 +140,9 @@
 }
 
 func newServer(lc fx.Lifecycle, s loader.Entry, c timer.Clock, r *router.Router, m *meter.Meter) (*server.Server, error) {
-	srv, err := server.New(server.Options{Listen: s.Listen, Identity: s.Identity, Clock: c, Router: r, Metrics: m.Handler()})
+	srv, err := server.New(server.Options{
+		Listen: s.Listen, Identity: s.Identity, Clock: c, Router: r, Metrics: m.Handler(), Memory: reserver.NewMemory(0),
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/request/decoder/decoder.go
+++ b/internal/request/decoder/decoder.go
@@ -1,12 +1,12 @@
 // Package decoder decodes and validates the HTTP requests of callers.
 //
-// It checks the size, the syntax and the fields that the system itself needs.
+// It checks the syntax and the fields that the system itself needs.
 // Package admitter decides whether the request is allowed. For a request that
 // cannot be decoded, the package returns a failure with the outcome not_run.
 //
 // # Usage
 //
-//	c, f := decoder.ReadCompletion(w, r, id, now)
+//	c, f := decoder.ReadCompletion(r, body, id, now)
 //	if f != nil {
 //		responder.WriteFailure(w, f)
 //		return
@@ -17,15 +17,11 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"fmt"
-	"io"
 	"net/http"
 	"net/textproto"
 	"strings"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
 	"magnoliafront.dev/magnoliafront/internal/request/admitter"
 )
@@ -56,12 +52,8 @@
 }
 
 // ReadCompletion decodes a request for a chat completion, which was received at
-// now and gets the given ID.
-func ReadCompletion(w http.ResponseWriter, r *http.Request, id string, now time.Time) (Completion, *admitter.Failure) {
-	body, f := readBody(w, r)
-	if f != nil {
-		return Completion{}, f
-	}
+// now and gets the given ID. Its body has been read.
+func ReadCompletion(r *http.Request, body []byte, id string, now time.Time) (Completion, *admitter.Failure) {
 	var b completionBody
 	if err := json.Unmarshal(body, &b); err != nil {
 		return Completion{}, badRequest("malformed_json", err.Error())
@@ -81,17 +73,14 @@
 }
 
 // ReadCall decodes a request to a plain service, which was received at now and
-// gets the given ID. The service receives the call with the given path.
-func ReadCall(w http.ResponseWriter, r *http.Request, service, path, id string, now time.Time) (admitter.Request, *admitter.Failure) {
-	body, f := readBody(w, r)
-	if f != nil {
-		return admitter.Request{}, f
-	}
+// gets the given ID. Its body has been read. The service receives the call with the given
+// path.
+func ReadCall(r *http.Request, body []byte, service, path, id string, now time.Time) admitter.Request {
 	q := commonFields(r, id, now)
 	q.Service = service
 	q.ContentDigest = contentDigest([]byte(r.Method), []byte(service), []byte(path), []byte(r.URL.RawQuery), body)
 	q.Call = &messenger.Call{Method: r.Method, Path: path, Query: r.URL.RawQuery, Header: forwardedFields(r.Header), Body: body}
-	return q, nil
+	return q
 }
 
 // commonFields returns a request with the fields that don't depend on the route.
@@ -116,21 +105,6 @@
 	return hex.EncodeToString(h.Sum(nil)[:16])
 }
 
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *admitter.Failure) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, &admitter.Failure{
-			Status: http.StatusRequestEntityTooLarge, Code: "body_too_large", Outcome: admitter.OutcomeNotRun,
-			Message: fmt.Sprintf("the body is over %d bytes", MaxBodyBytes),
-		}
-	}
-	if err != nil {
-		return nil, badRequest("incomplete_body", err.Error())
-	}
-	return body, nil
-}
-
 // forwardedFields returns the header fields that are forwarded to a plain
 // service: all except hop-by-hop fields, Content-Length and Accept-Encoding, which
 // the HTTP client sets itself, and the fields for the system itself.
--- a/internal/request/decoder/decoder_test.go
+++ b/internal/request/decoder/decoder_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
@@ -26,11 +25,9 @@
 // query and body.
 func digestOfCall(t *testing.T, path, query, body string) string {
 	t.Helper()
-	r := httptest.NewRequest("POST", "/services/booking/x", strings.NewReader(body))
+	r := httptest.NewRequest("POST", "/services/booking/x", nil)
 	r.URL.RawQuery = query
-	q, f := ReadCall(httptest.NewRecorder(), r, "booking", path, "id", time.Unix(0, 0))
-	is.New(t).True(f == nil)
-	return q.ContentDigest
+	return ReadCall(r, []byte(body), "booking", path, "id", time.Unix(0, 0)).ContentDigest
 }
 
 func assertDistinct(t *testing.T, digests ...string) {
