Limit messages of peers before they are authenticated

Cause: an accepted peer could send a message of 1 MB before it had proved that it knows the secret. Change: until then a message may have 4 KB; a hello has less than 1 KB. The dialling side keeps the full limit, since a peer may send a large message while its part of the handshake is still being verified.

--- a/internal/connection/messenger/messenger.go
+++ b/internal/connection/messenger/messenger.go
@@ -50,6 +50,9 @@
 	// MaxMessageBytes is the maximum size of a message. The largest message is a
 	// bucket of records, which the platform stores in an object of at most 1 MB.
 	MaxMessageBytes = 1 << 20
+	// maxHandshakeBytes is the maximum size of a message that an accepted peer sends before
+	// it has proved that it knows the secret. A hello has less than 1 KB.
+	maxHandshakeBytes = 4 << 10
 	// handshakeTimeout is the default time after which a connection without a
 	// complete handshake is closed. It bounds the time for which an
 	// unauthenticated peer can occupy a connection.
@@ -230,7 +233,7 @@
 		handshakeDone: make(chan struct{}),
 		dialled:       dialled,
 	}
-	stream := jsonrpc2.NewBufferedStream(nc, lineCodec{refused: o.countRefused})
+	stream := jsonrpc2.NewBufferedStream(nc, lineCodec{refused: o.countRefused, maxBytes: c.maxMessageBytes})
 	constructed := make(chan struct{})
 	// The log lines of the library duplicate errors that the handler reports.
 	silent := jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
@@ -280,6 +283,15 @@
 	}
 }
 
+// maxMessageBytes returns the maximum size of the message that is read. A dialled peer may
+// send a large message while its part of the handshake is still being verified.
+func (c *Conn) maxMessageBytes() int {
+	if c.dialled || c.authenticated() {
+		return MaxMessageBytes
+	}
+	return maxHandshakeBytes
+}
+
 // deferredHandler blocks the reader goroutine, which jsonrpc2.NewConn starts,
 // until newConn has set Conn.rpc.
 type deferredHandler struct {
@@ -420,8 +432,10 @@
 }
 
 // lineCodec encodes one JSON object per line and limits the length of the lines
-// that it reads to [MaxMessageBytes].
+// that it reads.
 type lineCodec struct {
+	// maxBytes returns the limit for the next line.
+	maxBytes func() int
 	// refused is called for each message that cannot be read. It may be nil.
 	refused func()
 }
@@ -433,7 +447,7 @@
 
 // ReadObject implements [jsonrpc2.ObjectCodec].
 func (l lineCodec) ReadObject(r *bufio.Reader, v any) error {
-	line, err := readLine(r)
+	line, err := readLine(r, l.maxBytes())
 	if err == nil {
 		err = json.Unmarshal(line, v)
 	} else if len(line) == 0 {
@@ -446,15 +460,15 @@
 	return err
 }
 
-// readLine reads up to and including a line feed. On an error it also returns
-// the bytes read so far.
-func readLine(r *bufio.Reader) ([]byte, error) {
+// readLine reads up to and including a line feed, at most maxBytes. On an error it also
+// returns the bytes read so far.
+func readLine(r *bufio.Reader, maxBytes int) ([]byte, error) {
 	var line []byte
 	for {
 		part, err := r.ReadSlice('\n')
 		line = append(line, part...)
-		if len(line) > MaxMessageBytes {
-			return line, &Error{Op: "read", Kind: ErrorProtocol, Err: errors.Errorf("message over %d bytes", MaxMessageBytes)}
+		if len(line) > maxBytes {
+			return line, &Error{Op: "read", Kind: ErrorProtocol, Err: errors.Errorf("message over %d bytes", maxBytes)}
 		}
 		if err == nil || !errors.Is(err, bufio.ErrBufferFull) {
 			return line, err
--- a/internal/connection/messenger/messenger_test.go
+++ b/internal/connection/messenger/messenger_test.go
@@ -130,6 +130,9 @@
 			go r.send(strings.Repeat("x", MaxMessageBytes+2))
 		}},
 		{"oversized message before the handshake", func(_ *testing.T, r *rawPeer) { go r.send(strings.Repeat("x", MaxMessageBytes+2)) }},
+		{"message without an end before the handshake", func(_ *testing.T, r *rawPeer) {
+			_, _ = r.Write([]byte(strings.Repeat("x", 3*maxHandshakeBytes)))
+		}},
 		{"malformed message", func(t *testing.T, r *rawPeer) {
 			r.completeHandshake(t)
 			r.send(`{"jsonrpc":"2.0","method":`)
