Give the sockets of callers fixed buffers, and test a crowd of heads

Cause: the send buffers of callers that do not read grow to megabytes each. No test showed what heads without an end take. Change: bounder sets SO_SNDBUF as well as SO_RCVBUF. package flooder has a crowd of 200 heads that do not end, and an ordinary request beside each crowd of bodies.

--- a/internal/connection/bounder/bounder.go
+++ b/internal/connection/bounder/bounder.go
@@ -2,8 +2,9 @@
 // served.
 //
 // The kernel keeps bytes that have arrived and were not read in the receive buffer of the
-// socket, and lets that grow to several megabytes. A [Listener] gives the buffers a fixed
-// size, which the accepted connections take from it.
+// socket, and bytes that the caller has not read in its send buffer, and lets both grow to
+// several megabytes. A [Listener] gives the buffers a fixed size, which the accepted
+// connections take from it.
 //
 // net/http collects the head of a request in memory, and a head of many short lines takes
 // many times its size there. A [Conn] counts the head as it is read, with a constant for
@@ -59,7 +60,7 @@
 
 // Listen listens on a TCP address. If heads is nil, heads are not limited together.
 func Listen(ctx context.Context, c net.ListenConfig, address string, heads *reserver.Budget) (*Listener, error) {
-	c.Control = setReceiveBuffer
+	c.Control = setBuffers
 	l, err := c.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -67,11 +68,15 @@
 	return &Listener{TCPListener: l.(*net.TCPListener), heads: heads}, nil
 }
 
-// setReceiveBuffer sets the size of the receive buffer of a socket.
-func setReceiveBuffer(_, _ string, c syscall.RawConn) error {
+// setBuffers sets the sizes of the buffers of a socket.
+func setBuffers(_, _ string, c syscall.RawConn) error {
 	var optionErr error
 	err := c.Control(func(fd uintptr) {
-		optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, reserver.SocketBytes)
+		for _, option := range [...]int{syscall.SO_RCVBUF, syscall.SO_SNDBUF} {
+			if err := syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, option, reserver.SocketBytes); err != nil {
+				optionErr = err
+			}
+		}
 	})
 	if err != nil {
 		return err
--- a/internal/process/flooder/crowd_test.go
+++ b/internal/process/flooder/crowd_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -25,6 +26,10 @@
 	// the number of bytes after which a client that is still not refused ends.
 	overlongBytes = 900_000_000
 	maxSentBytes  = 8 * maxBodyBytes
+	// maxHeadBytes is the size of a head that is not ended. The entry takes none of 64 KB.
+	maxHeadBytes = 60 << 10
+	// headCrowdSize is the number of clients that send such heads.
+	headCrowdSize = 200
 	// blockedTimeout is the time after which a client that cannot send on counts as held
 	// back. A shorter one than is needed ends the test earlier, with a lower peak.
 	blockedTimeout = time.Second
@@ -43,6 +48,18 @@
 	piece string
 	size  int
 	once  bool
+	// headOnly is true if the head of the request does not end, and no body follows.
+	headOnly bool
+	// clients is the number of clients, crowdSize if it is zero.
+	clients int
+}
+
+// crowdSize returns the number of clients that send the body.
+func (b body) crowdSize() int {
+	if b.clients > 0 {
+		return b.clients
+	}
+	return crowdSize
 }
 
 // chunk returns a chunk of n bytes.
@@ -90,7 +107,7 @@
 func (c *crowd) send(t *testing.T) {
 	t.Helper()
 	var clients sync.WaitGroup
-	for i := range crowdSize {
+	for i := range c.body.crowdSize() {
 		clients.Go(func() {
 			conn, err := net.Dial("tcp", c.entry.address)
 			if err != nil {
@@ -108,14 +125,18 @@
 		})
 	}
 	clients.Wait()
-	t.Logf("%d of %d connections were closed by the entry", c.refused, crowdSize)
+	t.Logf("%d of %d connections were closed by the entry", c.refused, c.body.crowdSize())
 }
 
 // sendTo sends the body until all is sent, nothing more is taken or the connection is
 // closed. It reports false in the last case.
 func (b body) sendTo(conn net.Conn, id string) bool {
 	_ = conn.(*net.TCPConn).SetWriteBuffer(sendBufferBytes)
-	if _, err := fmt.Fprintf(conn, "POST /check/%s HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer key\r\nMagnoliafront-Request-Id: %s\r\nMagnoliafront-Deadline-Ms: 60000\r\n%s\r\n\r\n", id, id, b.framing); err != nil {
+	headEnd := "\r\n\r\n"
+	if b.headOnly {
+		headEnd = ""
+	}
+	if _, err := fmt.Fprintf(conn, "POST /check/%s HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer key\r\nMagnoliafront-Request-Id: %s\r\nMagnoliafront-Deadline-Ms: 60000\r\n%s%s", id, id, b.framing, headEnd); err != nil {
 		return false
 	}
 	piece := b.piece
@@ -152,7 +173,7 @@
 	e.assertLives()
 	c.leave()
 	e.assertServes()
-	assertBounded(t, s.finish(), crowdSize)
+	assertBounded(t, s.finish(), b.crowdSize())
 	e.assertLives()
 }
 
@@ -174,6 +195,31 @@
 	}
 }
 
+// A crowd of large bodies kept the memory for itself, so that small requests of others
+// failed for as long as it was there.
+func TestOrdinaryRequestIsAnsweredBesideCrowd(t *testing.T) {
+	binary := buildProgram(t)
+	for _, b := range slices.Concat(unfinished(), overlong()) {
+		t.Run(b.name, func(t *testing.T) {
+			e := startEntry(t, binary)
+			c := &crowd{entry: e, body: b}
+			c.send(t)
+			e.assertServes()
+			c.leave()
+			e.assertLives()
+		})
+	}
+}
+
+// Heads without an end took many times their size in memory, and their sum had no bound.
+func TestUnfinishedHeadsKeepEntryWithinItsMemory(t *testing.T) {
+	var lines strings.Builder
+	for i := 0; lines.Len() < maxHeadBytes; i++ {
+		fmt.Fprintf(&lines, "A%d:\r\n", i)
+	}
+	assertEntrySurvives(t, buildProgram(t), body{name: "heads", framing: lines.String(), headOnly: true, clients: headCrowdSize})
+}
+
 // A body of the full size that the configuration allows is served while the entry is idle,
 // however it is framed.
 func TestBodyOfFullSizeIsServed(t *testing.T) {
--- a/internal/process/reserver/reserver.go
+++ b/internal/process/reserver/reserver.go
@@ -52,14 +52,15 @@
 )
 
 const (
-	// SocketBytes is the receive buffer of the connection of a caller as it is asked for.
-	// The kernel holds up to twice as much and does not let it grow. Smaller ones stall
-	// connections over the loopback interface, whose packets have 64 KB.
+	// SocketBytes is the size of the receive and of the send buffer of the connection of a
+	// caller as it is asked for. The kernel holds up to twice as much and does not let them
+	// grow. Receive buffers of 16 KB stall connections over the loopback interface, whose
+	// packets have 64 KB.
 	SocketBytes = 32 << 10
 	// connectionBytes is the memory of a connection apart from what is reserved: the stack
-	// of its goroutine, the buffers of net/http, the share of a body and of an answer, and
-	// its receive buffer.
-	connectionBytes = 24<<10 + 2*SocketBytes
+	// of its goroutine, the buffers of net/http, the shares of a head, a body and an answer,
+	// and what usually waits in its socket.
+	connectionBytes = 32<<10 + SocketBytes
 )
 
 // RuntimeBytes returns the memory limit of the Go runtime for a process that may use
