Spare bodies that are unread, refuse what never fits, bound other listeners

Cause: after a freeze of the process, bodies with unread bytes counted as idle. A body larger than the budget for large ones would have had others given up and never have fitted. Readiness and metrics took heads of 1 MB and waited for bodies without a limit. Change: the collector looks at the socket before it gives an idle body up; a body that cannot fit is refused at once. Readiness and metrics have limits of heads, times and socket buffers.

--- a/internal/process/collector/collector.go
+++ b/internal/process/collector/collector.go
@@ -225,7 +225,13 @@
 		c.grant(c.listed[id])
 	}
 	for _, id := range plan.Shed {
-		c.giveUp(c.listed[id])
+		if l := c.listed[id]; l.isUnread() {
+			// Its caller is not idle; this process was.
+			l.progress.Store(now.UnixNano())
+			plan.Next = earliest(plan.Next, now.Add(c.options.Limits.Idle))
+		} else {
+			c.giveUp(l)
+		}
 	}
 	if plan.Next.IsZero() {
 		return nil, func() {}
@@ -233,6 +239,14 @@
 	return c.options.Clock.After(max(0, plan.Next.Sub(now)))
 }
 
+// earliest returns the earlier of two times, of which the first may be zero.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // grant reserves what a body wants. If another has taken the room meanwhile, the body
 // waits on.
 func (c *Collector) grant(l *listing) {
--- a/internal/process/collector/collector_test.go
+++ b/internal/process/collector/collector_test.go
@@ -119,6 +119,13 @@
 	}
 }
 
+// larger returns a body of n bytes that is allowed.
+func larger(n int) Source {
+	s := source(strings.NewReader(strings.Repeat("x", n)), int64(n))
+	s.MaxBytes = int64(n)
+	return s
+}
+
 // unreadable is a body that must not be read.
 type unreadable struct{ t *testing.T }
 
@@ -137,6 +144,7 @@
 	}{
 		{"announced as too large", source(unreadable{t}, maxBytes+1), ErrorTooLarge},
 		{"too large", source(strings.NewReader(strings.Repeat("x", maxBytes+1)), -1), ErrorTooLarge},
+		{"larger than the budget for large ones", larger(budgetBytes/2 + 200_000), ErrorNoRoom},
 		{"shorter than announced", source(strings.NewReader(strings.Repeat("x", 100_000)), 100_001), ErrorIncomplete},
 		{"broken off", source(io.MultiReader(strings.NewReader("x"), iotest.ErrReader(io.ErrUnexpectedEOF)), -1), ErrorIncomplete},
 	} {
@@ -200,6 +208,44 @@
 	awaitHeld(t, b, 0)
 }
 
+// A process that was frozen took the callers whose bytes it had not read for idle ones.
+func TestUnreadBodyIsNotIdle(t *testing.T) {
+	l := patient
+	l.Idle = time.Millisecond
+	c, b := newCollector(t, l)
+	caller, server := net.Pipe()
+	t.Cleanup(func() { _ = caller.Close() })
+	s := source(server, 400_000)
+	looked := make(chan struct{}, 1)
+	s.SetReadDeadline = server.SetReadDeadline
+	s.HasUnread = func() bool {
+		select {
+		case looked <- struct{}{}:
+		default:
+		}
+		return true
+	}
+	done := make(chan result, 1)
+	go func() {
+		body, err := c.Read(s)
+		done <- result{body, err}
+	}()
+	_, err := caller.Write(make([]byte, 399_999))
+	is := is.New(t)
+	is.NoErr(err)
+	_, waiting := startRead(t, c, 300_000, 300_000)
+	<-looked
+	_, err = caller.Write(make([]byte, 1))
+	is.NoErr(err)
+	r := awaitResult(t, done)
+	is.NoErr(r.err)
+	r.body.Release()
+	r = awaitResult(t, waiting)
+	is.NoErr(r.err)
+	r.body.Release()
+	awaitHeld(t, b, 0)
+}
+
 // A body that never came to its end kept its connection and memory.
 func TestStalledBodyEnds(t *testing.T) {
 	l := patient
--- a/internal/process/collector/listing.go
+++ b/internal/process/collector/listing.go
@@ -44,6 +44,8 @@
 	state    atomic.Int32
 	// setReadDeadline sets the deadline of the connection.
 	setReadDeadline func(time.Time) error
+	// hasUnread is that of the [Source].
+	hasUnread func() bool
 	// replies gets a value for each event eventWanted: whether the bytes are reserved.
 	replies chan bool
 
@@ -60,6 +62,9 @@
 	}
 }
 
+// isUnread reports whether a body that is read has bytes that its reader has not taken yet.
+func (l *listing) isUnread() bool { return l.wanted == 0 && l.hasUnread != nil && l.hasUnread() }
+
 // interrupt ends the read of a body unless it has ended. The deadline of the connection is
 // changed only before the reader has ended, since another request may follow on it.
 func (l *listing) interrupt() {
--- a/internal/process/collector/reading.go
+++ b/internal/process/collector/reading.go
@@ -24,6 +24,9 @@
 	// SetReadDeadline sets the deadline for reads from the connection. It must be safe to
 	// call while a read is blocked.
 	SetReadDeadline func(time.Time) error
+	// HasUnread reports whether bytes of the body have arrived that were not read, as after
+	// a freeze of the process. It may be nil.
+	HasUnread func() bool
 	// Caller is the address of the caller, for log lines.
 	Caller string
 }
@@ -190,6 +193,10 @@
 	if r.listing == nil && !large && r.body.reserve(c.unlisted, size) {
 		return nil
 	}
+	if limit := c.large.Stats().Limit; large && r.body.held.Load()+size > limit {
+		// It would have others given up and never fit.
+		return &Error{Op: "reserve", Kind: ErrorNoRoom, Err: errors.Errorf("the budget for large bodies is %d bytes", limit)}
+	}
 	if r.listing == nil {
 		r.list()
 	}
@@ -207,7 +214,7 @@
 func (r *reading) list() {
 	l := &listing{
 		id: r.collector.nextID.Add(1), body: r.body,
-		setReadDeadline: r.source.SetReadDeadline, replies: make(chan bool, 1),
+		setReadDeadline: r.source.SetReadDeadline, hasUnread: r.source.HasUnread, replies: make(chan bool, 1),
 	}
 	l.received.Store(r.received)
 	l.progress.Store(r.collector.options.Clock.Now().UnixNano())
--- a/internal/process/receiver/body.go
+++ b/internal/process/receiver/body.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"magnoliafront.dev/magnoliafront/internal/connection/closer"
+	"magnoliafront.dev/magnoliafront/internal/connection/peeker"
 	"magnoliafront.dev/magnoliafront/internal/process/collector"
 	"magnoliafront.dev/magnoliafront/internal/request/admitter"
 )
@@ -20,6 +22,7 @@
 	}
 	body, err := r.bodies.Read(collector.Source{
 		Reader: req.Body, Length: req.ContentLength, MaxBytes: limit, Caller: req.RemoteAddr,
+		HasUnread:       func() bool { return peeker.Peek(closer.Accepted(req.Context())) == peeker.DataAvailable },
 		SetReadDeadline: http.NewResponseController(w).SetReadDeadline,
 	})
 	if err != nil {
--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -107,7 +107,9 @@
 	}, callers)
 	routes := mux.NewRouter()
 	routes.HandleFunc(o.ReadyPath, r.serveReadiness).Methods(http.MethodGet)
-	r.readinessServer = &http.Server{Handler: routes, ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleConnTimeout}
+	r.readinessServer = &http.Server{
+		Handler: routes, ReadTimeout: headerReadTimeout, IdleTimeout: idleConnTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	go func() { _ = r.readinessServer.Serve(readiness) }()
 	return r
 }
--- a/internal/process/starter/agent.go
+++ b/internal/process/starter/agent.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/fx"
 
+	"magnoliafront.dev/magnoliafront/internal/connection/bounder"
 	"magnoliafront.dev/magnoliafront/internal/connection/reader"
 	"magnoliafront.dev/magnoliafront/internal/process/accessor"
 	"magnoliafront.dev/magnoliafront/internal/process/exchanger"
@@ -64,13 +65,13 @@
 	if s.Metrics == "" {
 		return nil
 	}
-	l, err := net.Listen("tcp", s.Metrics)
+	l, err := bounder.Listen(context.Background(), net.ListenConfig{}, s.Metrics, nil)
 	if err != nil {
 		return &Error{Op: "listen on " + s.Metrics, Kind: ErrorListen, Err: err}
 	}
 	h := http.NewServeMux()
 	h.Handle("GET /metrics", m.Handler())
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	srv := &http.Server{Handler: h, ReadTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: maxMetricsHeadBytes}
 	go func() { _ = srv.Serve(l) }()
 	lc.Append(fx.StopHook(srv.Shutdown))
 	return nil
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -15,6 +15,7 @@
 	"go.uber.org/fx/fxevent"
 	"k8s.io/klog/v2"
 
+	"magnoliafront.dev/magnoliafront/internal/connection/bounder"
 	"magnoliafront.dev/magnoliafront/internal/connection/carrier"
 	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
 	"magnoliafront.dev/magnoliafront/internal/process/acceptor"
@@ -43,8 +44,10 @@
 	// requests within it.
 	closeDelay = 500 * time.Millisecond
 	// withdrawTimeout bounds the call that deletes a leaving entry from the store. It
-	// also bounds the reading of request headers at the metrics endpoint.
+	// also bounds the reading of requests at the metrics endpoint.
 	withdrawTimeout = time.Second
+	// maxMetricsHeadBytes is the maximum size of a request head at the metrics endpoint.
+	maxMetricsHeadBytes = 16 << 10
 	// maxIdleStoreConnections is the maximum number of idle connections to the
 	// store: one for each of the three watched kinds of objects, and one for other
 	// calls.
@@ -242,11 +245,11 @@
 	if s.Metrics == "" {
 		return nil
 	}
-	l, err := net.Listen("tcp", s.Metrics)
+	l, err := bounder.Listen(context.Background(), net.ListenConfig{}, s.Metrics, nil)
 	if err != nil {
 		return &Error{Op: "listen on " + s.Metrics, Kind: ErrorListen, Err: err}
 	}
-	srv := &http.Server{Handler: m.Handler(), ReadHeaderTimeout: withdrawTimeout}
+	srv := &http.Server{Handler: m.Handler(), ReadTimeout: withdrawTimeout, IdleTimeout: time.Minute, MaxHeaderBytes: maxMetricsHeadBytes}
 	go func() { _ = srv.Serve(l) }()
 	lc.Append(fx.StopHook(func() { _ = srv.Close() }))
 	return nil
