--- a/internal/process/server/body.go
+++ b/internal/process/server/body.go
@@ -24,6 +24,10 @@
 	return collector.New(collector.Options{Clock: o.Clock, Budget: budget})
 }
 
+// Bodies returns the numbers of bodies that were not read to their end, and the state of
+// the budget for large ones.
+func (s *Server) Bodies() collector.Stats { return s.bodies.Stats() }
+
 // readBody reads the body of a request. If it cannot be read to its end, it answers the
 // caller and returns false.
 func (s *Server) readBody(w http.ResponseWriter, req *http.Request) (*collector.Body, bool) {
--- a/internal/process/starter/entry.go
+++ b/internal/process/starter/entry.go
@@ -140,12 +140,16 @@
 }
 
 func newServer(lc fx.Lifecycle, s loader.Entry, c timer.Clock, r *router.Router, m *meter.Meter) (*server.Server, error) {
+	memory := reserver.NewMemory(0)
 	srv, err := server.New(server.Options{
-		Listen: s.Listen, Identity: s.Identity, Clock: c, Router: r, Metrics: m.Handler(), Memory: reserver.NewMemory(0),
+		Listen: s.Listen, Identity: s.Identity, Clock: c, Router: r, Metrics: m.Handler(), Memory: memory,
 	})
 	if err != nil {
 		return nil, err
 	}
+	if err := watchMemory(m, memory, srv.Bodies); err != nil {
+		return nil, err
+	}
 	lc.Append(fx.StopHook(func(ctx context.Context) error {
 		deadline, ok := ctx.Deadline()
 		if !ok {
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -77,7 +77,10 @@
 			newStore, newMeter, newForwarder, newPeering, newReceiver, newMemory,
 		),
 		fx.Invoke(serveGatewayMetrics),
-		fx.Invoke(watchMemory),
+		fx.Invoke(func(m *meter.Meter, memory reserver.Memory) error { return m.WatchAnswers(memory.Answers.Stats) }),
+		fx.Invoke(func(m *meter.Meter, memory reserver.Memory, r *receiver.Receiver) error {
+			return watchMemory(m, memory, r.Bodies)
+		}),
 		fx.Invoke(func(m *meter.Meter, r *recoverer.Recoverer) error { return m.WatchPanics(&r.Panics) }),
 		fx.Invoke(func(m *meter.Meter, f *forwarder.Forwarder, p *peering, r *receiver.Receiver) error {
 			return m.WatchRings(func() []buffer.Stats { return slices.Concat(f.Stats(), p.syncer.Stats(), r.Stats()) })
@@ -217,23 +220,6 @@
 	return reserver.NewMemory(limit)
 }
 
-// watchMemory exports the budgets, and the bodies that were not read to their end.
-func watchMemory(m *meter.Meter, memory reserver.Memory, r *receiver.Receiver) error {
-	if err := m.WatchAnswers(memory.Answers.Stats); err != nil {
-		return err
-	}
-	return m.WatchMemory(func() meter.Memory {
-		bodies := r.Bodies()
-		return meter.Memory{
-			Parts: map[string]reserver.Stats{
-				"total": memory.Total.Stats(), "heads": memory.Heads.Stats(), "bodies": memory.Bodies.Stats(),
-				"large_bodies": bodies.Large, "answers": memory.Answers.Stats(),
-			},
-			RefusedBodies: bodies.Refused,
-		}
-	})
-}
-
 func newReceiver(s loader.Gateway, c timer.Clock, f *forwarder.Forwarder, memory reserver.Memory) (*receiver.Receiver, error) {
 	return receiver.New(receiver.Options{
 		Listen: s.Listen, ReadyListen: s.ReadyListen, ReadyPath: platform.ReadyPath,
