Bound the cost of a decision about a crowd of waiting bodies

Cause: for each body that waits, all others were looked at, on each event: with 1,000 waiting bodies a million steps for each event, on entries with 0.1 cores. Change: others are given up for the 8 most advanced waiting bodies only; the further ones end when they have waited for too long. The duty takes all events that are in the ring before it decides.

--- a/internal/process/collector/collector.go
+++ b/internal/process/collector/collector.go
@@ -168,7 +168,9 @@
 	for {
 		select {
 		case e := <-c.events.C():
-			c.handle(e)
+			for ok := true; ok; e, ok = c.events.TryTake() {
+				c.handle(e)
+			}
 		case <-released:
 		case <-wake:
 		case <-c.events.Done():
--- a/internal/process/shedder/shedder.go
+++ b/internal/process/shedder/shedder.go
@@ -31,6 +31,11 @@
 	"time"
 )
 
+// maxServed is the number of waiting bodies for which others are given up in one decision.
+// The further ones are the least advanced, and their turn comes when the first are served.
+// The bound keeps a decision cheap in a crowd.
+const maxServed = 8
+
 // Body is an unfinished body whose bytes are accounted for.
 type Body struct {
 	ID uint64
@@ -102,8 +107,12 @@
 	}
 	d.room.Small += room.Leaving
 	d.room.Large += room.LeavingLarge
-	for _, b := range unserved {
-		d.makeRoom(b)
+	for i, b := range unserved {
+		if i < maxServed {
+			d.makeRoom(b)
+		} else {
+			d.endOverdue(b)
+		}
 	}
 	return d.plan
 }
@@ -145,9 +154,16 @@
 		d.giveUp(v)
 		fits = d.take(b)
 	}
+	if !fits {
+		d.endOverdue(b)
+	}
+}
+
+// endOverdue gives a waiting body up if it has waited for too long.
+func (d *decision) endOverdue(b Body) {
 	overdue := b.WaitingSince.Add(d.limits.MaxWait)
 	switch {
-	case fits:
+	case d.shed[b.ID]:
 	case d.now.Before(overdue):
 		d.wakeAt(overdue)
 	default:
--- a/internal/process/shedder/shedder_test.go
+++ b/internal/process/shedder/shedder_test.go
@@ -78,6 +78,36 @@
 	})
 }
 
+// Of a crowd that waits, those that are further must be served by the others, and none may
+// wait for ever. A decision about a large crowd must stay cheap.
+func TestCrowdIsThinnedOut(t *testing.T) {
+	const size = 1000
+	var bodies []Body
+	for id := uint64(1); id <= size; id++ {
+		bodies = append(bodies, waitingBody(id, true, int64(id)*64*kb))
+	}
+	is := is.New(t)
+	before := Decide(start.Add(2*time.Second), bodies, Room{}, limits)
+	is.Equal(len(before.Shed), 0)
+	is.True(before.Next.Equal(start.Add(3 * time.Second)))
+	after := Decide(start.Add(3*time.Second), bodies, Room{}, limits)
+	is.Equal(len(after.Granted), 0)
+	is.Equal(len(after.Shed), size-maxServed)
+	for _, id := range after.Shed {
+		is.True(id <= size-maxServed)
+	}
+}
+
+func BenchmarkDecide(b *testing.B) {
+	var bodies []Body
+	for id := uint64(1); id <= 1000; id++ {
+		bodies = append(bodies, waitingBody(id, true, int64(id)*64*kb))
+	}
+	for b.Loop() {
+		Decide(start.Add(2*time.Second), bodies, Room{}, limits)
+	}
+}
+
 // Bodies that stop just before their end are the most advanced of all. They kept the memory
 // for as long as their callers liked.
 func TestIdleBodyYields(t *testing.T) {
