--- a/internal/connection/bounder/bounder_test.go
+++ b/internal/connection/bounder/bounder_test.go
@@ -122,9 +122,15 @@
 		awaitHeld(t, heads, isZero)
 	})
 	t.Run("beside a body of many lines", func(t *testing.T) {
+		// What was counted for the body is given back when the request is served.
 		heads, release := reserver.NewBudget(1<<20), make(chan struct{})
+		address := startServer(t, heads, release)
+		conn := send(t, address, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n"+strings.Repeat("\n", 1999))
+		defer func() { _ = conn.Close() }()
 		defer close(release)
-		send(t, startServer(t, heads, release), "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n"+strings.Repeat("\n", 2000))
+		ordinary := send(t, address, requestLine+lines(200))
+		awaitHeld(t, heads, func(held int64) bool { return held > 0 })
+		_ = ordinary.Close()
 		awaitHeld(t, heads, isZero)
 	})
 }
