--- a/internal/connection/carrier/attempt.go
+++ b/internal/connection/carrier/attempt.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"net"
 	"net/http"
 	"time"
 
@@ -36,7 +37,7 @@
 	firstEvent   time.Duration
 	longestPause time.Duration
 	// unsent is the rest of the request, and sent the number of bytes before it.
-	unsent []byte
+	unsent net.Buffers
 	sent   int
 	// reserved is the number of bytes that are reserved for the call in the account of
 	// its replies, beyond its share.
@@ -70,7 +71,7 @@
 	return Report{
 		Conn: a.conn, Request: a.call.Request, Attempt: a.call.Attempt,
 		Begun: a.begun, LastEvent: a.lastEvent, Unresumable: a.isUnresumable(),
-		Framing: a.framing, RelayedEvents: a.relayedEvents,
+		Framing: a.framing, RelayedEvents: a.relayedEvents, Written: a.requestWritten(),
 	}
 }
 
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -95,7 +95,7 @@
 		t.suspended = &silent
 	}
 	ctx, cancel := context.WithCancel(t.job.Context)
-	t.liveCall = liveCall{number: a.Attempt, cancel: cancel, pool: p}
+	t.liveCall = liveCall{number: a.Attempt, cancel: cancel, pool: p, final: a.IdleTimeout == 0}
 	t.call = carrier.Call{
 		Request: a.ID, Attempt: a.Attempt, Context: ctx,
 		Head: f.options.Codec.Encode(t.job, a, a.Deadline.Sub(now)), Body: t.job.Body,
@@ -147,6 +147,9 @@
 	current := t != nil && t.number == r.Attempt
 	suspended := t != nil && t.suspended != nil && t.suspended.number == r.Attempt
 	t.recordAnswer(r)
+	if current {
+		t.dropBody(r)
+	}
 	if !r.Ended {
 		if current || suspended && r.Ready {
 			f.dispatch(now, t.interimEvent(r))
--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -18,18 +18,18 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
 	"k8s.io/klog/v2"
 
+	"magnoliafront.dev/magnoliafront/internal/connection/bounder"
 	"magnoliafront.dev/magnoliafront/internal/connection/carrier"
 	"magnoliafront.dev/magnoliafront/internal/process/allocator"
+	"magnoliafront.dev/magnoliafront/internal/process/collector"
 	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
 	"magnoliafront.dev/magnoliafront/internal/process/drainer"
 	"magnoliafront.dev/magnoliafront/internal/process/forwarder"
@@ -41,8 +41,6 @@
 )
 
 const (
-	// bodyReadTimeout is the maximum time to read the body of a request.
-	bodyReadTimeout = 30 * time.Second
 	// defaultMaxBodyBytes is the maximum size of a body if the configuration sets none.
 	defaultMaxBodyBytes = 4 << 20
 )
@@ -51,7 +49,7 @@
 type Codec interface {
 	// ParseRequest returns the properties of a request whose body has been read at
 	// now, or the failure of an invalid one.
-	ParseRequest(r *http.Request, body []byte, now time.Time) (dispatcher.Request, *admitter.Failure)
+	ParseRequest(r *http.Request, body [][]byte, now time.Time) (dispatcher.Request, *admitter.Failure)
 	// WriteFailure answers a request with a failure.
 	WriteFailure(w http.ResponseWriter, f *admitter.Failure)
 }
@@ -69,9 +67,9 @@
 	// Descriptors are the shares of the descriptors of the process. Zero shares set no
 	// bound.
 	Descriptors allocator.Shares
-	// Answers is the budget of the bytes of answers that are held for callers. If it is
-	// nil, they are not limited.
-	Answers *reserver.Budget
+	// Memory holds the budgets of what is held for callers. Without budgets it is not
+	// limited.
+	Memory reserver.Memory
 }
 
 // Receiver is the HTTP server for callers and readiness checks.
@@ -81,15 +79,16 @@
 	readinessServer *drainer.Drainer
 	draining        atomic.Bool
 	requests        requestCounters
+	bodies          *collector.Collector
 }
 
 // New listens on both addresses and starts the servers.
 func New(o Options) (*Receiver, error) {
-	callers, err := listen(o.Listen)
+	callers, err := listen(o.Listen, o.Memory.Heads)
 	if err != nil {
 		return nil, err
 	}
-	readiness, err := listen(o.ReadyListen)
+	readiness, err := listen(o.ReadyListen, nil)
 	if err != nil {
 		_ = callers.Close()
 		return nil, err
@@ -99,22 +98,22 @@
 
 // serve starts the servers on two listeners.
 func serve(o Options, callers, readiness net.Listener) *Receiver {
-	r := &Receiver{options: o}
+	r := &Receiver{options: o, bodies: collector.New(collector.Options{Clock: o.Clock, Budget: o.Memory.Bodies})}
 	r.callerServer = drainer.Serve(&http.Server{
-		Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: defaultHeadTimeout, IdleTimeout: defaultIdleTimeout,
+		Handler: bounder.Guard(http.HandlerFunc(r.serve)), ReadHeaderTimeout: defaultHeadTimeout, IdleTimeout: defaultIdleTimeout,
 		MaxHeaderBytes: maxConfiguredHeadBytes,
 	}, callers, drainer.Options{Clock: o.Clock, Name: "callers", MaxConns: o.Descriptors.Callers, Limits: r.connLimits})
 	routes := mux.NewRouter()
 	routes.HandleFunc(o.ReadyPath, r.serveReadiness).Methods(http.MethodGet)
 	r.readinessServer = drainer.Serve(&http.Server{
-		Handler: routes, ReadHeaderTimeout: defaultHeadTimeout, IdleTimeout: defaultIdleTimeout,
+		Handler: routes, ReadTimeout: defaultHeadTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: defaultMaxHeadBytes,
 	}, readiness, drainer.Options{Clock: o.Clock, Name: "readiness", MaxConns: o.Descriptors.Readiness})
 	return r
 }
 
-func listen(address string) (net.Listener, error) {
-	c := net.ListenConfig{KeepAliveConfig: carrier.KeepAlive()}
-	l, err := c.Listen(context.Background(), "tcp", address)
+// listen listens on an address. The heads of requests are held within the budget.
+func listen(address string, heads *reserver.Budget) (net.Listener, error) {
+	l, err := bounder.Listen(context.Background(), net.ListenConfig{KeepAliveConfig: carrier.KeepAlive()}, address, heads)
 	if err != nil {
 		return nil, &Error{Op: "listen on " + address, Kind: ErrorListen, Err: err}
 	}
@@ -137,6 +136,7 @@
 func (r *Receiver) Stop(ctx context.Context) error {
 	err := r.callerServer.Stop(ctx)
 	r.readinessServer.Close()
+	r.bodies.Stop()
 	if err != nil {
 		return &Error{Op: "stop", Kind: ErrorTimeout, Err: err}
 	}
@@ -148,8 +148,14 @@
 	return []drainer.Connections{r.callerServer.Connections(), r.readinessServer.Connections()}
 }
 
-// Stats returns the state of the ring of the connections of callers.
-func (r *Receiver) Stats() buffer.Stats { return r.callerServer.Stats() }
+// Stats returns the states of the rings.
+func (r *Receiver) Stats() []buffer.Stats {
+	return []buffer.Stats{r.callerServer.Stats(), r.bodies.Stats().Ring}
+}
+
+// Bodies returns the numbers of bodies that were not read to their end, and the state of
+// the budget for large ones.
+func (r *Receiver) Bodies() collector.Stats { return r.bodies.Stats() }
 
 func (r *Receiver) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if !r.Ready() {
@@ -188,24 +194,26 @@
 	}
 	body, failure := r.readBody(w, req, now)
 	if failure != nil {
+		collector.CloseUnread(w)
 		r.options.Codec.WriteFailure(w, failure)
 		return endingRefused
 	}
-	request, failure := r.options.Codec.ParseRequest(req, body, now)
+	defer body.Release()
+	request, failure := r.options.Codec.ParseRequest(req, body.Parts(), now)
 	if failure != nil {
 		klog.InfoS("request refused", "request", request.ID, "reason", failure.Code, "detail", failure.Message)
 		r.options.Codec.WriteFailure(w, failure)
 		return endingRefused
 	}
-	account := r.options.Answers.Open()
+	account := r.options.Memory.Answers.Open()
 	defer account.Close()
-	j := forwarder.Job{Request: request, Context: req.Context(), Head: req, Body: body, Replies: relayer.NewLimitedRing(account)}
-	if !r.options.Forwarder.Submit(req.Context(), j) {
+	replies := relayer.NewLimitedRing(account)
+	if !r.options.Forwarder.Submit(req.Context(), forwarder.Job{Request: request, Context: req.Context(), Head: req, Body: body, Replies: replies}) {
 		klog.InfoS("request refused", "request", request.ID, "reason", "entry_overloaded")
 		r.options.Codec.WriteFailure(w, admitter.OverloadedFailure())
 		return endingRefused
 	}
-	err := relayer.Relay(req.Context(), w, j.Replies, r.options.Codec.WriteFailure)
+	err := relayer.Relay(req.Context(), w, replies, r.options.Codec.WriteFailure)
 	switch {
 	case err == nil:
 		return endingAnswered
@@ -221,27 +229,3 @@
 	}
 	return endingCutOff
 }
-
-// readBody reads the body of a request and returns a failure if it is too large or
-// incomplete.
-func (r *Receiver) readBody(w http.ResponseWriter, req *http.Request, now time.Time) ([]byte, *admitter.Failure) {
-	limit := int64(defaultMaxBodyBytes)
-	if t := r.options.Forwarder.State().Table; t != nil && t.Configuration.Limits.MaxBodyBytes > 0 {
-		limit = int64(t.Configuration.Limits.MaxBodyBytes)
-	}
-	if req.Body == nil || req.Body == http.NoBody {
-		return nil, nil
-	}
-	c := http.NewResponseController(w)
-	_ = c.SetReadDeadline(now.Add(bodyReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, limit))
-	_ = c.SetReadDeadline(time.Time{})
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return nil, &admitter.Failure{Status: http.StatusRequestEntityTooLarge, Code: "body_too_large", Message: "the body is larger than the configuration allows", Outcome: admitter.OutcomeNotRun}
-	case err != nil:
-		return nil, &admitter.Failure{Status: http.StatusBadRequest, Code: "body_incomplete", Message: "the body could not be read to its end", Outcome: admitter.OutcomeNotRun}
-	}
-	return body, nil
-}
--- a/internal/process/starter/descriptors.go
+++ b/internal/process/starter/descriptors.go
@@ -1,6 +1,7 @@
 package starter
 
 import (
+	"context"
 	"math"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"go.uber.org/fx"
 	"k8s.io/klog/v2"
 
+	"magnoliafront.dev/magnoliafront/internal/connection/bounder"
 	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
 	"magnoliafront.dev/magnoliafront/internal/process/acceptor"
 	"magnoliafront.dev/magnoliafront/internal/process/allocator"
@@ -27,6 +29,8 @@
 	// the metrics endpoint, and the time between two. Scrapes are a minute apart at most.
 	metricsHeadTimeout = time.Second
 	metricsIdleTimeout = 2 * time.Minute
+	// maxMetricsHeadBytes is the maximum size of a request head at the metrics endpoint.
+	maxMetricsHeadBytes = 16 << 10
 )
 
 // newShares divides the descriptors of the process among their uses.
@@ -52,11 +56,11 @@
 
 // listenForMetrics serves metrics within their share.
 func listenForMetrics(lc fx.Lifecycle, address string, h http.Handler, c timer.Clock, shares allocator.Shares) error {
-	l, err := net.Listen("tcp", address)
+	l, err := bounder.Listen(context.Background(), net.ListenConfig{}, address, nil)
 	if err != nil {
 		return &Error{Op: "listen on " + address, Kind: ErrorListen, Err: err}
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: metricsHeadTimeout, IdleTimeout: metricsIdleTimeout}
+	srv := &http.Server{Handler: h, ReadTimeout: metricsHeadTimeout, IdleTimeout: metricsIdleTimeout, MaxHeaderBytes: maxMetricsHeadBytes}
 	d := drainer.Serve(srv, l, drainer.Options{Clock: c, Name: "metrics", MaxConns: shares.Metrics})
 	lc.Append(fx.StopHook(d.Close))
 	return nil
--- a/internal/process/starter/entry.go
+++ b/internal/process/starter/entry.go
@@ -18,6 +18,7 @@
 	"magnoliafront.dev/magnoliafront/internal/process/loader"
 	"magnoliafront.dev/magnoliafront/internal/process/meter"
 	"magnoliafront.dev/magnoliafront/internal/process/recorder"
+	"magnoliafront.dev/magnoliafront/internal/process/reserver"
 	"magnoliafront.dev/magnoliafront/internal/process/router"
 	"magnoliafront.dev/magnoliafront/internal/process/server"
 	"magnoliafront.dev/magnoliafront/internal/process/sharer"
@@ -146,10 +147,16 @@
 }
 
 func newServer(lc fx.Lifecycle, s loader.Entry, c timer.Clock, r *router.Router, m *meter.Meter, shares allocator.Shares) (*server.Server, error) {
-	srv, err := server.New(server.Options{Listen: s.Listen, Identity: s.Identity, Clock: c, Router: r, Metrics: m.Handler(), MaxConns: shares.Callers})
+	memory := reserver.NewMemory(0)
+	srv, err := server.New(server.Options{
+		Listen: s.Listen, Identity: s.Identity, Clock: c, Router: r, Metrics: m.Handler(), Memory: memory, MaxConns: shares.Callers,
+	})
 	if err != nil {
 		return nil, err
 	}
+	if err := watchMemory(m, memory, srv.Bodies); err != nil {
+		return nil, err
+	}
 	lc.Append(fx.StopHook(func(ctx context.Context) error {
 		deadline, ok := ctx.Deadline()
 		if !ok {
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -72,14 +72,17 @@
 			func() *receiverRef { return &receiverRef{} },
 			func() *recoverer.Recoverer { return &recoverer.Recoverer{} },
 			func() *dutiesRef { return &dutiesRef{} },
-			newAPI, newDuties, newProvisioning, newShares, newStore, newMeter, newForwarder, newPeering, newReceiver, newAnswerBudget,
+			newAPI, newDuties, newProvisioning, newShares, newStore, newMeter, newForwarder, newPeering, newReceiver, newMemory,
 		),
 		fx.Invoke(serveGatewayMetrics),
-		fx.Invoke(func(m *meter.Meter, b *reserver.Budget) error { return m.WatchAnswers(b.Stats) }),
+		fx.Invoke(func(m *meter.Meter, memory reserver.Memory) error { return m.WatchAnswers(memory.Answers.Stats) }),
+		fx.Invoke(func(m *meter.Meter, memory reserver.Memory, r *receiver.Receiver) error {
+			return watchMemory(m, memory, r.Bodies)
+		}),
 		fx.Invoke(func(m *meter.Meter, r *recoverer.Recoverer) error { return m.WatchPanics(&r.Panics) }),
 		fx.Invoke(func(m *meter.Meter, f *forwarder.Forwarder, p *peering, r *receiver.Receiver, d *duties, v *provisioning) error {
 			return m.WatchRings(func() []buffer.Stats {
-				return slices.Concat(f.Stats(), p.syncer.Stats(), d.stats(), v.stats(), []buffer.Stats{r.Stats()})
+				return slices.Concat(f.Stats(), p.syncer.Stats(), d.stats(), v.stats(), r.Stats())
 			})
 		}),
 		fx.Invoke(watchRequests, watchGatewayConnections),
@@ -222,21 +225,20 @@
 	lc.Append(fx.StopHook(r.Stop))
 }
 
-// newAnswerBudget returns the budget for the answers that are held for callers. If the
-// memory of the process is known, the Go runtime is told to stay within its part of it.
-func newAnswerBudget(s loader.Gateway) *reserver.Budget {
+// newMemory returns the budgets for what is held for callers. If the memory of the process
+// is known, the Go runtime is told to stay within its part of it.
+func newMemory(s loader.Gateway) reserver.Memory {
 	limit := s.MemoryLimitBytes()
-	if limit == 0 {
-		return reserver.NewBudget(reserver.AnswerBytes(reserver.DefaultMemoryLimit))
+	if limit > 0 {
+		debug.SetMemoryLimit(reserver.RuntimeBytes(limit))
 	}
-	debug.SetMemoryLimit(reserver.RuntimeBytes(limit))
-	return reserver.NewBudget(reserver.AnswerBytes(limit))
+	return reserver.NewMemory(limit)
 }
 
-func newReceiver(s loader.Gateway, c timer.Clock, f *forwarder.Forwarder, b *reserver.Budget, ref *receiverRef, shares allocator.Shares) (*receiver.Receiver, error) {
+func newReceiver(s loader.Gateway, c timer.Clock, f *forwarder.Forwarder, memory reserver.Memory, ref *receiverRef, shares allocator.Shares) (*receiver.Receiver, error) {
 	r, err := receiver.New(receiver.Options{
 		Listen: s.Listen, ReadyListen: s.ReadyListen, ReadyPath: platform.ReadyPath,
-		Codec: platform.Codec{}, Forwarder: f, Clock: c, Descriptors: shares, Answers: b,
+		Codec: platform.Codec{}, Forwarder: f, Clock: c, Descriptors: shares, Memory: memory,
 	})
 	if err != nil {
 		return nil, err
