Bound the connections of callers by the memory of an entry

Cause: the share of the descriptors alone allows connections whose buffers exceed the memory of a small VM; reserver.MaxConnections had no caller. Measured: not; the crowd tests run with lower numbers.

--- a/internal/process/starter/descriptors.go
+++ b/internal/process/starter/descriptors.go
@@ -18,8 +18,10 @@
 	"magnoliafront.dev/magnoliafront/internal/process/allocator"
 	"magnoliafront.dev/magnoliafront/internal/process/drainer"
 	"magnoliafront.dev/magnoliafront/internal/process/forwarder"
+	"magnoliafront.dev/magnoliafront/internal/process/loader"
 	"magnoliafront.dev/magnoliafront/internal/process/meter"
 	"magnoliafront.dev/magnoliafront/internal/process/receiver"
+	"magnoliafront.dev/magnoliafront/internal/process/reserver"
 	"magnoliafront.dev/magnoliafront/internal/process/server"
 	"magnoliafront.dev/magnoliafront/pkg/timer"
 )
@@ -33,6 +35,17 @@
 	maxMetricsHeadBytes = 16 << 10
 )
 
+// newGatewayShares divides the descriptors of an entry among their uses. Its memory bounds
+// the connections of callers as well, since each has buffers.
+func newGatewayShares(s loader.Gateway) (allocator.Shares, error) {
+	shares, err := newShares()
+	if limit := s.MemoryLimitBytes(); limit > 0 && shares.Callers > reserver.MaxConnections(limit) {
+		shares.Callers = reserver.MaxConnections(limit)
+		klog.InfoS("connections of callers limited by memory", "memory_limit_mb", s.MemoryLimitMB, "callers", shares.Callers)
+	}
+	return shares, err
+}
+
 // newShares divides the descriptors of the process among their uses.
 func newShares() (allocator.Shares, error) {
 	var limit syscall.Rlimit
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -72,7 +72,7 @@
 			func() *receiverRef { return &receiverRef{} },
 			func() *recoverer.Recoverer { return &recoverer.Recoverer{} },
 			func() *dutiesRef { return &dutiesRef{} },
-			newAPI, newDuties, newProvisioning, newShares, newStore, newMeter, newForwarder, newPeering, newReceiver, newMemory,
+			newAPI, newDuties, newProvisioning, newGatewayShares, newStore, newMeter, newForwarder, newPeering, newReceiver, newMemory,
 		),
 		fx.Invoke(serveGatewayMetrics),
 		fx.Invoke(func(m *meter.Meter, memory reserver.Memory) error { return m.WatchAnswers(memory.Answers.Stats) }),
