--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -252,6 +252,15 @@
 	return []float64{0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 20}
 }
 
+func (m *Meter) createPromptInstruments() error {
+	var err error
+	if m.promptTokens, err = m.meter.Int64Counter("magnoliafront_prompt_tokens", metric.WithDescription("Prompt tokens of requests that were sent, by where they were expected to come from.")); err != nil {
+		return err
+	}
+	m.deferredRequests, err = m.meter.Int64Counter("magnoliafront_deferred_requests", metric.WithDescription("Requests that upstreams ran after all others."))
+	return err
+}
+
 func (m *Meter) createInstruments() error {
 	var err error
 	if m.violations, err = m.meter.Int64Counter("magnoliafront_violations", metric.WithDescription("Broken promises.")); err != nil {
@@ -270,10 +279,7 @@
 	if m.answers, err = m.meter.Int64Counter("magnoliafront_answers", metric.WithDescription("Answers of upstreams that have ended.")); err != nil {
 		return err
 	}
-	if m.promptTokens, err = m.meter.Int64Counter("magnoliafront_prompt_tokens", metric.WithDescription("Prompt tokens of requests that were sent, by where they were expected to come from.")); err != nil {
-		return err
-	}
-	if m.deferredRequests, err = m.meter.Int64Counter("magnoliafront_deferred_requests", metric.WithDescription("Requests that upstreams ran after all others.")); err != nil {
+	if err := m.createPromptInstruments(); err != nil {
 		return err
 	}
 	if m.requestsReceived, err = m.meter.Int64ObservableCounter("magnoliafront_requests_received", metric.WithDescription("Requests of callers that have arrived.")); err != nil {
