--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -63,9 +63,9 @@
 	MeasureDemand bool
 	// CountUsage is true if the requests that upstreams begin are counted.
 	CountUsage bool
-	// StrikesWait bounds the time in which an entry that has just started refuses
-	// requests, until it has learned the strikes that the other entries know. Zero
-	// means that it does not wait.
+	// StrikesWait bounds the time in which an entry that has just started holds requests,
+	// until it has a configuration, upstreams and the strikes that the other entries know. Zero means
+	// that it does not wait.
 	StrikesWait time.Duration
 }
 
@@ -91,6 +91,10 @@
 	// waited for them until strikesDue.
 	strikesLearned bool
 	strikesDue     time.Time
+	// upstreamsListed is true once the upstreams are known.
+	upstreamsListed bool
+	// held holds the requests that arrived while the entry was starting, in that order.
+	held []Request
 	// suspended holds the requests in flight that have a suspended attempt.
 	suspended map[string]*inFlightRequest
 	// trial is the ID of the last request that was sent on trial.
@@ -140,9 +144,13 @@
 // Step processes one event and returns the resulting actions.
 func (d *Dispatcher) Step(now time.Time, e Event) []Action {
 	d.updateStrikesLearned(now)
+	return append(d.handle(now, e), d.admitHeld(now)...)
+}
+
+func (d *Dispatcher) handle(now time.Time, e Event) []Action {
 	switch e.Kind {
 	case EventArrived:
-		return d.admit(now, e.Request)
+		return d.arrive(now, e.Request)
 	case EventProgress:
 		return d.recordProgress(now, e)
 	case EventSent, EventSilent, EventReady, EventOverlapEnded:
@@ -232,6 +240,7 @@
 
 // updateUpstreams replaces the upstreams that may get requests.
 func (d *Dispatcher) updateUpstreams(now time.Time, all []registrar.Upstream) []Action {
+	d.upstreamsListed = true
 	byService := map[string]map[string]registrar.Upstream{}
 	d.serviceNames = make(map[string]string, len(all))
 	for _, u := range all {
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -48,6 +48,10 @@
 	minConnections = 4
 )
 
+// codeDuplicateIdentity is the code of the refusal of a request whose identity is that of
+// another one in flight.
+const codeDuplicateIdentity = "duplicate_identity"
+
 // inFlightRequest is the state of a request in flight.
 type inFlightRequest struct {
 	request              Request
@@ -125,10 +129,7 @@
 		failure = admitter.OverloadedFailure()
 	}
 	if failure == nil && d.inFlight[r.ID] != nil {
-		failure = unavailable("duplicate_identity", "a request with this identity is in flight")
-	}
-	if failure == nil && !d.strikesLearned {
-		failure = unavailable("starting", "the entry does not know yet which content crashes upstreams")
+		failure = unavailable(codeDuplicateIdentity, "a request with this identity is in flight")
 	}
 	if failure == nil {
 		failure = d.quarantine(now, f)
--- /dev/null
+++ b/internal/process/dispatcher/starting.go
@@ -0,0 +1,43 @@
+package dispatcher
+
+import (
+	"slices"
+	"time"
+)
+
+// An entry that has just started knows neither the configuration nor the upstreams nor
+// which content crashes them. All of it arrives within some tens of milliseconds, less than the time in which a
+// refused caller comes back, so that requests are held until then.
+
+// isStarting reports whether requests must wait until the entry knows what it needs.
+func (d *Dispatcher) isStarting(now time.Time) bool {
+	return now.Before(d.strikesDue) && (!d.strikesLearned || d.table == nil || !d.upstreamsListed)
+}
+
+// arrive admits a request, or holds it while the entry is starting.
+func (d *Dispatcher) arrive(now time.Time, r Request) []Action {
+	isHeld := slices.ContainsFunc(d.held, func(h Request) bool { return h.ID == r.ID })
+	if !isHeld && d.stop.NoticeEnd.IsZero() && d.isStarting(now) && len(d.held) < maxInFlight {
+		d.held = append(d.held, r)
+		return nil
+	}
+	if isHeld {
+		f := &inFlightRequest{request: r, deadline: r.Deadline}
+		return []Action{d.failAction(now, f, unavailable(codeDuplicateIdentity, "a request with this identity is in flight"))}
+	}
+	return d.admit(now, r)
+}
+
+// admitHeld admits the requests that were held, once the entry has started or stops.
+func (d *Dispatcher) admitHeld(now time.Time) []Action {
+	if len(d.held) == 0 || d.stop.NoticeEnd.IsZero() && d.isStarting(now) {
+		return nil
+	}
+	held := d.held
+	d.held = nil
+	var out []Action
+	for _, r := range held {
+		out = append(out, d.admit(now, r)...)
+	}
+	return out
+}
