--- a/internal/process/dispatcher/outcome.go
+++ b/internal/process/dispatcher/outcome.go
@@ -12,23 +12,6 @@
 	"magnoliafront.dev/magnoliafront/internal/version/matcher"
 )
 
-const (
-	// retryAfterDivisor is the ratio of the time until the deadline to the
-	// Retry-After time, which is at least minRetryAfter and at most maxRetryAfter.
-	// Callers wait for at most a third of the time until their deadline.
-	retryAfterDivisor = 5
-	maxRetryAfter     = time.Second
-	minRetryAfter     = 50 * time.Millisecond
-	// longRetryAfterDivisor replaces retryAfterDivisor for conditions that last
-	// longer: the start of an entry that has no configuration, where the maximum is
-	// maxStartRetryAfter, and a burst of deferrable requests, where it is
-	// maxOverloadRetryAfter. The first event of a deferrable request that was
-	// refused in a burst is late in any case.
-	longRetryAfterDivisor = 3.2
-	maxStartRetryAfter    = 2 * time.Second
-	maxOverloadRetryAfter = 5 * time.Second
-)
-
 // endAttempt handles the end of an attempt: it ends the request or starts the next
 // attempt.
 func (d *Dispatcher) endAttempt(now time.Time, e Event) []Action {
@@ -195,24 +178,6 @@
 	}
 }
 
-// retryAfter returns the Retry-After time for the caller of f.
-func (d *Dispatcher) retryAfter(now time.Time, f *inFlightRequest) time.Duration {
-	divisor, limit := float64(retryAfterDivisor), maxRetryAfter
-	heldBackUntil := d.heldBackUntil(now, f.admission.Service.Name)
-	switch {
-	case d.table == nil:
-		divisor, limit = longRetryAfterDivisor, maxStartRetryAfter
-	case !heldBackUntil.IsZero():
-		divisor, limit = longRetryAfterDivisor, heldBackUntil.Sub(now)
-	case f.admission.Service.Name != "" && f.isDeferrable(d.service(f.admission.Service.Name)):
-		divisor, limit = longRetryAfterDivisor, maxOverloadRetryAfter
-	}
-	if f.deadline.IsZero() {
-		return limit
-	}
-	return min(limit, max(minRetryAfter, time.Duration(float64(f.deadline.Sub(now))/divisor)))
-}
-
 // finalSummary returns the summary of f with the reason why it ended.
 func (f *inFlightRequest) finalSummary(now time.Time, reason string) Summary {
 	s := f.summary
