Explain where a gateway would send a request

Cause: the log of a request shows the upstream that it was sent to, but not the costs of the others or what ruled them out, and only after it was sent.

Change: Dispatcher.Explain returns the decision on a request without a change of state. It shares check and choose with the real path, and picks with a fork of the picker that copies its random source. LeastBacklog.Cost is now the sum of CostParts, in the same order as before. The forwarder answers over its ring of events, the gateway serves it at /explain on its metrics address, and the command explain prints it.

Result: go test of picker and dispatcher passes, as does TestGatewayExplainsWithoutSending. In TestExplainPredictsNextDecision, 600 explanations match the decisions that follow, and a dispatcher that is asked acts like one that is not.

--- a/cmd/magnoliafront/main.go
+++ b/cmd/magnoliafront/main.go
@@ -146,6 +146,7 @@
 		{"agent", "Run an agent: the process beside one upstream", &agentCommand{ctx: ctx}},
 		{"emulate", "Run a stand-in for the platform, an engine or a service", &emulateCommand{ctx: ctx}},
 		{"timeline", "Show or explain what happened, over all processes", &timelineCommand{ctx: ctx}},
+		{"explain", "Ask a gateway where it would send a request now, and why, without sending it", &explainCommand{ctx: ctx, out: out}},
 		{"load", "Send requests to an entry and measure what callers get", &loadCommand{ctx: ctx}},
 		{"demo", "Run a whole system in one process on stand-ins", &demoCommand{ctx: ctx}},
 		{"bench", "Measure routing and scheduling on a virtual clock", &benchCommand{}},
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -106,7 +106,9 @@
 	prefillTokens int
 }
 
-func (d *Dispatcher) admit(now time.Time, r Request) []Action {
+// check returns the state of a new request and the failure with which it is refused, or
+// nil. It changes nothing.
+func (d *Dispatcher) check(now time.Time, r Request) (*inFlightRequest, *admitter.Failure) {
 	a, failure := d.table.Admit(r.Query)
 	f := &inFlightRequest{request: r, admission: a, deadline: r.Deadline}
 	f.summary = Summary{Route: a.Route.Name, Service: a.Service.Name, Organisation: a.Organisation, Prefix: r.Prefix, PromptTokens: r.PromptTokens, Parts: r.Parts, Digest: r.Digest}
@@ -127,7 +129,7 @@
 	if failure == nil && d.inFlight[r.ID] != nil {
 		failure = unavailable("duplicate_identity", "a request with this identity is in flight")
 	}
-	if failure == nil && !d.strikesLearned {
+	if failure == nil && !d.strikesLearnedAt(now) {
 		failure = unavailable("starting", "the entry does not know yet which content crashes upstreams")
 	}
 	if failure == nil {
@@ -136,9 +138,16 @@
 	if stopping := d.refuseWhileStopping(now, f); stopping != nil && (failure == nil || !now.Before(d.stop.NoticeEnd)) {
 		failure = stopping
 	}
+	return f, failure
+}
+
+// admit starts a new request or refuses it.
+func (d *Dispatcher) admit(now time.Time, r Request) []Action {
+	f, failure := d.check(now, r)
 	if failure != nil {
 		return []Action{d.failAction(now, f, failure)}
 	}
+	a := f.admission
 	f.state = retrier.RequestState{Repeatable: a.Route.Repeatable(), MaxRuns: max(1, a.Route.MaxAttempts)}
 	d.add(f)
 	s := d.service(a.Service.Name)
@@ -162,27 +171,21 @@
 		d.detector.Step(now, detector.Event{Kind: detector.EventTrial, Parts: f.request.Parts, Fingerprints: []string{f.fingerprint()}})
 	}
 	q := d.query(now, s, f)
-	id, ok := s.picker.Pick(now, q)
-	if !ok && f.attempts == 0 && !d.heldBackUntil(now, f.admission.Service.Name).IsZero() {
+	c, ok := d.choose(now, s, s.picker, f, q)
+	if !ok && f.attempts == 0 && d.allHeldBack(now, f) {
 		d.remove(f)
-		return []Action{d.failAction(now, f, unavailable(codeHeldBack, "all upstreams asked to get no requests for some time"))}
+		return []Action{d.failAction(now, f, heldBackFailure())}
 	}
 	if !ok {
 		return d.retryOrFail(now, f, retrier.CauseNoUpstream, nil)
 	}
-	tokens := s.picker.PrefillTokens(now, q, id)
-	wait := s.picker.ExpectedWait(q, id) + time.Duration(tokens)*q.PrefillPerToken
-	placed := d.place(s, f, q, wait)
-	if placed == placedDeferred {
-		q.Deferred = true
-		id, _ = s.picker.Pick(now, q)
-		tokens = s.picker.PrefillTokens(now, q, id)
-	}
+	q = c.query
+	id, tokens, wait, placed := c.upstream, c.prefillTokens, c.wait, c.placed
 	f.summary.ExpectedStart, f.summary.PrefillTokens, f.summary.Deferred = wait, tokens, placed == placedDeferred
 	if f.attempts == 0 && placed == refused {
 		f.summary.Upstream = id
 		d.remove(f)
-		return []Action{d.failAction(now, f, unavailable(codeOverloaded, "no upstream could begin the request in time"))}
+		return []Action{d.failAction(now, f, tooLateFailure())}
 	}
 	f.attempts++
 	f.run = run{attempt: f.attempts, upstream: id, suspect: q.Suspect, pendingTokens: tokens, sentAt: now}
--- a/internal/process/dispatcher/quarantine.go
+++ b/internal/process/dispatcher/quarantine.go
@@ -43,7 +43,12 @@
 	if d.strikesDue.IsZero() {
 		d.strikesDue = now.Add(d.settings.StrikesWait)
 	}
-	d.strikesLearned = !now.Before(d.strikesDue)
+	d.strikesLearned = d.strikesLearnedAt(now)
+}
+
+// strikesLearnedAt reports whether the wait for the strikes of other entries is over.
+func (d *Dispatcher) strikesLearnedAt(now time.Time) bool {
+	return d.strikesLearned || !d.strikesDue.IsZero() && !now.Before(d.strikesDue)
 }
 
 // learnStrikes applies the strikes that another entry knows. They are not sent on, since
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -188,6 +188,7 @@
 	eventStopping
 	eventStrikesLearned
 	eventStrikesFetched
+	eventExplained
 )
 
 // event is an input of the goroutine other than a job. Only the fields of its kind
@@ -211,6 +212,9 @@
 	// complete and reply are set for eventStrikesLearned and eventStrikesFetched.
 	complete bool
 	reply    func(strikes []detector.Strike, complete bool)
+	// explained and explain are the request and the reply of eventExplained.
+	explained dispatcher.Request
+	explain   func(dispatcher.Explanation)
 }
 
 // New starts a forwarder.
@@ -358,6 +362,8 @@
 		f.publishStrikesLearned()
 	case eventStrikesFetched:
 		e.reply(f.dispatcher.KnownStrikes(now))
+	case eventExplained:
+		e.explain(f.dispatcher.Explain(now, e.explained))
 	case eventSynced:
 		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventSynced, Synced: e.synced})
 	case eventLoadReceived:
--- a/internal/process/picker/backlog.go
+++ b/internal/process/picker/backlog.go
@@ -80,36 +80,8 @@
 }
 
 // Cost implements [Policy]. The unit is seconds.
-func (LeastBacklog) Cost(now time.Time, q Query, f *Fleet, c Candidate) float64 {
-	perToken := q.secondsPerToken()
-	wait := float64(c.PendingTokens+c.SharedPendingTokens) * perToken
-	runs := c.Outstanding + c.SharedRuns
-	cost := discountedWaitWeight*wait + max(0, wait-discountedWaitShare*q.LatencyTarget.Seconds())
-	cost += c.prefillTokens(q) * perToken
-	if c.Rank < Unranked {
-		cost -= rankBonusSeconds / float64(int(1)<<c.Rank)
-	}
-	cost += float64(runs) * outstandingCostSeconds
-	cost += slotWait(f, c.Upstream, q.Deferrable)
-	cost += failureCostSeconds * max(0, c.FailureRate-f.FailureRate-failureRateMargin)
-	if c.Outstanding > 0 {
-		cost += stallCostPerSecond * max(0, (now.Sub(c.LastProgress)-stallGrace).Seconds())
-	}
-	if f.FirstTokenTime > 0 {
-		cost += max(0, c.FirstTokenTime-2*f.FirstTokenTime) * decay(now.Sub(c.LastProgress), loadHalfLife)
-	}
-	if q.Suspect {
-		cost += suspectCostSeconds * float64(c.Suspects)
-	}
-	cost += poolMismatchCost(q, c)
-	cost += doubtCostSeconds * float64(min(c.doubtsAt(now), maxDoubts))
-	if q.Deferred {
-		cost += float64(c.Upstream.Deferred) * deferredCostSeconds
-	}
-	if c.AvailabilityZone != q.AvailabilityZone {
-		cost += backlogCrossZoneSeconds
-	}
-	return cost
+func (l LeastBacklog) Cost(now time.Time, q Query, f *Fleet, c Candidate) float64 {
+	return l.CostParts(now, q, f, c).Total()
 }
 
 // secondsPerToken returns the prefill time of a prompt token in seconds.
--- a/internal/process/picker/picker.go
+++ b/internal/process/picker/picker.go
@@ -202,11 +202,13 @@
 // Picker holds the table of upstreams and the prefix table of an entry. Create it
 // with [New].
 type Picker[P Policy] struct {
-	policy     P
-	fleet      Fleet
-	upstreams  map[string]*Upstream
-	prefixes   prefixTable
+	policy    P
+	fleet     Fleet
+	upstreams map[string]*Upstream
+	prefixes  prefixTable
+	// random draws from source, which [Picker.Fork] copies.
 	random     *rand.Rand
+	source     *rand.PCG
 	dispatches uint64
 	// sameZone and otherZones are the candidates that the current Pick has sampled
 	// from the zone of the query and from all other zones.
@@ -225,7 +227,8 @@
 // New returns a picker without upstreams. Its random choices are determined by
 // seed.
 func New[P Policy](seed uint64) *Picker[P] {
-	return &Picker[P]{upstreams: map[string]*Upstream{}, random: rand.New(rand.NewPCG(seed, 1))}
+	source := rand.NewPCG(seed, 1)
+	return &Picker[P]{upstreams: map[string]*Upstream{}, random: rand.New(source), source: source}
 }
 
 // Step updates the tables with one event.
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -20,6 +20,7 @@
 	"magnoliafront.dev/magnoliafront/internal/process/allocator"
 	"magnoliafront.dev/magnoliafront/internal/process/detector"
 	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
+	"magnoliafront.dev/magnoliafront/internal/process/explainer"
 	"magnoliafront.dev/magnoliafront/internal/process/forwarder"
 	"magnoliafront.dev/magnoliafront/internal/process/linker"
 	"magnoliafront.dev/magnoliafront/internal/process/loader"
@@ -247,11 +248,15 @@
 	return r, nil
 }
 
-func serveGatewayMetrics(lc fx.Lifecycle, s loader.Gateway, m *meter.Meter, c timer.Clock, shares allocator.Shares) error {
+// serveGatewayMetrics serves the metrics, and answers where a request would be sent.
+func serveGatewayMetrics(lc fx.Lifecycle, s loader.Gateway, m *meter.Meter, f *forwarder.Forwarder, c timer.Clock, shares allocator.Shares) error {
 	if s.Metrics == "" {
 		return nil
 	}
-	return listenForMetrics(lc, s.Metrics, m.Handler(), c, shares)
+	mux := http.NewServeMux()
+	mux.Handle("/", m.Handler())
+	mux.Handle(explainer.Path, explainer.NewHandler(explainer.Options{Clock: c, Parse: platform.Codec{}.ParseQuestion, Explain: f.Explain}))
+	return listenForMetrics(lc, s.Metrics, mux, c, shares)
 }
 
 // drainGateway registers the first step of a graceful stop: the entry becomes
--- a/internal/process/starter/gateway_fixture_test.go
+++ b/internal/process/starter/gateway_fixture_test.go
@@ -103,20 +103,22 @@
 	callerAddress string
 	readyAddress  string
 	peerAddress   string
-	forwarder     *forwarder.Forwarder
-	peering       *peering
-	meter         *meter.Meter
+	// metricsAddress is where the entry serves its metrics and explains requests.
+	metricsAddress string
+	forwarder      *forwarder.Forwarder
+	peering        *peering
+	meter          *meter.Meter
 }
 
 // startEntry starts an entry that uses the store at url and the peers as seeds.
 func (r *gatewayFixture) startEntry(name, url string, peers ...string) *gateway {
 	r.t.Helper()
 	is := is.New(r.t)
-	g := &gateway{t: r.t, callerAddress: freeAddress(r.t), readyAddress: freeAddress(r.t), peerAddress: freeAddress(r.t)}
+	g := &gateway{t: r.t, callerAddress: freeAddress(r.t), readyAddress: freeAddress(r.t), peerAddress: freeAddress(r.t), metricsAddress: freeAddress(r.t)}
 	s := loader.Gateway{
 		Common: loader.Common{
 			Identity: name, AvailabilityZone: "z", PeerListen: g.peerAddress, Platform: url,
-			SharedSecret: "secret of the test", Peers: peers,
+			SharedSecret: "secret of the test", Peers: peers, Metrics: g.metricsAddress,
 		},
 		Listen: g.callerAddress, ReadyListen: g.readyAddress, GracePeriod: r.gracePeriod, NoticePeriod: r.noticePeriod, LeavingLimit: "2s", RetryShare: 0.2, RetrySlack: 50,
 		Duties: r.duties,
