--- a/cmd/magnoliafront/explain.go
+++ b/cmd/magnoliafront/explain.go
@@ -70,7 +70,7 @@
 	if len(a.Candidates) == 0 {
 		return nil
 	}
-	_, _ = fmt.Fprintln(w, "\nUPSTREAM\tZONE\tCOST\tRULED OUT\tWAIT\tPENDING\tPREFILL\tCACHED\tRUNS\tSLOTS\tDOUBTS\tRANK\tPOOL\tPARTS OF THE COST")
+	_, _ = fmt.Fprintln(w, "\nUPSTREAM\tAVAILABILITY ZONE\tCOST\tRULED OUT\tWAIT\tPENDING\tPREFILL\tCACHED\tRUNS\tSLOTS\tDOUBTS\tRANK\tPOOL\tPARTS OF THE COST")
 	for _, c := range a.Candidates {
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%.2f\t%s\t%.1f\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%t\t%s\n",
 			c.Upstream, c.AvailabilityZone, c.CostMs, orDash(c.RuledOut), c.ExpectedWaitMs, c.PendingTokens+c.SharedPendingTokens,
@@ -101,7 +101,7 @@
 		{"suspects", p.Suspects},
 		{"pool", p.Pool},
 		{"deferred", p.Deferred},
-		{"zone", p.Zone},
+		{"cross_zone", p.CrossZone},
 	} {
 		if part.value != 0 {
 			parts = append(parts, fmt.Sprintf("%s=%.2f", part.name, part.value))
--- a/internal/process/dispatcher/explain_test.go
+++ b/internal/process/dispatcher/explain_test.go
@@ -140,3 +140,46 @@
 	}
 	is.Equal(counts, map[picker.Exclusion]int{picker.NotExcluded: 1, ExcludedConnectionShare: 1, picker.ExcludedHeldBack: 1})
 }
+
+// In a burst, the explanation must say which requests run after all others, and which are
+// refused since they would begin too late.
+func TestExplainPredictsPlacement(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		pendingTokens int
+		deferred      bool
+		code          string
+	}{
+		{"in turn", 0, false, ""},
+		{"deferred", 500_000, true, ""},
+		{"refused", 1_000_000, false, codeOverloaded},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDispatcher()
+			// The separator knows both kinds of requests from their arrivals.
+			for i, path := range []string{"/chat/1", "/brief/1"} {
+				r := request(path)
+				r.ID, r.PromptTokens = fmt.Sprint("known-", i), 12_000*i
+				d.Step(testTime(), Event{Kind: EventArrived, Request: r})
+				d.Step(testTime(), Event{Kind: EventEnded, ID: r.ID, Attempt: 1, Outcome: OutcomeCancelled})
+			}
+			var loads []Load
+			for _, u := range upstreams() {
+				loads = append(loads, Load{u.InstanceID(), 1, c.pendingTokens})
+			}
+			d.Step(testTime(), Event{Kind: EventLoadReceived, Entry: "entry-2", Report: LoadReport{Loads: loads}})
+			r := request("/brief/1")
+			r.PromptTokens = 12_000
+			e := d.Explain(testTime(), r)
+			got := d.Step(testTime(), Event{Kind: EventArrived, Request: r})[0]
+			is.Equal(e.Deferred, c.deferred)
+			is.Equal(e.Upstream, got.Upstream.InstanceID())
+			is.Equal([]any{e.Deferred, e.ExpectedStart}, []any{got.Summary.Deferred, got.Summary.ExpectedStart})
+			is.Equal(e.Failure == nil, got.Failure == nil)
+			if c.code != "" {
+				is.Equal([]string{e.Failure.Code, got.Failure.Code}, []string{c.code, c.code})
+			}
+		})
+	}
+}
--- a/internal/process/explainer/answer.go
+++ b/internal/process/explainer/answer.go
@@ -78,7 +78,7 @@
 	Suspects   float64 `json:"suspects"`
 	Pool       float64 `json:"pool"`
 	Deferred   float64 `json:"deferred"`
-	Zone       float64 `json:"zone"`
+	CrossZone  float64 `json:"cross_zone"`
 }
 
 // newAnswer encodes e.
@@ -103,7 +103,7 @@
 
 func newCandidate(c picker.CandidateReport) Candidate {
 	out := Candidate{
-		Upstream: c.Upstream, AvailabilityZone: c.Zone, RuledOut: string(c.Exclusion),
+		Upstream: c.Upstream, AvailabilityZone: c.AvailabilityZone, RuledOut: string(c.Exclusion),
 		CostMs: secondsMs(c.Cost), CostParts: newParts(c.Parts),
 		Outstanding: c.Outstanding, PendingTokens: c.PendingTokens, SharedRuns: c.SharedRuns,
 		SharedPendingTokens: c.SharedPendingTokens, Slots: c.Slots, PrefillTokens: c.PrefillTokens,
@@ -120,7 +120,7 @@
 		Backlog: secondsMs(p.Backlog), Prefill: secondsMs(p.Prefill), Rank: secondsMs(p.Rank), Runs: secondsMs(p.Runs),
 		Slots: secondsMs(p.Slots), Failures: secondsMs(p.Failures), Stall: secondsMs(p.Stall),
 		FirstToken: secondsMs(p.FirstToken), Doubts: secondsMs(p.Doubts), Suspects: secondsMs(p.Suspects),
-		Pool: secondsMs(p.Pool), Deferred: secondsMs(p.Deferred), Zone: secondsMs(p.Zone),
+		Pool: secondsMs(p.Pool), Deferred: secondsMs(p.Deferred), CrossZone: secondsMs(p.CrossZone),
 	}
 }
 
--- a/internal/process/picker/cost.go
+++ b/internal/process/picker/cost.go
@@ -20,14 +20,14 @@
 	Pool float64
 	// Deferred is the cost of the other deferred requests, for a deferred one.
 	Deferred float64
-	// Zone is the cost of an upstream in another availability zone.
-	Zone float64
+	// CrossZone is the cost of an upstream in another availability zone.
+	CrossZone float64
 }
 
 // Total returns the sum of all parts.
 func (p CostParts) Total() float64 {
 	return p.Backlog + p.Prefill + p.Rank + p.Runs + p.Slots + p.Failures + p.Stall + p.FirstToken +
-		p.Suspects + p.Pool + p.Doubts + p.Deferred + p.Zone
+		p.Suspects + p.Pool + p.Doubts + p.Deferred + p.CrossZone
 }
 
 // CostParts returns the parts of the cost of a candidate.
@@ -56,10 +56,10 @@
 		parts.Suspects = suspectCostSeconds * float64(c.Suspects)
 	}
 	if q.Deferred {
-		parts.Deferred = float64(c.Upstream.Deferred) * deferredCostSeconds
+		parts.Deferred = float64(c.Deferred) * deferredCostSeconds
 	}
 	if c.AvailabilityZone != q.AvailabilityZone {
-		parts.Zone = backlogCrossZoneSeconds
+		parts.CrossZone = backlogCrossZoneSeconds
 	}
 	return parts
 }
--- a/internal/process/picker/explain.go
+++ b/internal/process/picker/explain.go
@@ -29,9 +29,9 @@
 // CandidateReport describes a candidate of a query and its cost. An upstream that is not
 // connected has neither cost nor load.
 type CandidateReport struct {
-	Upstream  string
-	Zone      string
-	Exclusion Exclusion
+	Upstream         string
+	AvailabilityZone string
+	Exclusion        Exclusion
 	// Cost is the cost by the policy. Parts are set if the policy is [LeastBacklog].
 	Cost  float64
 	Parts CostParts
@@ -108,7 +108,7 @@
 	}
 	c := p.candidate(now, q, u)
 	r := CandidateReport{
-		Upstream: name, Zone: u.AvailabilityZone, Cost: p.policy.Cost(now, q, &p.fleet, c),
+		Upstream: name, AvailabilityZone: u.AvailabilityZone, Cost: p.policy.Cost(now, q, &p.fleet, c),
 		Outstanding: u.Outstanding, PendingTokens: u.PendingTokens, Slots: u.Slots,
 		SharedRuns: u.SharedRuns, SharedPendingTokens: u.SharedPendingTokens,
 		PrefillTokens: int(c.prefillTokens(q)), CachedTokens: int(c.CachedTokens), ExpectedWait: p.ExpectedWait(q, name),
