Do not refuse a long prompt while nothing waits before it

Cause: the wait with which a deferrable request is refused contains the prefill of its own prompt. Change: the queue and the own prefill are separate. With an empty queue at the best upstream and no deferred request, the request is deferred but never refused. Result: the new subtest fails before the change (503) and passes after it; the second such request is refused as before.

--- a/internal/process/dispatcher/deferral.go
+++ b/internal/process/dispatcher/deferral.go
@@ -29,13 +29,18 @@
 	refused
 )
 
-// place decides when the best upstream is to run a request, which is expected to begin
-// there after wait.
-func (d *Dispatcher) place(s *service, f *inFlightRequest, q picker.Query, wait time.Duration) placement {
+// place decides when the best upstream is to run a request. The prefill of the request is
+// expected to begin there after queue, and to take prefill.
+func (d *Dispatcher) place(s *service, f *inFlightRequest, q picker.Query, queue, prefill time.Duration) placement {
 	r := f.admission.Route
+	wait := queue + prefill
 	if r.LatencyTarget == 0 || r.Kind != matcher.Streaming || !f.isDeferrable(s) || wait <= r.LatencyTarget {
 		return placedInTurn
 	}
+	if queue == 0 && s.deferredTokens == 0 {
+		// Nothing is before it, so that a later attempt would not begin any sooner.
+		return placedDeferred
+	}
 	if wait+d.deferredWait(s, q) <= time.Duration(deferredPatienceShare*float64(callerPatience(r))) {
 		return placedDeferred
 	}
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -171,14 +171,14 @@
 		return d.retryOrFail(now, f, retrier.CauseNoUpstream, nil)
 	}
 	tokens := s.picker.PrefillTokens(now, q, id)
-	wait := s.picker.ExpectedWait(q, id) + time.Duration(tokens)*q.PrefillPerToken
-	placed := d.place(s, f, q, wait)
+	queue, prefill := s.picker.ExpectedWait(q, id), time.Duration(tokens)*q.PrefillPerToken
+	placed := d.place(s, f, q, queue, prefill)
 	if placed == placedDeferred {
 		q.Deferred = true
 		id, _ = s.picker.Pick(now, q)
 		tokens = s.picker.PrefillTokens(now, q, id)
 	}
-	f.summary.ExpectedStart, f.summary.PrefillTokens, f.summary.Deferred = wait, tokens, placed == placedDeferred
+	f.summary.ExpectedStart, f.summary.PrefillTokens, f.summary.Deferred = queue+prefill, tokens, placed == placedDeferred
 	if f.attempts == 0 && placed == refused {
 		f.summary.Upstream = id
 		d.remove(f)
--- a/internal/process/dispatcher/load_test.go
+++ b/internal/process/dispatcher/load_test.go
@@ -147,6 +147,15 @@
 			assertSent(t, d.Step(testTime(), Event{Kind: EventArrived, Request: brief()}), 1)
 		}
 	})
+	t.Run("brief that takes long to prefill is not shed while nobody waits", func(t *testing.T) {
+		d := overloaded(0)
+		long := brief()
+		long.PromptTokens = 2 * manyTokens
+		assertSent(t, d.Step(testTime(), Event{Kind: EventArrived, Request: long}), 1)
+		next := long
+		next.ID, next.Query.RequestID = "r2", "r2"
+		assertFailed(t, d.Step(testTime(), Event{Kind: EventArrived, Request: next}), http.StatusServiceUnavailable, false)
+	})
 	t.Run("brief is served after the load reports expire", func(t *testing.T) {
 		d := overloaded(manyTokens)
 		d.Step(testTime().Add(loadReportExpiry), Event{Kind: EventTick})
