Treat a retry that is too late like any deferred request

Cause: a retry for which the expected wait is too long was sent with the priority of deferred requests, but not spread like them, and its summary, log line and metrics said that it was not deferred. Change: the decision for such a retry is placedDeferred before the upstream is chosen. Result: the new subtest fails before the change and passes after it, as do the tests of the package.

--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -173,13 +173,17 @@
 	tokens := s.picker.PrefillTokens(now, q, id)
 	queue, prefill := s.picker.ExpectedWait(q, id), time.Duration(tokens)*q.PrefillPerToken
 	placed := d.place(s, f, q, queue, prefill)
+	if placed == refused && f.attempts > 0 {
+		// An upstream may already have worked on the request.
+		placed = placedDeferred
+	}
 	if placed == placedDeferred {
 		q.Deferred = true
 		id, _ = s.picker.Pick(now, q)
 		tokens = s.picker.PrefillTokens(now, q, id)
 	}
 	f.summary.ExpectedStart, f.summary.PrefillTokens, f.summary.Deferred = queue+prefill, tokens, placed == placedDeferred
-	if f.attempts == 0 && placed == refused {
+	if placed == refused {
 		f.summary.Upstream = id
 		d.remove(f)
 		return []Action{d.failAction(now, f, unavailable(codeOverloaded, "no upstream could begin the request in time"))}
@@ -187,7 +191,7 @@
 	f.attempts++
 	f.run = run{attempt: f.attempts, upstream: id, suspect: q.Suspect, pendingTokens: tokens, sentAt: now}
 	priority := f.admission.Priority
-	if placed != placedInTurn {
+	if placed == placedDeferred {
 		priority = matcher.PriorityLevels - 1
 		f.deferred, f.deferredTokens, f.pendingTokens = true, tokens, 0
 		s.deferredTokens += tokens
--- a/internal/process/dispatcher/load_test.go
+++ b/internal/process/dispatcher/load_test.go
@@ -156,6 +156,20 @@
 		next.ID, next.Query.RequestID = "r2", "r2"
 		assertFailed(t, d.Step(testTime(), Event{Kind: EventArrived, Request: next}), http.StatusServiceUnavailable, false)
 	})
+	t.Run("retry of a brief that would be shed is deferred", func(t *testing.T) {
+		d := overloaded(0)
+		assertSent(t, d.Step(testTime(), Event{Kind: EventArrived, Request: brief()}), 1)
+		var loads []Load
+		for i := range 3 {
+			loads = append(loads, Load{fmt.Sprint("desk-", i), 1, 2 * manyTokens})
+		}
+		d.Step(testTime(), Event{Kind: EventLoadReceived, Entry: "entry-2", Report: LoadReport{Loads: loads}})
+		sent := endAttempt(d, 1, Event{Outcome: OutcomeNotSent})
+		assertSent(t, sent, 2)
+		is := is.New(t)
+		is.Equal(sent[0].Priority, matcher.PriorityLevels-1)
+		is.True(sent[0].Summary.Deferred)
+	})
 	t.Run("brief is served after the load reports expire", func(t *testing.T) {
 		d := overloaded(manyTokens)
 		d.Step(testTime().Add(loadReportExpiry), Event{Kind: EventTick})
