Forget the shared load on upstreams that leave

Cause: the load of other entries on an upstream that left was not subtracted, since only loads on listed upstreams are. The state of the upstream stays while a request is in flight or a backoff lasts, so one that came back with the same instance ID kept the old load as long as its state lived. Change: an update of the list of upstreams removes the loads on those that have left from the received reports and from the shared load. Result: the new subtest fails before the change (3 runs instead of none) and passes after it, as do the tests of the package.

--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -239,6 +239,7 @@
 	for name := range byService {
 		d.service(name)
 	}
+	d.forgetSharedLoads(now)
 	var out []Action
 	for name, s := range d.services {
 		for id, u := range s.upstreams {
--- a/internal/process/dispatcher/load.go
+++ b/internal/process/dispatcher/load.go
@@ -179,6 +179,26 @@
 	return known
 }
 
+// forgetSharedLoads removes the loads on upstreams that are no longer in the list from the
+// reports of the other entries and from the shared load. An upstream that comes back with
+// the same instance ID would keep them otherwise. It must be called while the services
+// still have the upstreams that have left.
+func (d *Dispatcher) forgetSharedLoads(now time.Time) {
+	hasLeft := func(l Load) bool {
+		_, ok := d.serviceNames[l.Upstream]
+		return !ok
+	}
+	for entry, r := range d.exchange.reports {
+		for _, l := range r.loads {
+			if hasLeft(l) {
+				d.addSharedLoads(now, []Load{l}, -1)
+			}
+		}
+		r.loads = slices.DeleteFunc(r.loads, hasLeft)
+		d.exchange.reports[entry] = r
+	}
+}
+
 // SharedRuns returns the number of requests that the other entries have in flight
 // according to their last reports.
 func (d *Dispatcher) SharedRuns() int {
--- a/internal/process/dispatcher/load_test.go
+++ b/internal/process/dispatcher/load_test.go
@@ -46,6 +46,18 @@
 		d.Step(testTime().Add(loadReportExpiry), Event{Kind: EventTick})
 		assertShared(t, d, "desk-0", 0, 0)
 	})
+	t.Run("load on an upstream that leaves and returns counts once", func(t *testing.T) {
+		d := newDispatcher()
+		// A request in flight keeps the state of the upstream.
+		id := d.Step(testTime(), Event{Kind: EventArrived, Request: request("/brief/1")})[0].Upstream.InstanceID()
+		report(d, testTime(), "entry-2", Load{id, 3, 1000})
+		d.Step(testTime(), Event{Kind: EventUpstreams})
+		report(d, testTime(), "entry-2")
+		d.Step(testTime(), Event{Kind: EventUpstreams, Upstreams: upstreams()})
+		assertShared(t, d, id, 0, 0)
+		report(d, testTime(), "entry-2", Load{id, 2, 500})
+		assertShared(t, d, id, 2, 500)
+	})
 	t.Run("load on an unknown upstream is not subtracted later", func(t *testing.T) {
 		d := newDispatcher()
 		report(d, testTime(), "entry-2", Load{"desk-9", 3, 1000})
