Bound what the prefill sums of another entry can do

Cause: a valid message could report any number of observations, which outweighed all other entries, and sums whose fit gave a time per token of 1e13 s. As a time.Duration it overflowed to a negative value. Change: the number of observations is bounded by what one entry keeps, and a fit above 0.1 s per token counts as unknown. Result: the new tests fail before the change (-2562047h47m16s per token) and pass after it, as do those of separator and syncer.

--- a/internal/process/separator/prefill.go
+++ b/internal/process/separator/prefill.go
@@ -16,9 +16,15 @@
 	// minFitSpread is the minimum standard deviation of the prompt lengths, as a share
 	// of their mean, with which the fit is used.
 	minFitSpread = 0.2
-	// maxPrefillSum bounds each sum of [Prefill]. It allows for 1/(1-fitDecay)
-	// observations of prompts of a million tokens.
+	// maxObservations bounds the number of observations of one entry. It is the limit
+	// 1/(1-fitDecay) of the weights with room for rounding.
+	maxObservations = 1.01 / (1 - fitDecay)
+	// maxPrefillSum bounds each sum of [Prefill]. It allows for maxObservations of
+	// prompts of a million tokens.
 	maxPrefillSum = 1e14
+	// maxSecondsPerToken bounds the result of the fit. With larger ones the expected time
+	// for a long prompt would overflow a [time.Duration].
+	maxSecondsPerToken = 0.1
 )
 
 // Prefill holds the weighted sums of observations from which the prefill time of a prompt
@@ -41,7 +47,7 @@
 	m.XY += o.XY
 }
 
-// IsValid reports whether the sums can be those of observations. A message of another
+// IsValid reports whether the sums can be those of the observations of one entry. A message of another
 // entry may hold anything.
 func (m *Prefill) IsValid() bool {
 	for _, sum := range []float64{m.N, m.X, m.Y, m.XX, m.XY} {
@@ -49,7 +55,7 @@
 			return false
 		}
 	}
-	return true
+	return m.N <= maxObservations
 }
 
 // observe records the time in seconds to the first event after a prompt of the given
@@ -75,7 +81,7 @@
 	mean := m.X / m.N
 	variance := m.XX/m.N - mean*mean
 	slope := (m.XY/m.N - mean*m.Y/m.N) / max(variance, 1)
-	if variance < minFitSpread*minFitSpread*mean*mean || slope <= 0 {
+	if variance < minFitSpread*minFitSpread*mean*mean || !(slope > 0 && slope <= maxSecondsPerToken) {
 		return defaultSecondsPerToken
 	}
 	return slope
--- a/internal/process/separator/report_test.go
+++ b/internal/process/separator/report_test.go
@@ -1,6 +1,7 @@
 package separator
 
 import (
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -95,6 +96,34 @@
 	})
 }
 
+// The sums of a faulty entry outweighed those of all others, or gave a prefill time that
+// overflowed a duration.
+func TestSumsOfFaultyEntryAreBounded(t *testing.T) {
+	var own Prefill
+	for range 1000 {
+		own.observe(1e6, 1)
+	}
+	for _, c := range []struct {
+		name string
+		sums Prefill
+		want bool
+	}{
+		{"no observation", Prefill{}, true},
+		{"many observations", own, true},
+		{"more observations than one entry keeps", Prefill{N: 1e6}, false},
+		{"negative sum", Prefill{N: 10, Y: -1}, false},
+		{"not a number", Prefill{N: math.NaN()}, false},
+		{"infinity", Prefill{XY: math.Inf(1)}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) { is.New(t).Equal(c.sums.IsValid(), c.want) })
+	}
+	t.Run("implausible time per token", func(t *testing.T) {
+		var s Separator
+		s.SetOthers(Report{Prefill: Prefill{N: 10, XY: maxPrefillSum}})
+		is.New(t).Equal(s.PrefillPerToken(), 7*time.Microsecond)
+	})
+}
+
 // A prefix was expected to be cached for a minute although the running requests left room
 // for a few seconds of new prompts.
 func TestCacheResidenceFollowsFreeMemory(t *testing.T) {
