Keep the kinds of request that an entry has learned

Cause: a kind that only other entries get could displace the own kind with the oldest arrival, with all that was learned of it, in a service with 256 or more kinds; displaced kinds of others came back each second. Change: a kind that others report is added only while there is room. Result: the extended test fails before the change and passes after it.

--- a/internal/process/separator/separator.go
+++ b/internal/process/separator/separator.go
@@ -145,6 +145,10 @@
 		if e.Kind == EventPrefilled || e.Kind == EventProgress {
 			return
 		}
+		if e.Kind == EventKnown && len(s.kinds) >= maxKinds {
+			// Reports of others must not displace what this entry has learned.
+			return
+		}
 		k = s.add(now, e.Request)
 	}
 	switch e.Kind {
--- a/internal/process/separator/separator_test.go
+++ b/internal/process/separator/separator_test.go
@@ -231,6 +231,10 @@
 	is := is.New(t)
 	is.Equal(len(s.kinds), maxKinds)
 	is.True(!s.IsSeparated("route-0"))
+	// A kind that only other entries get must not displace one that this entry gets.
+	s.Step(start().Add(time.Minute), Event{Kind: EventKnown, Request: "route-0"})
+	is.True(s.kinds[fmt.Sprint("route-", 2*maxKinds)] != nil)
+	is.Equal(len(s.kinds), maxKinds)
 }
 
 // The fit must find the time for a token whatever the overhead, and must not follow
