Count all upstreams for deferred requests if none are set apart

Cause: a share of zero means that all requests share all upstreams, but the wait of deferred requests was computed for a single upstream. It was too long by the number of upstreams. Change: a share of zero counts as one.

--- a/internal/process/dispatcher/deferral.go
+++ b/internal/process/dispatcher/deferral.go
@@ -50,7 +50,12 @@
 // deferredWait returns the expected time for the prefill of the deferred requests that
 // wait for their first event. Those of the other entries are taken to be as many.
 func (d *Dispatcher) deferredWait(s *service, q picker.Query) time.Duration {
-	engines := max(1, q.LongPromptShare*float64(len(s.instanceIDs)))
+	share := q.LongPromptShare
+	if share == 0 {
+		// All requests share all upstreams.
+		share = 1
+	}
+	engines := max(1, share*float64(len(s.instanceIDs)))
 	return time.Duration(float64(s.deferredTokens*d.entries) / engines * float64(q.PrefillPerToken))
 }
 
