Compute the kinds of a load report only when they are sent

Cause: each tick sorted and copied the kinds of each service, although one report of kindReportDivisor has them. Change: the report of the kinds is built in a function that is called when it is due. Result: no change of behaviour; the tests of the dispatcher pass.

--- a/internal/process/dispatcher/load.go
+++ b/internal/process/dispatcher/load.go
@@ -230,8 +230,8 @@
 		if share := s.separator.Share(); share > 0 {
 			report.Shares = append(report.Shares, LongPromptShare{name, share})
 		}
-		if k := s.separator.Report(now); withKinds && len(k.Kinds) > 0 {
-			report.Kinds = append(report.Kinds, ServiceKinds{name, k})
+		if withKinds {
+			report.Kinds = s.appendKinds(now, name, report.Kinds)
 		}
 		for _, id := range s.instanceIDs {
 			if u := s.picker.Upstream(id); u != nil && u.Outstanding > 0 {
--- a/internal/process/dispatcher/separation.go
+++ b/internal/process/dispatcher/separation.go
@@ -39,6 +39,15 @@
 	}}}
 }
 
+// appendKinds appends what this entry has learned of the requests of s, if anything.
+func (s *service) appendKinds(now time.Time, name string, all []ServiceKinds) []ServiceKinds {
+	r := s.separator.Report(now)
+	if len(r.Kinds) == 0 {
+		return all
+	}
+	return append(all, ServiceKinds{name, r})
+}
+
 // learnKinds tells the separators about the targets of the kinds of requests that another
 // entry has reported, of which this one may have got none.
 func (d *Dispatcher) learnKinds(now time.Time, all []ServiceKinds) {
