Do not count on copies from upstreams that have left

Cause: the probability that a prefix can be copied counted holders that had left or were held back, from which CacheSource never copies. The prefill was underestimated, and with it the wait and the pending tokens. The condition stood twice, in two forms. Change: CacheSource and the estimate use one function.

--- a/internal/process/picker/backlog_test.go
+++ b/internal/process/picker/backlog_test.go
@@ -231,6 +231,27 @@
 	})
 }
 
+// The tokens to prefill were underestimated for a prefix whose only holder had left, from
+// which it can no longer be copied.
+func TestPrefixOfLeavingHolderIsPrefilled(t *testing.T) {
+	p, names := backlogPicker(1, 4)
+	q := shortPromptQuery(names, 7)
+	q.PrefixTokens, q.PromptTokens = 8000, 8000
+	p.Step(start(), Event{Kind: EventCached, Upstream: names[0], Prefix: q.Prefix})
+	largest := func() int {
+		_, _ = p.Pick(start(), q)
+		tokens := 0
+		for _, name := range names[1:] {
+			tokens = max(tokens, p.PrefillTokens(start(), q, name))
+		}
+		return tokens
+	}
+	is := is.New(t)
+	is.True(largest() < q.PromptTokens/2)
+	p.Step(start(), Event{Kind: EventLeaving, Upstream: names[0]})
+	is.Equal(largest(), q.PromptTokens)
+}
+
 // Deferrable requests must not take the slots that are reserved for the others.
 func TestExpectedWaitCountsReservedSlots(t *testing.T) {
 	p := New[LeastBacklog](1)
--- a/internal/process/picker/picker.go
+++ b/internal/process/picker/picker.go
@@ -55,8 +55,8 @@
 	// entries agree: zero for the preferred upstream, then its alternatives in
 	// order. It is [Unranked] for all others.
 	Rank int
-	// Copyable is the probability that another upstream holds the prefix of the query,
-	// from which it can be copied.
+	// Copyable is the probability that the prefix of the query can be copied from an
+	// upstream that served it, which may be the candidate itself.
 	Copyable float64
 	// PoolMatch is false if the upstream is in the pool for long prompts and the
 	// query has a short one, or the reverse.
@@ -79,7 +79,7 @@
 	// and ranking has the upstreams that rank highest for it.
 	prefixHolders []*Upstream
 	ranking       ranking
-	// copyable is the highest probability that an upstream holds the prefix.
+	// copyable is the probability that the prefix of the current Pick can be copied.
 	copyable float64
 	pool     longPromptPool
 	// usable is a buffer for the usable candidates of the current Pick.
@@ -212,7 +212,7 @@
 	if !q.Deferred {
 		p.findPrefixHolders(now, q)
 	}
-	p.copyable = p.prefixes.probability(now, q)
+	p.copyable = p.copyableProbability(now, q)
 	p.ranking, p.pool.members = ranking{}, p.pool.members[:0]
 	if len(q.Candidates) <= maxScannedCandidates {
 		p.rankCandidates(now, q)
--- a/internal/process/picker/prefix.go
+++ b/internal/process/picker/prefix.go
@@ -139,22 +139,29 @@
 	return 0
 }
 
-// probability returns the probability that the upstream that served a prefix last still
-// holds it, zero if none is known.
-func (t *prefixTable) probability(now time.Time, q Query) float64 {
-	all := t.get(q.Prefix)
+// copyableProbability returns the highest probability that the prefix of q can be copied
+// from one of the upstreams that served it, zero if none is known.
+func (p *Picker[P]) copyableProbability(now time.Time, q Query) float64 {
+	all := p.prefixes.get(q.Prefix)
 	if all == nil {
 		return 0
 	}
 	best := 0.0
 	for _, h := range all {
-		if h.filled {
-			best = max(best, q.holds(now.Sub(h.at)))
-		}
+		best = max(best, p.copyProbability(now, q, h))
 	}
 	return best
 }
 
+// copyProbability returns the probability that the prefix of q can be copied from h. It is
+// zero if h is not available or has not begun to answer.
+func (p *Picker[P]) copyProbability(now time.Time, q Query, h holder) float64 {
+	if !h.filled || !p.available(now, q, p.upstreams[h.upstream]) {
+		return 0
+	}
+	return q.holds(now.Sub(h.at))
+}
+
 // holds returns the probability that an upstream still holds the prefix of q some time
 // after the last request with it.
 func (q Query) holds(age time.Duration) float64 {
--- a/internal/process/picker/ranking.go
+++ b/internal/process/picker/ranking.go
@@ -78,7 +78,8 @@
 	var last holder
 	if all := p.prefixes.get(q.Prefix); all != nil {
 		for _, h := range all {
-			if h.filled && h.upstream != chosen && now.Sub(h.at) < maxSourceAge && q.holds(now.Sub(h.at)) >= minSourceProbability && h.at.After(last.at) && p.available(now, q, p.upstreams[h.upstream]) {
+			recent := now.Sub(h.at) < maxSourceAge && h.at.After(last.at)
+			if recent && h.upstream != chosen && p.copyProbability(now, q, h) >= minSourceProbability {
 				last = h
 			}
 		}
