Count the entries that doubt an upstream, not their reports

Cause: the cost of a doubt is meant for each other entry that has lost an upstream, but each report counted, and one report within doubtLifetime kept all earlier ones alive. An entry that alone was cut off from an upstream, and reported it several times a second, counted like four entries and kept all others away from it. Change: the last report of each entry counts, for doubtLifetime. At most maxDoubts entries are remembered for one upstream. Result: the new subtest fails if the reports of one entry add up, and passes now; the tests of picker and dispatcher pass.

--- a/internal/process/dispatcher/load.go
+++ b/internal/process/dispatcher/load.go
@@ -47,8 +47,8 @@
 	Placements []Placement
 	// Shares has the services in which the entry separates requests with long prompts.
 	Shares []LongPromptShare
-	// Lost has the instance IDs of the upstreams that the entry has lost or could not
-	// connect to since the previous report.
+	// Lost has the instance IDs of the upstreams to which the entry could not connect, or
+	// which closed a connection during a request, since the previous report.
 	Lost []string
 	// Kinds has what the entry has learned of the requests of each service. It is in
 	// one report of kindReportDivisor.
@@ -148,7 +148,7 @@
 	for _, id := range r.Lost {
 		for _, s := range d.services {
 			if _, ok := s.upstreams[id]; ok {
-				s.picker.Step(now, picker.Event{Kind: picker.EventDoubted, Upstream: id})
+				s.picker.Step(now, picker.Event{Kind: picker.EventDoubted, Upstream: id, Entry: entry})
 			}
 		}
 	}
--- a/internal/process/picker/backlog.go
+++ b/internal/process/picker/backlog.go
@@ -27,7 +27,6 @@
 	// lost the upstream or could not connect to it. An entry that alone is cut off from an
 	// upstream must not keep the others away from it.
 	doubtCostSeconds = 0.1
-	maxDoubts        = 4
 	// stallCostPerSecond is the cost in seconds of each second without progress
 	// beyond stallGrace.
 	stallCostPerSecond = 0.5
@@ -102,7 +101,7 @@
 		cost += suspectCostSeconds * float64(c.Suspects)
 	}
 	cost += poolMismatchCost(q, c)
-	cost += doubtCostSeconds * float64(min(c.doubtsAt(now), maxDoubts))
+	cost += doubtCostSeconds * float64(c.doubtsAt(now))
 	if q.Deferred {
 		cost += float64(c.Upstream.Deferred) * deferredCostSeconds
 	}
--- a/internal/process/picker/doubt_test.go
+++ b/internal/process/picker/doubt_test.go
@@ -13,6 +13,11 @@
 func TestPickAvoidsUpstreamThatOthersHaveLost(t *testing.T) {
 	lost := Event{Kind: EventDoubted, Upstream: "a"}
 	busy := Event{Kind: EventShared, Upstream: "b", RunsDelta: 20}
+	// veryBusy costs more than the doubt of one entry and less than those of three.
+	veryBusy := Event{Kind: EventShared, Upstream: "b", RunsDelta: 400}
+	lostBy := func(entry string) Event {
+		return Event{Kind: EventDoubted, Upstream: "a", Entry: entry}
+	}
 	for _, c := range []struct {
 		name   string
 		events []Event
@@ -23,6 +28,8 @@
 		{"a recent report", []Event{busy, lost}, doubtLifetime - 1, "b"},
 		{"an old report", []Event{busy, lost}, doubtLifetime, "a"},
 		{"an answer after the report", []Event{busy, lost, {Kind: EventFirstToken, Upstream: "a"}}, 0, "a"},
+		{"one entry that is cut off reports often", []Event{veryBusy, lost, lost, lost}, 0, "a"},
+		{"three entries report", []Event{veryBusy, lostBy("2"), lostBy("3"), lostBy("4")}, 0, "b"},
 		{"only that upstream is left", []Event{{Kind: EventLeaving, Upstream: "b"}, lost, lost, lost}, 0, "a"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/process/picker/event.go
+++ b/internal/process/picker/event.go
@@ -48,8 +48,8 @@
 	// flight on the upstream: RunsDelta requests and PromptTokens pending tokens,
 	// negative for a decrease.
 	EventShared
-	// EventDoubted means that another entry has lost the upstream or could not connect to
-	// it.
+	// EventDoubted means that another entry, Entry, could not connect to the upstream, or
+	// that the upstream closed its connection during a request.
 	EventDoubted
 	// EventHeldBack means that the upstream wants no requests from this entry for
 	// RetryAfter.
@@ -79,6 +79,8 @@
 	RunsDelta int
 	// RetryAfter is set for EventHeldBack.
 	RetryAfter time.Duration
+	// Entry is the identity of the entry that reported an EventDoubted.
+	Entry string
 	// Slots is the number of requests that the upstream runs concurrently, with
 	// EventConnected. Zero means unknown.
 	Slots int
--- a/internal/process/picker/picker.go
+++ b/internal/process/picker/picker.go
@@ -158,7 +158,7 @@
 		u.SharedRuns = max(0, u.SharedRuns+e.RunsDelta)
 		u.SharedPendingTokens = max(0, u.SharedPendingTokens+e.PromptTokens)
 	case EventDoubted:
-		u.recordDoubt(now)
+		u.recordDoubt(now, e.Entry)
 	case EventHeldBack:
 		u.holdBack(e.At.Add(e.RetryAfter))
 	}
--- a/internal/process/picker/upstream.go
+++ b/internal/process/picker/upstream.go
@@ -34,9 +34,6 @@
 	// upstream. It doubles with each further failure, up to maxBackoff.
 	minBackoff = 500 * time.Millisecond
 	maxBackoff = 8 * time.Second
-	// doubtLifetime is the time for which a report of another entry that lost the upstream
-	// counts. An upstream that has ended is removed from the list by then, or is back.
-	doubtLifetime = time.Second
 	// maxOutstandingSamples is the number of recent values of Outstanding that are
 	// stored to interpret delayed load reports.
 	maxOutstandingSamples = 64
@@ -95,12 +92,10 @@
 	// HeldBackUntil is the time until which the upstream asked this entry to send it
 	// no requests.
 	HeldBackUntil time.Time
-	// doubts is the number of reports of other entries that lost the upstream, within
-	// doubtLifetime before doubtedAt.
-	doubts    int
-	doubtedAt time.Time
-	failures  int
-	nameHash  uint64
+	// doubts has the last report of each entry that lost the upstream, at most maxDoubts.
+	doubts   []doubt
+	failures int
+	nameHash uint64
 	// samples is a ring of the last values of Outstanding, and samplesTaken the
 	// number of all values so far.
 	samples      [maxOutstandingSamples]outstandingSample
@@ -208,7 +203,7 @@
 // recordFirstToken ends a series of failures and updates the time to first token
 // if elapsed is set.
 func (u *Upstream) recordFirstToken(now time.Time, elapsed time.Duration) {
-	u.LastProgress, u.failures, u.doubts = now, 0, 0
+	u.LastProgress, u.failures, u.doubts = now, 0, u.doubts[:0]
 	if elapsed > 0 {
 		u.FirstTokenTime = movingAverage(u.FirstTokenTime, elapsed.Seconds(), firstTokenWeight)
 	}
@@ -217,7 +212,7 @@
 // recordGap updates the average token gap. An upstream that becomes slow gets a
 // quota of one request.
 func (u *Upstream) recordGap(now time.Time, elapsed time.Duration, tokens int, f *Fleet) {
-	u.LastProgress, u.doubts = now, 0
+	u.LastProgress, u.doubts = now, u.doubts[:0]
 	u.TokenGap = movingAverage(u.TokenGap, min(elapsed.Seconds()/float64(max(1, tokens)), maxGapRatio*f.TokenGap), tokenGapWeight)
 	if u.TokenGap > slowGapRatio*f.TokenGap {
 		u.Quota = 1
@@ -255,24 +250,6 @@
 	u.failures = min(u.failures+1, 8)
 }
 
-// recordDoubt counts a report of another entry that has lost the upstream.
-func (u *Upstream) recordDoubt(now time.Time) {
-	if now.Sub(u.doubtedAt) >= doubtLifetime {
-		u.doubts = 0
-	}
-	u.doubts++
-	u.doubtedAt = now
-}
-
-// doubtsAt returns the number of recent reports of other entries that lost the upstream.
-// Reports before the last progress that this entry has seen do not count.
-func (u *Upstream) doubtsAt(now time.Time) int {
-	if now.Sub(u.doubtedAt) >= doubtLifetime {
-		return 0
-	}
-	return u.doubts
-}
-
 // Fleet holds moving averages over all upstreams. They are the baseline for
 // comparison, and the estimate for an upstream without recent observations.
 type Fleet struct {
