Count the requests of entries that report no kinds

Cause: until another entry reports, each entry is taken to get as many requests as this one. With the first report only the reporting entries counted, so that in a fleet that is being updated, or beside entries that have just started, the rates were too low by the share of the others. Change: entries that have loads on the upstreams of a service and have sent no kinds are taken to get as many requests as the mean of the others. One call in a test follows the changed signature of profiles.

--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -113,6 +113,9 @@
 	// sharesCount other entries.
 	sharesSum   float64
 	sharesCount int
+	// notReporting is the number of other entries that have loads on the upstreams, and
+	// whose reports have had no kinds of requests so far.
+	notReporting int
 	// upstreams holds the upstreams that may get requests by instance ID, and
 	// instanceIDs lists their instance IDs in the order of the last update.
 	upstreams   map[string]registrar.Upstream
--- a/internal/process/dispatcher/load_test.go
+++ b/internal/process/dispatcher/load_test.go
@@ -221,6 +221,22 @@
 	is.Equal(next[0].Summary.CacheSource, sent[0].Upstream.InstanceID())
 }
 
+// An entry of an older version that reports loads without kinds must count as one that
+// does not report, for the services that it sends requests to, until its report expires.
+func TestEntriesWithoutKindsAreCounted(t *testing.T) {
+	d := newDispatcher()
+	d.Step(testTime(), Event{Kind: EventLoadReceived, Entry: "entry-2", Report: LoadReport{Loads: []Load{{"desk-0", 1, 0}, {"desk-1", 1, 0}}}})
+	d.Step(testTime(), Event{Kind: EventLoadReceived, Entry: "entry-3", Report: LoadReport{Loads: []Load{{"desk-9", 1, 0}}}})
+	d.Step(testTime(), Event{Kind: EventLoadReceived, Entry: "entry-4", Report: LoadReport{
+		Loads: []Load{{"desk-0", 1, 0}}, Kinds: []ServiceKinds{{Service: "desk"}},
+	}})
+	d.Step(testTime(), Event{Kind: EventTick})
+	is := is.New(t)
+	is.Equal(d.services["desk"].fleet(4, 0).NotReporting, 1)
+	d.Step(testTime().Add(loadReportExpiry), Event{Kind: EventTick})
+	is.Equal(d.services["desk"].fleet(4, 0).NotReporting, 0)
+}
+
 // Entries that see different parts of the traffic must agree on the upstreams for long
 // prompts. Where they disagree, the streams of one wait for the prompts of the other.
 func TestEntriesAgreeOnShareOfLongPrompts(t *testing.T) {
--- a/internal/process/dispatcher/separation.go
+++ b/internal/process/dispatcher/separation.go
@@ -70,19 +70,38 @@
 // sumKinds passes on to the separators what the other entries have reported together.
 func (d *Dispatcher) sumKinds() {
 	reports := map[string][]separator.Report{}
+	notReporting := map[string]int{}
 	for _, r := range d.exchange.reports {
+		if len(r.kinds) == 0 {
+			d.countServices(r.loads, notReporting)
+		}
 		for _, k := range r.kinds {
 			reports[k.Service] = append(reports[k.Service], k.Report)
 		}
 	}
 	for name, s := range d.services {
 		s.separator.SetOthers(separator.Sum(reports[name]))
+		s.notReporting = notReporting[name]
+	}
+}
+
+// countServices adds one to the count of each service that has one of the loads.
+func (d *Dispatcher) countServices(loads []Load, counts map[string]int) {
+	services := map[string]bool{}
+	for _, l := range loads {
+		services[d.serviceNames[l.Upstream]] = true
+	}
+	for name := range services {
+		counts[name]++
 	}
 }
 
-// fleet describes the upstreams of s to its separator.
+// fleet describes the upstreams of s and the entries to its separator.
 func (s *service) fleet(entries, kvCapacity int) separator.Fleet {
-	return separator.Fleet{Engines: len(s.instanceIDs), Slots: s.usualSlots, Entries: entries, KVCapacity: kvCapacity, MissShare: s.missShare}
+	return separator.Fleet{
+		Engines: len(s.instanceIDs), Slots: s.usualSlots, Entries: entries, NotReporting: s.notReporting,
+		KVCapacity: kvCapacity, MissShare: s.missShare,
+	}
 }
 
 // missShareWeight is the weight of one request in the moving average of missShare.
--- a/internal/process/separator/report.go
+++ b/internal/process/separator/report.go
@@ -95,19 +95,21 @@
 	return (a*weightA + b*weightB) / (weightA + weightB)
 }
 
-// fleetWide returns what is known of a kind of request at all entries together. Without
-// reports of others, each of the given number of entries is taken to get as many
-// requests as this one.
-func (s *Separator) fleetWide(now time.Time, name string, k *kind, entries int) KindReport {
-	own := k.report(now, name)
+// fleetWide returns what is known of a kind of request at all entries together. Entries
+// that have requests and do not report are taken to get as many as the mean of the others.
+// Without any report, each entry is taken to get as many requests as this one.
+func (s *Separator) fleetWide(now time.Time, name string, k *kind, f Fleet) KindReport {
+	sum := k.report(now, name)
 	if len(s.others.Kinds) == 0 {
-		own.Rate *= float64(max(1, entries))
-		return own
+		sum.Rate *= float64(max(1, f.Entries))
+		return sum
 	}
 	for _, o := range s.others.Kinds {
 		if o.Request == name {
-			return own.add(o)
+			sum = sum.add(o)
 		}
 	}
-	return own
+	reporting := float64(max(1, f.Entries-f.NotReporting))
+	sum.Rate *= (reporting + float64(f.NotReporting)) / reporting
+	return sum
 }
--- a/internal/process/separator/report_test.go
+++ b/internal/process/separator/report_test.go
@@ -96,6 +96,31 @@
 	})
 }
 
+// While a fleet was updated, the requests at the entries of the older version did not
+// count once one entry of the newer version had reported.
+func TestEntriesThatDoNotReportCount(t *testing.T) {
+	reported := Report{Kinds: []KindReport{{Request: "chat", Rate: 3, PromptTokens: 800}}}
+	for _, c := range []struct {
+		name   string
+		others Report
+		fleet  Fleet
+		want   float64
+	}{
+		{"no entry reports", Report{}, Fleet{Entries: 10, NotReporting: 9}, 10},
+		{"all entries report", reported, Fleet{Entries: 2}, 4},
+		{"an idle entry", reported, Fleet{Entries: 3}, 4},
+		{"entries of an older version", reported, Fleet{Entries: 10, NotReporting: 8}, 20},
+		{"more reports than known entries", reported, Fleet{Entries: 1, NotReporting: 1}, 8},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var s Separator
+			s.SetOthers(c.others)
+			k := &kind{arrivals: 0.5, first: start(), updated: start(), promptTokens: 800}
+			assertClose(t, s.fleetWide(start(), "chat", k, c.fleet).Rate, c.want, 0.001)
+		})
+	}
+}
+
 // The sums of a faulty entry outweighed those of all others, or gave a prefill time that
 // overflowed a duration.
 func TestSumsOfFaultyEntryAreBounded(t *testing.T) {
--- a/internal/process/separator/separator.go
+++ b/internal/process/separator/separator.go
@@ -215,6 +215,9 @@
 	Slots   int
 	// Entries is the number of entries, which get equal shares of the requests.
 	Entries int
+	// NotReporting is the number of other entries that have requests and do not report
+	// their kinds, such as those of an older version.
+	NotReporting int
 	// KVCapacity is the number of tokens in the KV cache of each engine, zero if unknown,
 	// and MissShare the share of the prompt tokens that engines prefill because they are
 	// not cached.
@@ -229,7 +232,7 @@
 		return false
 	}
 	s.decided = now
-	profiles := s.profiles(now, f.Entries)
+	profiles := s.profiles(now, f)
 	s.decisive = s.decisive || s.arrivals >= maxStartArrivals || s.arrivals >= minStartArrivals && allAnswered(profiles)
 	before := s.separated
 	if s.decisive {
@@ -329,11 +332,11 @@
 }
 
 // profiles returns the kinds with the most traffic, the longest prefill first.
-func (s *Separator) profiles(now time.Time, entries int) []Profile {
+func (s *Separator) profiles(now time.Time, f Fleet) []Profile {
 	out := make([]Profile, 0, len(s.kinds))
 	perToken := s.secondsPerToken()
 	for name, k := range s.kinds {
-		r := s.fleetWide(now, name, k, entries)
+		r := s.fleetWide(now, name, k, f)
 		k.profile.Prefill = time.Duration(r.PromptTokens * perToken * float64(time.Second))
 		p := k.profile
 		p.Rate, p.PromptTokens, p.Run, p.Gap = r.Rate, r.PromptTokens, r.Run, r.Gap
--- a/internal/process/separator/separator_test.go
+++ b/internal/process/separator/separator_test.go
@@ -66,7 +66,7 @@
 	s.Step(start(), Event{Kind: EventEnded, Request: "hold", Elapsed: 300 * ms})
 	is.Equal(s.MeanRun("hold"), 110*ms)
 	is.True(!s.IsSeparated("hold"))
-	is.Equal(len(s.profiles(start(), 1)), 0)
+	is.Equal(len(s.profiles(start(), Fleet{Entries: 1})), 0)
 }
 
 func chat() traffic {
