Split the separator into files of one job

Change: the events and what is known of one kind of request have files of their own. No code is changed.

--- a/internal/process/separator/separator.go
+++ b/internal/process/separator/separator.go
@@ -66,42 +66,6 @@
 	minLossDifference = 0.01
 )
 
-// EventKind is the kind of an [Event].
-type EventKind int
-
-// The kinds of events.
-const (
-	// EventArrived carries a new request with its prompt and its targets.
-	EventArrived EventKind = iota
-	// EventPrefilled means that the first event of an answer arrived Elapsed after
-	// the request was sent to an engine that had PromptTokens to prefill until then
-	// and no part of this prompt cached.
-	EventPrefilled
-	// EventProgress means that Events further events arrived within Elapsed.
-	EventProgress
-	// EventEnded means that an answer was complete Elapsed after the request was
-	// sent.
-	EventEnded
-	// EventKnown carries the targets of a kind of request that other entries report.
-	EventKnown
-)
-
-// Event is an observation of one request. Only the fields of its kind are set.
-type Event struct {
-	Kind EventKind
-	// Request is the name of the kind of request.
-	Request string
-	Elapsed time.Duration
-	Events  int
-	// PromptTokens is set for EventArrived and EventPrefilled. The targets and
-	// Priority are set for EventArrived and EventKnown. A target of zero means none. Priority is
-	// zero for the most urgent requests.
-	PromptTokens  int
-	GapTarget     time.Duration
-	LatencyTarget time.Duration
-	Priority      int
-}
-
 // Separator learns the kinds of request of one service. The zero value knows none
 // and separates none.
 type Separator struct {
@@ -128,16 +92,6 @@
 	others Report
 }
 
-// kind is what is known of one kind of request.
-type kind struct {
-	profile Profile
-	// arrivals is the decaying number of arrivals at updated, and first the time of
-	// the first arrival.
-	arrivals       float64
-	first, updated time.Time
-	promptTokens   float64
-}
-
 // Step learns from one event.
 func (s *Separator) Step(now time.Time, e Event) {
 	k := s.kinds[e.Request]
@@ -188,25 +142,6 @@
 	return k
 }
 
-func (k *kind) recordArrival(now time.Time, e Event) {
-	k.arrivals = k.arrivals*decay(now.Sub(k.updated)) + 1
-	k.updated = now
-	// The first arrivals have equal weights.
-	k.promptTokens += max(observationWeight, 1/k.arrivals) * (float64(e.PromptTokens) - k.promptTokens)
-	k.setTargets(e)
-}
-
-func (k *kind) setTargets(e Event) {
-	k.profile.GapTarget, k.profile.LatencyTarget, k.profile.Priority = e.GapTarget, e.LatencyTarget, e.Priority
-}
-
-// rate returns the arrivals per second.
-func (k *kind) rate(now time.Time) float64 {
-	// The decaying sum covers the half-life divided by ln 2 in the long run.
-	window := rateHalfLife.Seconds() / math.Ln2 * (1 - decay(now.Sub(k.first)))
-	return k.arrivals * decay(now.Sub(k.updated)) / max(window, decisionInterval.Seconds())
-}
-
 // Fleet describes the engines of a service and its callers.
 type Fleet struct {
 	// Engines is the number of engines, and Slots the number of requests that each
