--- a/internal/process/dispatcher/choice.go
+++ b/internal/process/dispatcher/choice.go
@@ -26,8 +26,13 @@
 		return choice{query: q}, false
 	}
 	c := choice{upstream: id, prefillTokens: p.PrefillTokens(now, q, id), query: q}
-	c.wait = p.ExpectedWait(q, id) + time.Duration(c.prefillTokens)*q.PrefillPerToken
-	c.placed = d.place(s, f, q, c.wait)
+	queue, prefill := p.ExpectedWait(q, id), time.Duration(c.prefillTokens)*q.PrefillPerToken
+	c.wait = queue + prefill
+	c.placed = d.place(s, f, q, queue, prefill)
+	if c.placed == refused && f.attempts > 0 {
+		// An upstream may already have worked on the request.
+		c.placed = placedDeferred
+	}
 	if c.placed == placedDeferred {
 		c.query.Deferred = true
 		c.upstream, _ = p.Pick(now, c.query)
--- a/internal/process/dispatcher/deferral.go
+++ b/internal/process/dispatcher/deferral.go
@@ -29,13 +29,18 @@
 	refused
 )
 
-// place decides when the best upstream is to run a request, which is expected to begin
-// there after wait.
-func (d *Dispatcher) place(s *service, f *inFlightRequest, q picker.Query, wait time.Duration) placement {
+// place decides when the best upstream is to run a request. The prefill of the request is
+// expected to begin there after queue, and to take prefill.
+func (d *Dispatcher) place(s *service, f *inFlightRequest, q picker.Query, queue, prefill time.Duration) placement {
 	r := f.admission.Route
+	wait := queue + prefill
 	if r.LatencyTarget == 0 || r.Kind != matcher.Streaming || !f.isDeferrable(s) || wait <= r.LatencyTarget {
 		return placedInTurn
 	}
+	if queue == 0 && s.deferredTokens == 0 {
+		// Nothing is before it, so that a later attempt would not begin any sooner.
+		return placedDeferred
+	}
 	if wait+d.deferredWait(s, q) <= time.Duration(deferredPatienceShare*float64(callerPatience(r))) {
 		return placedDeferred
 	}
@@ -45,7 +50,12 @@
 // deferredWait returns the expected time for the prefill of the deferred requests that
 // wait for their first event. Those of the other entries are taken to be as many.
 func (d *Dispatcher) deferredWait(s *service, q picker.Query) time.Duration {
-	engines := max(1, q.LongPromptShare*float64(len(s.instanceIDs)))
+	share := q.LongPromptShare
+	if share == 0 {
+		// All requests share all upstreams.
+		share = 1
+	}
+	engines := max(1, share*float64(len(s.instanceIDs)))
 	return time.Duration(float64(s.deferredTokens*d.entries) / engines * float64(q.PrefillPerToken))
 }
 
--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -117,6 +117,9 @@
 	// sharesCount other entries.
 	sharesSum   float64
 	sharesCount int
+	// notReporting is the number of other entries that have loads on the upstreams, and
+	// whose reports have had no kinds of requests so far.
+	notReporting int
 	// upstreams holds the upstreams that may get requests by instance ID, and
 	// instanceIDs lists their instance IDs in the order of the last update.
 	upstreams   map[string]registrar.Upstream
@@ -253,6 +256,7 @@
 	for name := range byService {
 		d.service(name)
 	}
+	d.forgetSharedLoads(now)
 	var out []Action
 	for name, s := range d.services {
 		for id, u := range s.upstreams {
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -183,7 +183,7 @@
 	q = c.query
 	id, tokens, wait, placed := c.upstream, c.prefillTokens, c.wait, c.placed
 	f.summary.ExpectedStart, f.summary.PrefillTokens, f.summary.Deferred = wait, tokens, placed == placedDeferred
-	if f.attempts == 0 && placed == refused {
+	if placed == refused {
 		f.summary.Upstream = id
 		d.remove(f)
 		return []Action{d.failAction(now, f, tooLateFailure())}
@@ -191,7 +191,7 @@
 	f.attempts++
 	f.run = run{attempt: f.attempts, upstream: id, suspect: q.Suspect, pendingTokens: tokens, sentAt: now}
 	priority := f.admission.Priority
-	if placed != placedInTurn {
+	if placed == placedDeferred {
 		priority = matcher.PriorityLevels - 1
 		f.deferred, f.deferredTokens, f.pendingTokens = true, tokens, 0
 		s.deferredTokens += tokens
--- a/internal/process/dispatcher/load.go
+++ b/internal/process/dispatcher/load.go
@@ -47,8 +47,8 @@
 	Placements []Placement
 	// Shares has the services in which the entry separates requests with long prompts.
 	Shares []LongPromptShare
-	// Lost has the instance IDs of the upstreams that the entry has lost or could not
-	// connect to since the previous report.
+	// Lost has the instance IDs of the upstreams to which the entry could not connect, or
+	// which closed a connection during a request, since the previous report.
 	Lost []string
 	// Kinds has what the entry has learned of the requests of each service. It is in
 	// one report of kindReportDivisor.
@@ -148,7 +148,7 @@
 	for _, id := range r.Lost {
 		for _, s := range d.services {
 			if _, ok := s.upstreams[id]; ok {
-				s.picker.Step(now, picker.Event{Kind: picker.EventDoubted, Upstream: id})
+				s.picker.Step(now, picker.Event{Kind: picker.EventDoubted, Upstream: id, Entry: entry})
 			}
 		}
 	}
@@ -179,6 +179,26 @@
 	return known
 }
 
+// forgetSharedLoads removes the loads on upstreams that are no longer in the list from the
+// reports of the other entries and from the shared load. An upstream that comes back with
+// the same instance ID would keep them otherwise. It must be called while the services
+// still have the upstreams that have left.
+func (d *Dispatcher) forgetSharedLoads(now time.Time) {
+	hasLeft := func(l Load) bool {
+		_, ok := d.serviceNames[l.Upstream]
+		return !ok
+	}
+	for entry, r := range d.exchange.reports {
+		for _, l := range r.loads {
+			if hasLeft(l) {
+				d.addSharedLoads(now, []Load{l}, -1)
+			}
+		}
+		r.loads = slices.DeleteFunc(r.loads, hasLeft)
+		d.exchange.reports[entry] = r
+	}
+}
+
 // SharedRuns returns the number of requests that the other entries have in flight
 // according to their last reports.
 func (d *Dispatcher) SharedRuns() int {
@@ -210,8 +230,8 @@
 		if share := s.separator.Share(); share > 0 {
 			report.Shares = append(report.Shares, LongPromptShare{name, share})
 		}
-		if k := s.separator.Report(now); withKinds && len(k.Kinds) > 0 {
-			report.Kinds = append(report.Kinds, ServiceKinds{name, k})
+		if withKinds {
+			report.Kinds = s.appendKinds(now, name, report.Kinds)
 		}
 		for _, id := range s.instanceIDs {
 			if u := s.picker.Upstream(id); u != nil && u.Outstanding > 0 {
--- a/internal/process/dispatcher/load_test.go
+++ b/internal/process/dispatcher/load_test.go
@@ -46,6 +46,18 @@
 		d.Step(testTime().Add(loadReportExpiry), Event{Kind: EventTick})
 		assertShared(t, d, "desk-0", 0, 0)
 	})
+	t.Run("load on an upstream that leaves and returns counts once", func(t *testing.T) {
+		d := newDispatcher()
+		// A request in flight keeps the state of the upstream.
+		id := d.Step(testTime(), Event{Kind: EventArrived, Request: request("/brief/1")})[0].Upstream.InstanceID()
+		report(d, testTime(), "entry-2", Load{id, 3, 1000})
+		d.Step(testTime(), Event{Kind: EventUpstreams})
+		report(d, testTime(), "entry-2")
+		d.Step(testTime(), Event{Kind: EventUpstreams, Upstreams: upstreams()})
+		assertShared(t, d, id, 0, 0)
+		report(d, testTime(), "entry-2", Load{id, 2, 500})
+		assertShared(t, d, id, 2, 500)
+	})
 	t.Run("load on an unknown upstream is not subtracted later", func(t *testing.T) {
 		d := newDispatcher()
 		report(d, testTime(), "entry-2", Load{"desk-9", 3, 1000})
@@ -147,6 +159,29 @@
 			assertSent(t, d.Step(testTime(), Event{Kind: EventArrived, Request: brief()}), 1)
 		}
 	})
+	t.Run("brief that takes long to prefill is not shed while nobody waits", func(t *testing.T) {
+		d := overloaded(0)
+		long := brief()
+		long.PromptTokens = 2 * manyTokens
+		assertSent(t, d.Step(testTime(), Event{Kind: EventArrived, Request: long}), 1)
+		next := long
+		next.ID, next.Query.RequestID = "r2", "r2"
+		assertFailed(t, d.Step(testTime(), Event{Kind: EventArrived, Request: next}), http.StatusServiceUnavailable, false)
+	})
+	t.Run("retry of a brief that would be shed is deferred", func(t *testing.T) {
+		d := overloaded(0)
+		assertSent(t, d.Step(testTime(), Event{Kind: EventArrived, Request: brief()}), 1)
+		var loads []Load
+		for i := range 3 {
+			loads = append(loads, Load{fmt.Sprint("desk-", i), 1, 2 * manyTokens})
+		}
+		d.Step(testTime(), Event{Kind: EventLoadReceived, Entry: "entry-2", Report: LoadReport{Loads: loads}})
+		sent := endAttempt(d, 1, Event{Outcome: OutcomeNotSent})
+		assertSent(t, sent, 2)
+		is := is.New(t)
+		is.Equal(sent[0].Priority, matcher.PriorityLevels-1)
+		is.True(sent[0].Summary.Deferred)
+	})
 	t.Run("brief is served after the load reports expire", func(t *testing.T) {
 		d := overloaded(manyTokens)
 		d.Step(testTime().Add(loadReportExpiry), Event{Kind: EventTick})
@@ -186,6 +221,22 @@
 	is.Equal(next[0].Summary.CacheSource, sent[0].Upstream.InstanceID())
 }
 
+// An entry of an older version that reports loads without kinds must count as one that
+// does not report, for the services that it sends requests to, until its report expires.
+func TestEntriesWithoutKindsAreCounted(t *testing.T) {
+	d := newDispatcher()
+	d.Step(testTime(), Event{Kind: EventLoadReceived, Entry: "entry-2", Report: LoadReport{Loads: []Load{{"desk-0", 1, 0}, {"desk-1", 1, 0}}}})
+	d.Step(testTime(), Event{Kind: EventLoadReceived, Entry: "entry-3", Report: LoadReport{Loads: []Load{{"desk-9", 1, 0}}}})
+	d.Step(testTime(), Event{Kind: EventLoadReceived, Entry: "entry-4", Report: LoadReport{
+		Loads: []Load{{"desk-0", 1, 0}}, Kinds: []ServiceKinds{{Service: "desk"}},
+	}})
+	d.Step(testTime(), Event{Kind: EventTick})
+	is := is.New(t)
+	is.Equal(d.services["desk"].fleet(4, 0).NotReporting, 1)
+	d.Step(testTime().Add(loadReportExpiry), Event{Kind: EventTick})
+	is.Equal(d.services["desk"].fleet(4, 0).NotReporting, 0)
+}
+
 // Entries that see different parts of the traffic must agree on the upstreams for long
 // prompts. Where they disagree, the streams of one wait for the prompts of the other.
 func TestEntriesAgreeOnShareOfLongPrompts(t *testing.T) {
--- a/internal/process/picker/backlog.go
+++ b/internal/process/picker/backlog.go
@@ -27,7 +27,6 @@
 	// lost the upstream or could not connect to it. An entry that alone is cut off from an
 	// upstream must not keep the others away from it.
 	doubtCostSeconds = 0.1
-	maxDoubts        = 4
 	// stallCostPerSecond is the cost in seconds of each second without progress
 	// beyond stallGrace.
 	stallCostPerSecond = 0.5
--- a/internal/process/picker/cost.go
+++ b/internal/process/picker/cost.go
@@ -41,7 +41,7 @@
 		Slots:    slotWait(f, c.Upstream, q.Deferrable),
 		Failures: failureCostSeconds * max(0, c.FailureRate-f.FailureRate-failureRateMargin),
 		Pool:     poolMismatchCost(q, c),
-		Doubts:   doubtCostSeconds * float64(min(c.doubtsAt(now), maxDoubts)),
+		Doubts:   doubtCostSeconds * float64(c.doubtsAt(now)),
 	}
 	if c.Rank < Unranked {
 		parts.Rank = -rankBonusSeconds / float64(int(1)<<c.Rank)
--- a/internal/process/picker/picker.go
+++ b/internal/process/picker/picker.go
@@ -30,144 +30,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"magnoliafront.dev/magnoliafront/internal/process/scheduler"
-)
-
-// EventKind is the kind of an [Event].
-type EventKind int
-
-// The kinds of events.
-const (
-	// EventLoad carries a load report of the agent.
-	EventLoad EventKind = iota
-	// EventSent means that this entry sent a request to the upstream.
-	EventSent
-	// EventFirstToken means that the first token of a request arrived, Elapsed
-	// after the request was sent. Elapsed is zero if the class has no target for
-	// the first token, since its requests may have queued behind other classes.
-	EventFirstToken
-	// EventTokens means that Tokens further tokens arrived, Elapsed after the
-	// previous one.
-	EventTokens
-	// EventEnded means that a request of this entry was answered with Tokens
-	// tokens or refused, Elapsed after it was sent. Elapsed is zero if the request
-	// was not answered.
-	EventEnded
-	// EventLost means that the upstream was lost with a request of this entry in
-	// flight.
-	EventLost
-	// EventWithdrawn means that this entry or the caller ended a request. The end shows
-	// nothing about the upstream; what came before it was reported as it came.
-	EventWithdrawn
-	// EventSilent means that the upstream makes no progress with a request of this entry,
-	// which goes on.
-	EventSilent
-	// EventConnected and EventDisconnected report the state of the connection.
-	EventConnected
-	EventDisconnected
-	// EventLeaving means that the upstream accepts no new requests.
-	EventLeaving
-	// EventCached and EventUncached mean that the upstream cached or evicted a
-	// prefix.
-	EventCached
-	EventUncached
-	// EventShared carries a change in the requests that another entry has in
-	// flight on the upstream: RunsDelta requests and PromptTokens pending tokens,
-	// negative for a decrease.
-	EventShared
-	// EventDoubted means that another entry has lost the upstream or could not connect to
-	// it.
-	EventDoubted
-	// EventHeldBack means that the upstream wants no requests from this entry for
-	// RetryAfter.
-	EventHeldBack
 )
 
-// Event is a change of the state of an upstream. Only the fields of its kind are
-// set.
-type Event struct {
-	Kind             EventKind
-	Upstream         string
-	AvailabilityZone string
-	Load             scheduler.Load
-	// At is the time to which a load report or a cache event refers, on the
-	// clock of the entry. Zero means now.
-	At time.Time
-	// Prefix is the hash of the prompt prefix, zero without one.
-	Prefix  uint64
-	Elapsed time.Duration
-	Tokens  int
-	// PromptTokens is the number of prompt tokens that the upstream has to
-	// prefill. It is set when a request is sent, and again when its first token
-	// arrives or when it ends before that. In an EventShared it is the change in
-	// the pending prompt tokens.
-	PromptTokens int
-	// RunsDelta is the change in requests in flight of EventShared.
-	RunsDelta int
-	// RetryAfter is set for EventHeldBack.
-	RetryAfter time.Duration
-	// Slots is the number of requests that the upstream runs concurrently, with
-	// EventConnected. Zero means unknown.
-	Slots int
-	// Failed is true for a request that the upstream answered with an error of its
-	// own.
-	Failed bool
-	// Suspect has the value of the query, with the kinds of events that begin and end
-	// a request.
-	Suspect bool
-	// Deferred is true for a request that the upstream runs after all others, until its
-	// first token. It is set when the request is sent and with the event that ends its wait.
-	Deferred bool
-}
-
-// Query describes a request for which an upstream is to be selected.
-type Query struct {
-	// Candidates are the names of the upstreams that can serve the request.
-	Candidates       []string
-	AvailabilityZone string
-	// Exclude lists upstreams that have already refused or lost the request.
-	Exclude []string
-	// Tier is the scheduling tier of the request, from 1 for the most urgent.
-	Tier int
-	// TokenGapTarget is the target of the class for the time between tokens. Zero
-	// means that the class has no target.
-	TokenGapTarget time.Duration
-	// LatencyTarget is the target for the time to the first token, or to the whole
-	// answer. Zero means that there is no target.
-	LatencyTarget time.Duration
-	// Prefix is the hash of the first PrefixTokens tokens of the prompt. With zero
-	// the cached prefixes are not considered.
-	Prefix       uint64
-	PrefixTokens int
-	PromptTokens int
-	// PrefillPerToken is the time in which an upstream of the service prefills a prompt
-	// token. Zero means unknown.
-	PrefillPerToken time.Duration
-	// CacheResidence is the time for which an upstream holds a prefix that no request
-	// uses. Zero means unknown.
-	CacheResidence time.Duration
-	// Suspect is true for a request that was in flight on an upstream when it
-	// crashed. The request may have caused the crash.
-	Suspect bool
-	// LongPrompt is true for a request whose prompt would delay the tokens of other
-	// requests too much.
-	LongPrompt bool
-	// LongPromptShare is the share of the upstreams that requests with long prompts
-	// need. Zero or one means that all requests share all upstreams.
-	LongPromptShare float64
-	// MaxSpilloverTokens is the number of pending prompt tokens, with those of this
-	// request, up to which a long prompt may be sent to an upstream outside the pool.
-	MaxSpilloverTokens int
-	// Deferred is true for a request that upstreams run after all others. It is sent to
-	// the best of a few random upstreams, since those of the other entries, which are not
-	// reported, would all be sent to the same one.
-	Deferred bool
-	// Deferrable is true for a request that must leave some slots to more urgent
-	// ones.
-	Deferrable bool
-}
-
 // Policy computes which upstreams may get a request, and at which cost.
 type Policy interface {
 	// SampleSize returns the number of candidates to compare from the zone of the
@@ -191,8 +55,8 @@
 	// entries agree: zero for the preferred upstream, then its alternatives in
 	// order. It is [Unranked] for all others.
 	Rank int
-	// Copyable is the probability that another upstream holds the prefix of the query,
-	// from which it can be copied.
+	// Copyable is the probability that the prefix of the query can be copied from an
+	// upstream that served it, which may be the candidate itself.
 	Copyable float64
 	// PoolMatch is false if the upstream is in the pool for long prompts and the
 	// query has a short one, or the reverse.
@@ -217,7 +81,7 @@
 	// and ranking has the upstreams that rank highest for it.
 	prefixHolders []*Upstream
 	ranking       ranking
-	// copyable is the highest probability that an upstream holds the prefix.
+	// copyable is the probability that the prefix of the current Pick can be copied.
 	copyable float64
 	pool     longPromptPool
 	// usable is a buffer for the usable candidates of the current Pick.
@@ -297,7 +161,7 @@
 		u.SharedRuns = max(0, u.SharedRuns+e.RunsDelta)
 		u.SharedPendingTokens = max(0, u.SharedPendingTokens+e.PromptTokens)
 	case EventDoubted:
-		u.recordDoubt(now)
+		u.recordDoubt(now, e.Entry)
 	case EventHeldBack:
 		u.holdBack(e.At.Add(e.RetryAfter))
 	}
@@ -351,7 +215,7 @@
 	if !q.Deferred {
 		p.findPrefixHolders(now, q)
 	}
-	p.copyable = p.prefixes.probability(now, q)
+	p.copyable = p.copyableProbability(now, q)
 	p.ranking, p.pool.members = ranking{}, p.pool.members[:0]
 	if len(q.Candidates) <= maxScannedCandidates {
 		p.rankCandidates(now, q)
@@ -438,24 +302,3 @@
 		Copyable: p.copyable, PoolMatch: p.pool.matches(u, q.LongPrompt),
 	}
 }
-
-// reservoir is a uniform sample of bounded size from a sequence (reservoir
-// sampling).
-type reservoir struct {
-	items []*Upstream
-	size  int
-	seen  int
-}
-
-func (s *reservoir) reset(size int) { s.items, s.size, s.seen = s.items[:0], size, 0 }
-
-func (s *reservoir) add(r *rand.Rand, u *Upstream) {
-	s.seen++
-	if len(s.items) < s.size {
-		s.items = append(s.items, u)
-		return
-	}
-	if i := r.IntN(s.seen); i < s.size {
-		s.items[i] = u
-	}
-}
--- a/internal/process/separator/report_test.go
+++ b/internal/process/separator/report_test.go
@@ -1,6 +1,7 @@
 package separator
 
 import (
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -95,6 +96,59 @@
 	})
 }
 
+// While a fleet was updated, the requests at the entries of the older version did not
+// count once one entry of the newer version had reported.
+func TestEntriesThatDoNotReportCount(t *testing.T) {
+	reported := Report{Kinds: []KindReport{{Request: "chat", Rate: 3, PromptTokens: 800}}}
+	for _, c := range []struct {
+		name   string
+		others Report
+		fleet  Fleet
+		want   float64
+	}{
+		{"no entry reports", Report{}, Fleet{Entries: 10, NotReporting: 9}, 10},
+		{"all entries report", reported, Fleet{Entries: 2}, 4},
+		{"an idle entry", reported, Fleet{Entries: 3}, 4},
+		{"entries of an older version", reported, Fleet{Entries: 10, NotReporting: 8}, 20},
+		{"more reports than known entries", reported, Fleet{Entries: 1, NotReporting: 1}, 8},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var s Separator
+			s.SetOthers(c.others)
+			k := &kind{arrivals: 0.5, first: start(), updated: start(), promptTokens: 800}
+			assertClose(t, s.fleetWide(start(), "chat", k, c.fleet).Rate, c.want, 0.001)
+		})
+	}
+}
+
+// The sums of a faulty entry outweighed those of all others, or gave a prefill time that
+// overflowed a duration.
+func TestSumsOfFaultyEntryAreBounded(t *testing.T) {
+	var own Prefill
+	for range 1000 {
+		own.observe(1e6, 1)
+	}
+	for _, c := range []struct {
+		name string
+		sums Prefill
+		want bool
+	}{
+		{"no observation", Prefill{}, true},
+		{"many observations", own, true},
+		{"more observations than one entry keeps", Prefill{N: 1e6}, false},
+		{"negative sum", Prefill{N: 10, Y: -1}, false},
+		{"not a number", Prefill{N: math.NaN()}, false},
+		{"infinity", Prefill{XY: math.Inf(1)}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) { is.New(t).Equal(c.sums.IsValid(), c.want) })
+	}
+	t.Run("implausible time per token", func(t *testing.T) {
+		var s Separator
+		s.SetOthers(Report{Prefill: Prefill{N: 10, XY: maxPrefillSum}})
+		is.New(t).Equal(s.PrefillPerToken(), 7*time.Microsecond)
+	})
+}
+
 // A prefix was expected to be cached for a minute although the running requests left room
 // for a few seconds of new prompts.
 func TestCacheResidenceFollowsFreeMemory(t *testing.T) {
