--- a/internal/process/dispatcher/load.go
+++ b/internal/process/dispatcher/load.go
@@ -8,10 +8,10 @@
 	"magnoliafront.dev/magnoliafront/internal/process/separator"
 )
 
-// Entries report to each other their requests in flight and the upstreams to which
-// they sent long prompt prefixes, since an engine that is called directly reports
-// no load. A received report is a few hundred milliseconds old; an entry knows its
-// own requests exactly.
+// Entries report to each other their requests in flight, the upstreams that began an
+// answer on a long prompt prefix, those that they lost, and what they have learned of
+// kinds of requests, since an engine that is called directly reports no load. A received
+// report is a few hundred milliseconds old; an entry knows its own requests exactly.
 
 const (
 	// LoadReportInterval is the time between two load reports of an entry. It is
