--- a/review/standin-2/gateway.go
+++ b/review/standin-2/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -69,14 +70,19 @@
 
 func zoneName(i int) string { return string(rune('a' + i%3)) }
 
-// freeAddress returns a loopback address that was free a moment ago.
+// freeAddress returns a loopback address that was free a moment ago. Its port is below those
+// that the kernel gives to outgoing connections, so that none of them takes it meanwhile.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		cannotRun("listen: %v", err)
+	const first, count, tries = 21000, 11000, 100
+	for range tries {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count)))
+		if err == nil {
+			defer func() { _ = l.Close() }()
+			return l.Addr().String()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	cannotRun("no free port")
+	return ""
 }
 
 // start starts the process. It writes its log to the folder of the case's run.
