Add review case 10: cut-off stream ends as complete beside lost packets

A server that is killed ends the connection of an unframed answer in an orderly way. The probe of the gateway is refused, but the end of the server's only other connection is late by a retransmission, so that the server counts as there.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,6 +19,10 @@
 }
 
 func main() {
+	if len(os.Args) == 4 && os.Args[1] == "serve" {
+		serveStreams(os.Args[2], os.Args[3])
+		return
+	}
 	if len(os.Args) != 4 {
 		fmt.Println("usage: standin2 CASE PROGRAM FOLDER")
 		os.Exit(exitNotRun)
@@ -27,6 +31,7 @@
 		"lease":   playLease,
 		"path":    playPath,
 		"tenants": playTenants,
+		"ends":    playEnds,
 	}
 	play, ok := cases[os.Args[1]]
 	program, err := filepath.Abs(os.Args[2])
