Let connections fall silent in review case 10

Silent connections reach the same decision in package prober in each run: after a refused connection, a silent one counts as open, and a stream that was cut off ends as complete.

No product code, test or skip was changed.

--- a/review/standin-2/ends.go
+++ b/review/standin-2/ends.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,23 +19,24 @@
 
 // The deployment and the disruptions of the case.
 const (
-	endsServers = 60
-	// endsClients is the number of streams in flight, two for each server.
-	endsClients  = 2 * endsServers
+	endsMachines = 3
+	endsServers  = 30
+	// endsClients is the number of streams in flight, two for each machine and server.
+	endsClients  = 2 * endsMachines * endsServers
 	streamEvents = 12
 	eventGap     = 100 * time.Millisecond
-	// lossShare is the share of the packets of the links between the machine's zone and the
-	// others that are lost, for lossTime at a time. A lost packet arrives when it is sent once more.
-	lossShare  = 0.025
-	lossTime   = 5500 * time.Millisecond
-	lossPause  = 1700 * time.Millisecond
-	retransmit = 200 * time.Millisecond
-	// crashed servers, a quarter of all, are down for crashTime. Their objects lapse after
-	// three heartbeats.
+	// silentShare is the share of the open connections to servers of one machine that fall
+	// silent. After silentTime the machine's keep-alive shows it.
+	silentShare = 0.5
+	silentTime  = 3 * time.Second
+	// crashed servers, a quarter of all, are down for crashTime. They crash crashDelay after the
+	// connections have fallen silent. Their objects lapse after three heartbeats.
 	crashCount = endsServers / 4
+	crashDelay = 500 * time.Millisecond
 	crashTime  = 2 * time.Second
 	lapseTime  = 3600 * time.Millisecond
-	endsTime   = 96 * time.Second
+	endsRound  = 6 * time.Second
+	endsTime   = 36 * time.Second
 )
 
 // serveStreams is the process of a server. It answers each request with a stream that has
@@ -83,8 +85,10 @@
 type endsPlay struct {
 	rec   *record
 	store *store
-	lossy atomic.Bool
 	next  int
+	mu    sync.Mutex
+	// open are the connections of the machines to the servers.
+	open map[*link]struct{}
 }
 
 // start starts a server with a new id and registers it.
@@ -116,7 +120,7 @@
 			if err != nil {
 				return
 			}
-			go p.link(c, addr, zone != zoneName(0))
+			go p.carry(c, addr)
 		}
 	}()
 	e := serverEntry("desk", zone, p.next)
@@ -124,29 +128,105 @@
 	p.store.put("servers", s.id, e)
 }
 
-// link carries a connection to a server. What is lost on a link to another zone arrives later:
-// data as well as the end of the connection.
-func (p *endsPlay) link(c net.Conn, addr string, far bool) {
+// link is a connection of a machine to a server.
+type link struct {
+	machine int
+	// silent is closed when nothing more is passed on, also not the end of the connection.
+	silent chan struct{}
+}
+
+// carry carries a connection to a server.
+func (p *endsPlay) carry(c net.Conn, addr string) {
 	defer func() { _ = c.Close() }()
 	up, err := net.Dial("tcp", addr)
 	if err != nil {
 		return
 	}
 	defer func() { _ = up.Close() }()
+	buffer := make([]byte, 4096)
+	n, err := c.Read(buffer)
+	if err != nil {
+		return
+	}
+	l := &link{machine: machineOf(string(buffer[:n])), silent: make(chan struct{})}
+	p.mu.Lock()
+	p.open[l] = struct{}{}
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		delete(p.open, l)
+		p.mu.Unlock()
+	}()
+	if _, err := up.Write(buffer[:n]); err != nil {
+		return
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			n, err := up.Read(buffer)
+			select {
+			case <-l.silent:
+				return
+			default:
+			}
+			if _, errWrite := c.Write(buffer[:n]); err != nil || errWrite != nil {
+				return
+			}
+		}
+	}()
+	left := make(chan struct{})
 	go func() {
+		defer close(left)
 		_, _ = io.Copy(up, c)
-		_ = up.Close()
 	}()
-	buffer := make([]byte, 4096)
-	for {
-		n, err := up.Read(buffer)
-		if far && p.lossy.Load() && rand.Float64() < lossShare {
-			time.Sleep(retransmit)
-		}
-		if _, errWrite := c.Write(buffer[:n]); err != nil || errWrite != nil {
+	select {
+	case <-l.silent:
+	case <-left:
+		return
+	case <-ended:
+		select {
+		case <-l.silent:
+		default:
 			return
 		}
 	}
+	// The machine may end a silent connection earlier.
+	select {
+	case <-left:
+	case <-time.After(silentTime):
+		_ = c.(*net.TCPConn).SetLinger(0)
+	}
+}
+
+// machineOf returns the number of the machine that sent a request. The first digits of its id
+// are the number of the client.
+func machineOf(head string) int {
+	_, rest, _ := strings.Cut(head, "Magnoliafront-Request-Id: ")
+	client, err := strconv.ParseInt(rest[:min(8, len(rest))], 16, 64)
+	if err != nil {
+		return -1
+	}
+	return int(client) % endsMachines
+}
+
+// silence lets connections of a machine to servers fall silent for good.
+func (p *endsPlay) silence(machine int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []*link
+	for l := range p.open {
+		if l.machine == machine {
+			all = append(all, l)
+		}
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	count := int(silentShare * float64(len(all)))
+	for _, l := range all[:count] {
+		close(l.silent)
+		delete(p.open, l)
+	}
+	p.rec.line("%d of %d connections of machine %d to servers fall silent", count, len(all), machine+1)
 }
 
 // crash kills servers. Their addresses refuse connections from then on, and others take their
@@ -171,7 +251,7 @@
 
 // playEnds checks that a stream that is cut off by the end of its server does not look complete.
 func playEnds(s setup) {
-	p := &endsPlay{rec: s.rec, store: newStore(s.rec)}
+	p := &endsPlay{rec: s.rec, store: newStore(s.rec), open: map[*link]struct{}{}}
 	p.store.put("config", "main", map[string]any{
 		"version": 1, "services": []any{map[string]any{"name": "desk", "health_check": "/health", "max_connections": 500}},
 		"routes": []any{map[string]any{
@@ -185,7 +265,7 @@
 		servers[i] = &streamServer{}
 		p.start(servers[i])
 	}
-	all := newGateways(1, fleetSettings{folder: s.folder, program: s.program, store: p.store.addr})
+	all := newGateways(endsMachines, fleetSettings{folder: s.folder, program: s.program, store: p.store.addr})
 	s.endAll(all)
 	endGateways := cleanup
 	cleanup = func() {
@@ -194,8 +274,12 @@
 			_ = v.process.Process.Kill()
 		}
 	}
-	all[0].start()
-	all[0].awaitReady(10 * time.Second)
+	for _, g := range all {
+		g.start()
+	}
+	for _, g := range all {
+		g.awaitReady(10 * time.Second)
+	}
 	end := time.Now().Add(endsTime)
 	var clients, crashes sync.WaitGroup
 	var whole, cut, failed, short atomic.Int64
@@ -206,7 +290,7 @@
 			defer clients.Done()
 			for n := 0; time.Now().Before(end); n++ {
 				id := fmt.Sprintf("%08x%08x", i, n)
-				status, server, body, err := readStream(all[0].front, id)
+				status, server, body, err := readStream(all[i%endsMachines].front, id)
 				events := strings.Count(body, "\n\n")
 				if events != streamEvents || err != nil {
 					s.rec.line("stream %s: status %d, run by %q, %d of %d events, end: %v", id, status, server, events, streamEvents, err)
@@ -227,15 +311,13 @@
 			}
 		}()
 	}
-	for s.trouble && time.Now().Before(end.Add(-lossTime)) {
-		time.Sleep(lossPause)
-		p.lossy.Store(os.Getenv("LOSS") != "0")
-		s.rec.line("links lose %.3f of their packets", lossShare)
-		for range 2 {
-			p.crash(servers, &crashes)
-			time.Sleep(lossTime/2 - crashTime)
+	for round := 0; s.trouble && time.Now().Before(end.Add(-endsRound)); round++ {
+		time.Sleep(endsRound - crashDelay - crashTime)
+		if os.Getenv("SILENT") != "0" {
+			p.silence(round % endsMachines)
 		}
-		p.lossy.Store(false)
+		time.Sleep(crashDelay)
+		p.crash(servers, &crashes)
 	}
 	clients.Wait()
 	crashes.Wait()
