--- a/review/standin-2/ends.go
+++ b/review/standin-2/ends.go
@@ -288,7 +288,12 @@
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
+			sent, wholeHere := 0, 0
+			defer func() {
+				s.rec.line("client %d of %s sent streams %08x%08x to %08x%08x, %d of %d whole", i, all[i%endsMachines].name, i, 0, i, sent-1, wholeHere, sent)
+			}()
 			for n := 0; time.Now().Before(end); n++ {
+				sent++
 				id := fmt.Sprintf("%08x%08x", i, n)
 				status, server, body, err := readStream(all[i%endsMachines].front, id)
 				events := strings.Count(body, "\n\n")
@@ -301,6 +306,7 @@
 				case err != nil:
 					cut.Add(1)
 				case events == streamEvents:
+					wholeHere++
 					whole.Add(1)
 				default:
 					short.Add(1)
