Take an answer whose status is none of HTTP for lost

What callers saw: an upstream in trouble answered with status 000 or 999. Callers of the agent got it as an answer, and the 000 of an engine as the promise that the request had not run. The gateway took 000 to 099, and a 101 that nobody had asked for, for informational answers: a body that looked like an answer was relayed as the answer, and without a body the call waited until its deadline. 600 to 999 were relayed.

Cause: http.ReadResponse takes any non-negative number of three characters for a status, and the code here relied on it.

Change: package validator accepts 100 to 599 but 101. The carrier checks each head with it, also those of informational answers and of answers to other requests, and ends the attempt as lost. The client of the reader sends through validator.Transport, which closes the connection of an invalid answer; the attempt counts as lost, not as rejected and not as a crash. Who has answered the health check so counts as reachable as before.

Each place that reads answers of upstreams for callers checks the head before it looks at the status.

--- a/internal/connection/carrier/exchange.go
+++ b/internal/connection/carrier/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"magnoliafront.dev/magnoliafront/internal/connection/validator"
 	"magnoliafront.dev/magnoliafront/internal/process/reserver"
 	"magnoliafront.dev/magnoliafront/internal/request/relayer"
 )
@@ -133,6 +134,9 @@
 		if err != nil && c.received.headErr != nil {
 			err = c.received.headErr
 		}
+		if err == nil {
+			err = validator.Check(resp)
+		}
 		if err != nil {
 			return nil, errors.Wrap(err, "read the answer")
 		}
--- a/internal/connection/reader/client.go
+++ b/internal/connection/reader/client.go
@@ -10,11 +10,14 @@
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
+
+	"magnoliafront.dev/magnoliafront/internal/connection/validator"
 )
 
-// NewClient returns a client for the requests of readers.
+// NewClient returns a client for the requests of readers. An invalid response is an error of
+// the type [*validator.Error].
 func NewClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dial}}
+	return &http.Client{Transport: &validator.Transport{Base: &http.Transport{DisableKeepAlives: true, DialContext: dial}}}
 }
 
 // dial connects to an upstream.
--- /dev/null
+++ b/internal/connection/reader/malformed_head_test.go
@@ -0,0 +1,48 @@
+package reader
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
+	"magnoliafront.dev/magnoliafront/pkg/timer"
+)
+
+// assertHeadIsLost checks the event of an answer with a head, of a service and of an engine.
+// The upstream may have run the request. It counts as crashed only with crashed.
+func assertHeadIsLost(t *testing.T, head string, crashed bool) {
+	t.Helper()
+	const stream = "data: {\"choices\":[{\"delta\":{\"content\":\"x\"}}]}\n\ndata: [DONE]\n\n"
+	url, client := cuttingUpstream(t, head+"\r\n"+stream), NewClient()
+	events := make(chan Event, 8)
+	emit := func(e Event) { events <- e }
+	t.Run("service", func(t *testing.T) {
+		NewService(client, timer.System{}, url, Job{Call: &messenger.Call{Method: http.MethodPost, Path: "/whole/closed"}}, emit)
+		assertEnd(t, <-events, crashed)
+	})
+	t.Run("engine", func(t *testing.T) {
+		NewEngine(client, timer.System{}, url+"/whole/closed", Job{Body: []byte(`{}`)}, emit)
+		assertEnd(t, <-events, crashed)
+	})
+}
+
+func assertEnd(t *testing.T, e Event, crashed bool) {
+	t.Helper()
+	is := is.New(t)
+	is.Equal(e.Kind, EventLost)
+	is.Equal(e.Crashed, crashed)
+	is.Equal(e.Unreachable, crashed)
+}
+
+// An answer with status 000 of a service was passed on. That of an engine was taken for a
+// promise that the request has not run.
+func TestAnswerWithInvalidStatusIsLost(t *testing.T) {
+	for _, status := range []string{"000", "000 Failed", "020 OK", "+20 OK", "099 OK", "101 Switching Protocols", "600 Failed", "999 Failed"} {
+		t.Run(status, func(t *testing.T) { assertHeadIsLost(t, "HTTP/1.1 "+status+"\r\n", false) })
+	}
+	t.Run("after an informational answer", func(t *testing.T) {
+		assertHeadIsLost(t, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Failed\r\n", false)
+	})
+}
--- a/internal/connection/reader/probe.go
+++ b/internal/connection/reader/probe.go
@@ -65,6 +65,10 @@
 	req.Close = true
 	resp, err := client.Do(req)
 	if err != nil {
+		if sentErrorKind(err) == ErrorMalformed {
+			// The upstream responds.
+			return nil
+		}
 		return err
 	}
 	return resp.Body.Close()
--- a/internal/connection/reader/reader.go
+++ b/internal/connection/reader/reader.go
@@ -37,6 +37,7 @@
 
 	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
 	"magnoliafront.dev/magnoliafront/internal/connection/prober"
+	"magnoliafront.dev/magnoliafront/internal/connection/validator"
 	"magnoliafront.dev/magnoliafront/internal/process/scheduler"
 	"magnoliafront.dev/magnoliafront/pkg/buffer"
 	"magnoliafront.dev/magnoliafront/pkg/timer"
@@ -212,6 +213,15 @@
 	if errors.As(err, &op) && op.Op == "dial" {
 		return ErrorUnreachable
 	}
+	return sentErrorKind(err)
+}
+
+// sentErrorKind classifies the error of a request that was sent and has no valid response.
+func sentErrorKind(err error) ErrorKind {
+	var invalid *validator.Error
+	if errors.As(err, &invalid) {
+		return ErrorMalformed
+	}
 	return ErrorBroken
 }
 
@@ -385,6 +395,9 @@
 	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	resp, err := client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
+		if kind == ErrorBroken {
+			kind = sentErrorKind(err)
+		}
 		return nil, &Error{Op: "request", Kind: kind, Err: err}
 	}
 	return resp, nil
--- /dev/null
+++ b/internal/connection/validator/transport.go
@@ -0,0 +1,33 @@
+package validator
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// Transport sends requests by Base and checks the responses.
+type Transport struct {
+	Base *http.Transport
+}
+
+// RoundTrip implements [http.RoundTripper]. For an invalid response, the error wraps one of
+// the type [*Error], and the connection is closed: a response without a body would leave it
+// to the next request.
+func (t *Transport) RoundTrip(q *http.Request) (*http.Response, error) {
+	var conn net.Conn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }}
+	resp, err := t.Base.RoundTrip(q.WithContext(httptrace.WithClientTrace(q.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err := Check(resp); err != nil {
+		_ = conn.Close()
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// CloseIdleConnections closes the connections that carry no request.
+func (t *Transport) CloseIdleConnections() { t.Base.CloseIdleConnections() }
--- /dev/null
+++ b/internal/connection/validator/validator.go
@@ -0,0 +1,42 @@
+// Package validator rejects responses whose heads are not valid in HTTP.
+//
+// The parser of net/http accepts more than HTTP does. It takes any number of three
+// characters for a status, also 000 and 999. One below 200 passes for that of an
+// informational response, so that what follows is taken for the answer. One that HTTP does
+// not have says nothing about whether the request has run.
+//
+// # Usage
+//
+//	resp, err := http.ReadResponse(r, q)
+//	if err == nil {
+//		err = validator.Check(resp)
+//	}
+//
+// A [Transport] does so for a client of net/http:
+//
+//	client := &http.Client{Transport: &validator.Transport{Base: &http.Transport{}}}
+package validator
+
+import (
+	"net/http"
+
+	"github.com/go-faster/errors"
+)
+
+// maxStatus is the largest status of HTTP (RFC 9110, section 15).
+const maxStatus = 599
+
+// Check returns an error of the type [*Error] unless the head of a response, which may be an
+// informational one, is valid. The connection of an invalid one must not be used any more.
+func Check(resp *http.Response) error {
+	return checkStatus(resp.StatusCode)
+}
+
+// checkStatus returns an error unless status may be that of a response. No request asks to
+// switch protocols.
+func checkStatus(status int) error {
+	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return &Error{Op: "check the status", Kind: ErrorStatus, Err: errors.Errorf("%03d is none of a response", status)}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/connection/validator/validator_test.go
@@ -0,0 +1,28 @@
+package validator
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+)
+
+// assertInvalid checks that err is an [*Error] of a kind.
+func assertInvalid(t *testing.T, err error, kind ErrorKind) {
+	t.Helper()
+	is := is.New(t)
+	var invalid *Error
+	is.True(errors.As(err, &invalid))
+	is.Equal(invalid.Kind, kind)
+}
+
+// Each status of HTTP must be accepted, also one that has no meaning yet, and no other.
+func TestCheckAcceptsStatusOfHTTP(t *testing.T) {
+	for _, status := range []int{100, 103, 199, 200, 299, 304, 418, 499, 503, 599} {
+		is.New(t).NoErr(Check(&http.Response{StatusCode: status}))
+	}
+	for _, status := range []int{0, 20, 99, http.StatusSwitchingProtocols, 600, 999} {
+		assertInvalid(t, Check(&http.Response{StatusCode: status}), ErrorStatus)
+	}
+}
--- /dev/null
+++ b/internal/process/starter/gateway_malformed_head_test.go
@@ -0,0 +1,75 @@
+package starter
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// startUpstreamWithHead registers an upstream that answers each request with the status and
+// the further lines of a head. It closes the connection after the answer.
+func (r *gatewayFixture) startUpstreamWithHead(name, status, lines string) {
+	r.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(r.t).NoErr(err)
+	r.t.Cleanup(func() { _ = l.Close() })
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		req, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nMagnoliafront-Request-Id: %s\r\nMagnoliafront-Response-Signature: s\r\nContent-Type: text/event-stream\r\n%s\r\nid: 1\ndata: x\n\n",
+			status, req.Header.Get("Magnoliafront-Request-Id"), lines)
+	}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	r.store.Put("servers", name, map[string]any{
+		"service": "desk", "address": l.Addr().String(), "zone": "z", "version": "v1", "slots": 8,
+		"state": "ready", "warmup_left_ms": 0, "sequence": 1, "born": 1,
+	})
+}
+
+// assertHeadDoesNotReachCaller checks that a caller gets a failure of the entry that promises
+// nothing in place of an answer with the head.
+func assertHeadDoesNotReachCaller(t *testing.T, status, lines string) {
+	t.Helper()
+	r := newGatewayFixture(t, 0)
+	r.startUpstreamWithHead("i-a", status, lines)
+	g := r.startReadyEntry()
+	for _, prefix := range []string{"/hold/", "/check/", "/stream/brief/", "/stream/chat/"} {
+		t.Run(strings.Trim(prefix, "/"), func(t *testing.T) {
+			a := g.call(http.MethodPost, prefix+"1", "r-"+strings.ReplaceAll(prefix, "/", "-"), "body", nil)
+			assertStatus(t, a, http.StatusBadGateway)
+			is := is.New(t)
+			is.Equal(a.header.Get("Magnoliafront-Response-Signature"), "")
+			is.True(!strings.Contains(a.body, "data: x"))
+		})
+	}
+}
+
+// Callers got answers whose status is none of HTTP.
+func TestGatewayMalformedHeadDoesNotReachCaller(t *testing.T) {
+	for _, c := range []struct{ name, status, lines string }{
+		{"status 000", "000", ""},
+		{"status 000 with a length", "000 Failed", "Content-Length: 16\r\n"},
+		{"status 099", "099 Failed", ""},
+		{"status 999", "999 Failed", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) { assertHeadDoesNotReachCaller(t, c.status, c.lines) })
+	}
+}
