Take an answer with an invalid name of a field for lost

What callers saw: an upstream in trouble answered with a head in which the name of a field held a blank, such as "Content-Length : 16" or "Transfer-Encoding : chunked". The caller got it as an answer, whose body ended elsewhere or held the chunks.

Cause: the parser of net/http keeps such names as they are, so that the field has no meaning. Nothing here looked at names.

Change: validator.Check also accepts only names of HTTP. The carrier checks each head so; the transport also those of informational answers. A line that begins with a blank goes on with the value of the line before it and is accepted as before: HTTP lets a gateway read it so, and TestCutAnswerIsNotRelayedAsWhole has such answers as sound ones.

Evidence: on the code before, TestAnswerWithInvalidFieldNameIsLost failed in the carrier in the 9 cases with a blank, whole and as a stream, but for one before the first name, and in the reader in all 6 cases of services and 5 of 6 of engines; TestGatewayMalformedHeadDoesNotReachCaller failed on all four routes for each of three heads with a blank. The cases with a control byte passed before: the parser rejects these, and the answer was lost. All pass now, with the race detector. No name that the parser lets through unread can state the framing any more.

--- a/internal/connection/carrier/malformed_head_test.go
+++ b/internal/connection/carrier/malformed_head_test.go
@@ -37,3 +37,29 @@
 		assertHeadEndsCall(t, "HTTP/1.1 200 OK\r\nForeign: 1\r\nContent-Length: 0\r\n\r\nHTTP/1.1 000 Failed\r\nContent-Length: 0\r\n\r\n"+within)
 	})
 }
+
+// A name of a field with a blank was accepted. Its line was not taken for what it may have
+// been, such as a length, and the caller got a body that was not that of the upstream.
+func TestAnswerWithInvalidFieldNameIsLost(t *testing.T) {
+	const head, end = "HTTP/1.1 200 OK\r\nX-Note: a\r\n", "Content-Length: 2\r\n\r\nok"
+	for _, c := range []struct{ name, answer string }{
+		{"blank within the name", head + "X Odd: 1\r\n" + end},
+		{"blank before the colon", head + "X-Odd : 1\r\n" + end},
+		{"length with a blank", head + "Content-Length : 2\r\n" + end},
+		{"chunks with a blank", head + "Transfer-Encoding : chunked\r\nContent-Length: 12\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
+		{"tab before the colon", head + "X-Odd\t: 1\r\n" + end},
+		{"control byte", head + "X\x01Odd: 1\r\n" + end},
+		{"zero byte", head + "\x00X-Odd: 1\r\n" + end},
+		{"delete", head + "X-Odd\x7f: 1\r\n" + end},
+		{"carriage return", head + "X\rOdd: 1\r\n" + end},
+		{"blank before the first name", "HTTP/1.1 200 OK\r\n X-Odd: 1\r\n" + end},
+		{"no name", head + ": 1\r\n" + end},
+		{"failure", "HTTP/1.1 503 Full\r\nX Odd: 1\r\n" + end},
+		{"refusal", "HTTP/1.1 503 Full\r\nRefused: 1\r\nX Odd: 1\r\n" + end},
+		{"informational answer", "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + end},
+		{"answer to another request", "HTTP/1.1 200 OK\r\nForeign: 1\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n" + end},
+		{"after an answer to another request", "HTTP/1.1 200 OK\r\nForeign: 1\r\nContent-Length: 0\r\n\r\n" + head + "X Odd: 1\r\n" + end},
+	} {
+		t.Run(c.name, func(t *testing.T) { assertHeadEndsCall(t, c.answer) })
+	}
+}
--- a/internal/connection/reader/malformed_head_test.go
+++ b/internal/connection/reader/malformed_head_test.go
@@ -46,3 +46,21 @@
 		assertHeadIsLost(t, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Failed\r\n", false)
 	})
 }
+
+// An answer in whose head the name of a field held a blank was passed on, with a body that
+// was not that of the upstream if the line stated how the body ends.
+func TestAnswerWithInvalidFieldNameIsLost(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Note: a\r\n"
+	for _, c := range []struct{ name, head string }{
+		{"blank within the name", head + "X Odd: 1\r\n"},
+		{"length with a blank", head + "Content-Length : 2\r\n"},
+		{"chunks with a blank", head + "Transfer-Encoding : chunked\r\n"},
+		{"failure", "HTTP/1.1 500 Failed\r\nX Odd: 1\r\n"},
+		{"refusal", "HTTP/1.1 503 Full\r\nX Odd: 1\r\n"},
+		{"informational answer", "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) { assertHeadIsLost(t, c.head, false) })
+	}
+	// The parser finds no answer, and none to the health check either.
+	t.Run("control byte", func(t *testing.T) { assertHeadIsLost(t, head+"X\x01Odd: 1\r\n", true) })
+}
--- a/internal/connection/validator/error.go
+++ b/internal/connection/validator/error.go
@@ -9,6 +9,8 @@
 const (
 	// ErrorStatus means that the status is none that a response may have.
 	ErrorStatus ErrorKind = iota
+	// ErrorFieldName means that the name of a field has a byte that no name may have.
+	ErrorFieldName
 )
 
 // Error describes a response that is not valid in HTTP.
--- a/internal/connection/validator/transport.go
+++ b/internal/connection/validator/transport.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 )
 
 // Transport sends requests by Base and checks the responses.
@@ -16,7 +17,11 @@
 // to the next request.
 func (t *Transport) RoundTrip(q *http.Request) (*http.Response, error) {
 	var conn net.Conn
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }}
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
+		// An error ends the request, and net/http closes the connection.
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return checkNames(http.Header(h)) },
+	}
 	resp, err := t.Base.RoundTrip(q.WithContext(httptrace.WithClientTrace(q.Context(), trace)))
 	if err != nil {
 		return nil, err
--- a/internal/connection/validator/transport_test.go
+++ b/internal/connection/validator/transport_test.go
@@ -57,13 +57,15 @@
 		"/sound":               "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
 		"/status":              "HTTP/1.1 000 Failed\r\nContent-Length: 40\r\n\r\n" + rest,
 		"/status-without-body": "HTTP/1.1 000 Failed\r\nContent-Length: 0\r\n\r\n",
+		"/name":                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX Odd: 1\r\n\r\n",
+		"/informational":       "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n" + rest,
 	})
 	client := &http.Client{Transport: &Transport{Base: &http.Transport{}}}
 	t.Cleanup(client.CloseIdleConnections)
 	for _, c := range []struct {
 		path string
 		kind ErrorKind
-	}{{"/status", ErrorStatus}, {"/status-without-body", ErrorStatus}} {
+	}{{"/status", ErrorStatus}, {"/status-without-body", ErrorStatus}, {"/name", ErrorFieldName}, {"/informational", ErrorFieldName}} {
 		t.Run(c.path, func(t *testing.T) {
 			for range 2 {
 				got, kept, err := get(t, client, url+"/sound")
--- a/internal/connection/validator/validator.go
+++ b/internal/connection/validator/validator.go
@@ -3,7 +3,12 @@
 // The parser of net/http accepts more than HTTP does. It takes any number of three
 // characters for a status, also 000 and 999. One below 200 passes for that of an
 // informational response, so that what follows is taken for the answer. One that HTTP does
-// not have says nothing about whether the request has run.
+// not have says nothing about whether the request has run. The parser also keeps blanks in
+// the name of a field. Such a field may have been meant to state the length or the encoding
+// of the body, so that it is unknown where the body ends.
+//
+// A line that begins with a blank goes on with the value of the field before it, as in older
+// versions of HTTP, and is no name.
 //
 // # Usage
 //
@@ -19,6 +24,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/go-faster/errors"
 )
@@ -29,7 +35,10 @@
 // Check returns an error of the type [*Error] unless the head of a response, which may be an
 // informational one, is valid. The connection of an invalid one must not be used any more.
 func Check(resp *http.Response) error {
-	return checkStatus(resp.StatusCode)
+	if err := checkStatus(resp.StatusCode); err != nil {
+		return err
+	}
+	return checkNames(resp.Header)
 }
 
 // checkStatus returns an error unless status may be that of a response. No request asks to
@@ -40,3 +49,20 @@
 	}
 	return nil
 }
+
+// checkNames returns an error unless the names of all fields are valid.
+func checkNames(h http.Header) error {
+	for name := range h {
+		if name == "" || strings.ContainsFunc(name, isNoToken) {
+			return &Error{Op: "check the fields", Kind: ErrorFieldName, Err: errors.Errorf("%q is no name of a field", name)}
+		}
+	}
+	return nil
+}
+
+// isNoToken reports whether r must not stand in the name of a field (RFC 9110, section
+// 5.6.2).
+func isNoToken(r rune) bool {
+	isAlphanumeric := '0' <= r && r <= '9' || 'A' <= r && r <= 'Z' || 'a' <= r && r <= 'z'
+	return !isAlphanumeric && !strings.ContainsRune("!#$%&'*+-.^_`|~", r)
+}
--- a/internal/connection/validator/validator_test.go
+++ b/internal/connection/validator/validator_test.go
@@ -26,3 +26,16 @@
 		assertInvalid(t, Check(&http.Response{StatusCode: status}), ErrorStatus)
 	}
 }
+
+// Each name that HTTP allows must be accepted, and no other.
+func TestCheckAcceptsNameOfHTTP(t *testing.T) {
+	check := func(name string) error {
+		return Check(&http.Response{StatusCode: http.StatusOK, Header: http.Header{"X": {"1"}, name: {"1"}}})
+	}
+	for _, name := range []string{"Content-Length", "x", "9", "X_1.2", "!#$%&'*+-.^_`|~"} {
+		is.New(t).NoErr(check(name))
+	}
+	for _, name := range []string{"", "X Odd", "X-Odd ", " X-Odd", "X\tOdd", "X\x00", "X\x1f", "X\x7f", "X\r", "X\xe9", "Xé", "X:", "X(Odd)", "X\"Odd", "X/Odd", "X@Odd", "X[Odd", "X{Odd"} {
+		assertInvalid(t, check(name), ErrorFieldName)
+	}
+}
--- a/internal/process/starter/gateway_malformed_head_test.go
+++ b/internal/process/starter/gateway_malformed_head_test.go
@@ -62,13 +62,17 @@
 	}
 }
 
-// Callers got answers whose status is none of HTTP.
+// Callers got answers whose status or whose names of fields are none of HTTP.
 func TestGatewayMalformedHeadDoesNotReachCaller(t *testing.T) {
 	for _, c := range []struct{ name, status, lines string }{
 		{"status 000", "000", ""},
 		{"status 000 with a length", "000 Failed", "Content-Length: 16\r\n"},
 		{"status 099", "099 Failed", ""},
 		{"status 999", "999 Failed", ""},
+		{"blank in a name", "200 OK", "X Odd: 1\r\n"},
+		{"length with a blank", "200 OK", "Content-Length : 16\r\n"},
+		{"chunks with a blank", "200 OK", "Transfer-Encoding : chunked\r\n"},
+		{"control byte in a name", "200 OK", "X\x01Odd: 1\r\n"},
 	} {
 		t.Run(c.name, func(t *testing.T) { assertHeadDoesNotReachCaller(t, c.status, c.lines) })
 	}
