Keep the reset that a look at a connection has got

A part of an answer without a length or chunks would count as the whole if its upstream reset the connection and the entry came to read it only after its deadline, as after a freeze.

Cause: after a deadline, readLate looks at the socket before it reads. The kernel reports a reset once; the look got it, and the read found an orderly end. A write that gets it was covered already, a look was not.

Change: peeker.PeekError also returns the error of the connection. The carrier keeps it for the next read, like that of a write, in each of its looks.

The read returns what the look has taken from it.

--- a/internal/connection/carrier/late_test.go
+++ b/internal/connection/carrier/late_test.go
@@ -7,8 +7,10 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -20,23 +22,33 @@
 	"magnoliafront.dev/magnoliafront/pkg/timer"
 )
 
-// newLateConn returns a connection whose deadline has passed after sent, and the end of the
-// connection if closed is true, had arrived. It counts the calls of onTimeout.
-func newLateConn(t *testing.T, sent string, closed bool) (c *limitedConn, timeouts *int) {
+// newConnections returns both ends of a connection.
+func newConnections(t *testing.T) (upstream *net.TCPConn, conn net.Conn) {
 	t.Helper()
 	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer func() { _ = l.Close() }()
-	upstream, err := net.Dial("tcp", l.Addr().String())
+	dialled, err := net.Dial("tcp", l.Addr().String())
 	is.NoErr(err)
-	conn, err := l.Accept()
+	conn, err = l.Accept()
 	is.NoErr(err)
 	t.Cleanup(func() {
-		_ = upstream.Close()
+		_ = dialled.Close()
 		_ = conn.Close()
 	})
-	_, err = upstream.Write([]byte(sent))
+	upstream, ok := dialled.(*net.TCPConn)
+	is.True(ok)
+	return upstream, conn
+}
+
+// newLateConn returns a connection whose deadline has passed after sent, and the end of the
+// connection if closed is true, had arrived. It counts the calls of onTimeout.
+func newLateConn(t *testing.T, sent string, closed bool) (c *limitedConn, timeouts *int) {
+	t.Helper()
+	is := is.New(t)
+	upstream, conn := newConnections(t)
+	_, err := upstream.Write([]byte(sent))
 	is.NoErr(err)
 	if closed {
 		_ = upstream.Close()
@@ -91,6 +103,29 @@
 	}
 }
 
+// A reset that had arrived when the deadline passed was found by the look at the socket. The
+// kernel reports it once, so that the read after it found an orderly end, and a part of an
+// answer that ends with its connection counted as the whole.
+func TestLateReadReturnsReset(t *testing.T) {
+	for _, sent := range []string{"", "ok"} {
+		t.Run("after "+strconv.Quote(sent), func(t *testing.T) {
+			is := is.New(t)
+			upstream, conn := newConnections(t)
+			_, err := upstream.Write([]byte(sent))
+			is.NoErr(err)
+			is.NoErr(upstream.SetLinger(0))
+			is.NoErr(upstream.Close())
+			for peeker.IsOpen(conn) {
+				time.Sleep(time.Millisecond)
+			}
+			is.NoErr(conn.SetReadDeadline(time.Unix(1, 0)))
+			read, err := readAll(&limitedConn{Conn: conn, lateBytes: 4})
+			is.Equal(read, sent)
+			is.True(errors.Is(err, syscall.ECONNRESET))
+		})
+	}
+}
+
 // starvation is for how long a starved process gets no processor time. It is longer than
 // the time until the deadline of a call.
 const starvation = 2 * time.Hour
--- a/internal/connection/carrier/limit.go
+++ b/internal/connection/carrier/limit.go
@@ -65,9 +65,10 @@
 	// If it returns true, the read is repeated, so that the parsers above do not see the
 	// timeout, after which they could not continue.
 	onTimeout func() bool
-	// writeErr is the error with which the connection ended during a write. The kernel
-	// reports it only once, so that a read after it would find an orderly end.
-	writeErr error
+	// endErr is the error with which the connection ended if a write or a look at it has got
+	// that. The kernel reports it only once, so that a read after it would find an orderly
+	// end.
+	endErr error
 }
 
 // limitHead starts to limit the bytes that are read to those of a head, and unlimit ends
@@ -103,8 +104,8 @@
 		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 			n, err = c.readLate(b)
 		}
-		if errors.Is(err, io.EOF) && c.writeErr != nil {
-			err = c.writeErr
+		if errors.Is(err, io.EOF) && c.endErr != nil {
+			err = c.endErr
 		}
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.onTimeout == nil || !c.onTimeout() {
 			return n, err
@@ -112,10 +113,19 @@
 	}
 }
 
+// peek returns the state of the receive side.
+func (c *limitedConn) peek() peeker.State {
+	state, err := peeker.PeekError(c.Conn)
+	if err != nil {
+		c.endErr = err
+	}
+	return state
+}
+
 // readLate reads what has arrived although the deadline has passed: bytes, or the end of
 // the connection.
 func (c *limitedConn) readLate(b []byte) (int, error) {
-	if c.lateBytes <= 0 || peeker.Peek(c.Conn) == peeker.NoData {
+	if c.lateBytes <= 0 || c.peek() == peeker.NoData {
 		return 0, os.ErrDeadlineExceeded
 	}
 	_ = c.SetReadDeadline(time.Time{})
--- a/internal/connection/carrier/request.go
+++ b/internal/connection/carrier/request.go
@@ -74,7 +74,7 @@
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			if !errors.Is(err, syscall.EPIPE) {
 				// EPIPE means that the upstream had closed its side before.
-				c.received.writeErr = err
+				c.received.endErr = err
 			}
 			return errors.Wrap(err, "write the request")
 		case a.sent > 0 && c.hasUnread():
--- a/internal/connection/peeker/peeker.go
+++ b/internal/connection/peeker/peeker.go
@@ -38,15 +38,21 @@
 // Peek returns the state of the receive side of conn. The state of a connection that
 // is not a socket is not known; it is returned as NoData.
 func Peek(conn net.Conn) State {
+	state, _ := PeekError(conn)
+	return state
+}
+
+// PeekError is like [Peek] and also returns the error with which the connection has ended, as
+// by a reset. The kernel reports it once, so that a read after it finds an orderly end.
+func PeekError(conn net.Conn) (state State, ended error) {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
-		return NoData
+		return NoData, nil
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return Ended
+		return Ended, err
 	}
-	state := NoData
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
@@ -57,13 +63,13 @@
 			state = Ended
 		case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
 		default:
-			state = Ended
+			state, ended = Ended, err
 		}
 	})
 	if err != nil {
-		return Ended
+		return Ended, err
 	}
-	return state
+	return state, ended
 }
 
 // IsOpen reports whether conn is open and its peer has not closed it, also if there are
