--- a/internal/process/starter/gateway_cut_test.go
+++ b/internal/process/starter/gateway_cut_test.go
@@ -43,22 +43,30 @@
 // whether the connection is reset.
 func (r *gatewayFixture) startCuttingUpstream(name string) {
 	r.t.Helper()
+	r.startRawUpstream(name, answerInPart)
+}
+
+// startRawUpstream registers an upstream that passes each connection to serve.
+func (r *gatewayFixture) startRawUpstream(name string, serve func(net.Conn)) {
+	r.t.Helper()
+	r.store.Put("servers", name, map[string]any{
+		"service": "desk", "address": listenRaw(r.t, serve), "zone": "z", "version": "v1", "slots": 8,
+		"state": "ready", "warmup_left_ms": 0, "sequence": 1, "born": 1,
+	})
+}
+
+// listenRaw passes each connection to the address that it returns to serve.
+func listenRaw(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(r.t).NoErr(err)
-	r.t.Cleanup(func() { _ = l.Close() })
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
 	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go answerInPart(conn)
+		for conn, err := l.Accept(); err == nil; conn, err = l.Accept() {
+			go serve(conn)
 		}
 	}()
-	r.store.Put("servers", name, map[string]any{
-		"service": "desk", "address": l.Addr().String(), "zone": "z", "version": "v1", "slots": 8,
-		"state": "ready", "warmup_left_ms": 0, "sequence": 1, "born": 1,
-	})
+	return l.Addr().String()
 }
 
 // answerInPart reads a request and writes the first bytes of the answer.
--- a/internal/process/starter/gateway_malformed_head_test.go
+++ b/internal/process/starter/gateway_malformed_head_test.go
@@ -16,10 +16,7 @@
 // the further lines of a head. It closes the connection after the answer.
 func (r *gatewayFixture) startUpstreamWithHead(name, status, lines string) {
 	r.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(r.t).NoErr(err)
-	r.t.Cleanup(func() { _ = l.Close() })
-	serve := func(conn net.Conn) {
+	r.startRawUpstream(name, func(conn net.Conn) {
 		defer func() { _ = conn.Close() }()
 		req, err := http.ReadRequest(bufio.NewReader(conn))
 		if err != nil {
@@ -28,19 +25,6 @@
 		_, _ = io.Copy(io.Discard, req.Body)
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nMagnoliafront-Request-Id: %s\r\nMagnoliafront-Response-Signature: s\r\nContent-Type: text/event-stream\r\n%s\r\nid: 1\ndata: x\n\n",
 			status, req.Header.Get("Magnoliafront-Request-Id"), lines)
-	}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
-	r.store.Put("servers", name, map[string]any{
-		"service": "desk", "address": l.Addr().String(), "zone": "z", "version": "v1", "slots": 8,
-		"state": "ready", "warmup_left_ms": 0, "sequence": 1, "born": 1,
 	})
 }
 
