Check the heads of the platform's answers

An answer of the store with a blank in the name of a field acknowledged a write, and status 000 of the API counted as a refusal of an order, although that may have been carried out.

Cause: the clients of net/http return such answers as valid ones, and these callers look at the status alone.

Change: the clients of the store, of the API, of the object API and of an engine's orders send through validator.Transport, whose error leaves the outcome of a write unknown. It closes the connection, so that what may follow is not taken for the next answer. Readers of answers of our own processes (load, explain) are unchanged, as are readers of JSON-RPC.

--- a/cmd/magnoliafront/records.go
+++ b/cmd/magnoliafront/records.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"magnoliafront.dev/magnoliafront/internal/connection/validator"
 	"magnoliafront.dev/magnoliafront/internal/process/accessor"
 	"magnoliafront.dev/magnoliafront/internal/process/writer"
 	"magnoliafront.dev/magnoliafront/internal/version/cataloger"
@@ -29,7 +30,7 @@
 }
 
 func (p platformFlag) store() accessor.Store {
-	return &accessor.Client{URL: p.Platform, HTTP: &http.Client{Timeout: commandTimeout}}
+	return &accessor.Client{URL: p.Platform, HTTP: &http.Client{Timeout: commandTimeout, Transport: &validator.Transport{}}}
 }
 
 func (p platformFlag) writer() writer.Writer {
--- a/internal/connection/validator/transport.go
+++ b/internal/connection/validator/transport.go
@@ -9,7 +9,8 @@
 
 // Transport sends requests by Base and checks the responses.
 type Transport struct {
-	Base *http.Transport
+	// Base is the underlying transport. Nil means http.DefaultTransport.
+	Base http.RoundTripper
 }
 
 // RoundTrip implements [http.RoundTripper]. For an invalid response, the error wraps one of
@@ -22,7 +23,7 @@
 		// An error ends the request, and net/http closes the connection.
 		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return checkNames(http.Header(h)) },
 	}
-	resp, err := t.Base.RoundTrip(q.WithContext(httptrace.WithClientTrace(q.Context(), trace)))
+	resp, err := t.base().RoundTrip(q.WithContext(httptrace.WithClientTrace(q.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
@@ -35,4 +36,15 @@
 }
 
 // CloseIdleConnections closes the connections that carry no request.
-func (t *Transport) CloseIdleConnections() { t.Base.CloseIdleConnections() }
+func (t *Transport) CloseIdleConnections() {
+	if c, ok := t.base().(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
+
+func (t *Transport) base() http.RoundTripper {
+	if t.Base == nil {
+		return http.DefaultTransport
+	}
+	return t.Base
+}
--- a/internal/connection/validator/validator.go
+++ b/internal/connection/validator/validator.go
@@ -19,7 +19,7 @@
 //
 // A [Transport] does so for a client of net/http:
 //
-//	client := &http.Client{Transport: &validator.Transport{Base: &http.Transport{}}}
+//	client := &http.Client{Transport: &validator.Transport{}}
 package validator
 
 import (
--- a/internal/process/starter/agent.go
+++ b/internal/process/starter/agent.go
@@ -29,7 +29,7 @@
 
 func newGuard(lc fx.Lifecycle, s loader.Agent, store accessor.Store, c timer.Clock, rec *recorder.Recorder) *placer.Guard {
 	g := placer.NewGuard(placer.GuardOptions{
-		Upstream: s.Upstream, URL: s.UpstreamURL, Client: &http.Client{}, Store: store, Clock: c, Recorder: rec,
+		Upstream: s.Upstream, URL: s.UpstreamURL, Client: newHTTPClient(), Store: store, Clock: c, Recorder: rec,
 	})
 	lc.Append(fx.StopHook(g.Stop))
 	return g
--- a/internal/process/starter/duties.go
+++ b/internal/process/starter/duties.go
@@ -10,6 +10,7 @@
 	"go.uber.org/fx"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/carrier"
+	"magnoliafront.dev/magnoliafront/internal/connection/validator"
 	"magnoliafront.dev/magnoliafront/internal/process/accountant"
 	"magnoliafront.dev/magnoliafront/internal/process/leaser"
 	"magnoliafront.dev/magnoliafront/internal/process/loader"
@@ -90,12 +91,12 @@
 		return nil, &Error{Op: "read the address of the API", Kind: ErrorSettings, Err: err}
 	}
 	return &platform.API{Address: u.Host, HTTPClient: &http.Client{
-		Transport: &http.Transport{
+		Transport: &validator.Transport{Base: &http.Transport{
 			DialContext:         carrier.Dialer().DialContext,
 			MaxIdleConnsPerHost: maxIdleAPIConnections,
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}, nil
 }
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -16,6 +16,7 @@
 
 	"magnoliafront.dev/magnoliafront/internal/connection/carrier"
 	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
+	"magnoliafront.dev/magnoliafront/internal/connection/validator"
 	"magnoliafront.dev/magnoliafront/internal/process/acceptor"
 	"magnoliafront.dev/magnoliafront/internal/process/allocator"
 	"magnoliafront.dev/magnoliafront/internal/process/detector"
@@ -109,13 +110,13 @@
 	if err != nil {
 		return nil, &Error{Op: "read the address of the platform", Kind: ErrorSettings, Err: err}
 	}
-	return &platform.Store{Address: u.Host, HTTPClient: &http.Client{Transport: &http.Transport{
+	return &platform.Store{Address: u.Host, HTTPClient: &http.Client{Transport: &validator.Transport{Base: &http.Transport{
 		DialContext:         carrier.Dialer().DialContext,
 		MaxIdleConnsPerHost: maxIdleStoreConnections,
 		MaxConnsPerHost:     shares.Store,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
-	}}}, nil
+	}}}}, nil
 }
 
 // peering holds the components that connect the forwarder to the store and to
--- a/internal/process/starter/starter.go
+++ b/internal/process/starter/starter.go
@@ -24,6 +24,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
+	"magnoliafront.dev/magnoliafront/internal/connection/validator"
 	"magnoliafront.dev/magnoliafront/internal/process/acceptor"
 	"magnoliafront.dev/magnoliafront/internal/process/accessor"
 	"magnoliafront.dev/magnoliafront/internal/process/claimer"
@@ -94,12 +95,22 @@
 		fx.Supply(messenger.Peer{Role: role, Identity: s.Identity, AvailabilityZone: s.AvailabilityZone}),
 		fx.Provide(
 			func() timer.Clock { return timer.System{} },
-			func() accessor.Store { return &accessor.Client{URL: s.Platform, HTTP: &http.Client{}} },
+			func() accessor.Store { return newObjectClient(s.Platform) },
 			newShares, newMeter, newPeerRefusedCounter, newRecorder, newWatcherRef, newExchanger, newWatcher, newAcceptor,
 		),
 	)
 }
 
+// newObjectClient returns a client of the object API at url.
+func newObjectClient(url string) *accessor.Client {
+	return &accessor.Client{URL: url, HTTP: newHTTPClient()}
+}
+
+// newHTTPClient returns a client that takes an invalid response for none.
+func newHTTPClient() *http.Client {
+	return &http.Client{Transport: &validator.Transport{}}
+}
+
 func newMeter(lc fx.Lifecycle) (*meter.Meter, error) {
 	m, err := meter.New()
 	if err != nil {
