--- a/internal/connection/carrier/late_test.go
+++ b/internal/connection/carrier/late_test.go
@@ -103,9 +103,9 @@
 	}
 }
 
-// A reset that had arrived when the deadline passed was found by the look at the socket. The
-// kernel reports it once, so that the read after it found an orderly end, and a part of an
-// answer that ends with its connection counted as the whole.
+// A reset that had arrived when the deadline passed was reported to the peek before the late
+// read. The kernel reports it once, so that the read found an orderly end, and a part of a
+// close-delimited answer counted as the whole.
 func TestLateReadReturnsReset(t *testing.T) {
 	for _, sent := range []string{"", "ok"} {
 		t.Run("after "+strconv.Quote(sent), func(t *testing.T) {
--- a/internal/connection/carrier/limit.go
+++ b/internal/connection/carrier/limit.go
@@ -65,9 +65,8 @@
 	// If it returns true, the read is repeated, so that the parsers above do not see the
 	// timeout, after which they could not continue.
 	onTimeout func() bool
-	// endErr is the error with which the connection ended if a write or a look at it has got
-	// that. The kernel reports it only once, so that a read after it would find an orderly
-	// end.
+	// endErr is the error with which the connection ended, if a write or peek got it. The
+	// kernel reports it only once, so that a read after it would find an orderly end.
 	endErr error
 }
 
@@ -113,7 +112,8 @@
 	}
 }
 
-// peek returns the state of the receive side.
+// peek returns the state of the receive side. It keeps the error of a connection that has
+// ended in endErr.
 func (c *limitedConn) peek() peeker.State {
 	state, err := peeker.PeekError(c.Conn)
 	if err != nil {
--- a/internal/connection/carrier/malformed_head_test.go
+++ b/internal/connection/carrier/malformed_head_test.go
@@ -19,9 +19,8 @@
 	}
 }
 
-// An answer whose status is not one of HTTP was relayed, or taken for an informational one:
-// what its body held was then relayed as the answer, and without a body the call waited for
-// an answer until its deadline.
+// An answer with an invalid status was relayed, or taken for an informational one: an answer
+// within its body was then relayed, and without a body the call waited until its deadline.
 func TestAnswerWithInvalidStatusIsLost(t *testing.T) {
 	const within = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"
 	for _, status := range []string{"000", "000 Failed", "020 OK", "+20 OK", "099 OK", "101 Switching Protocols", "600 Failed", "999 Failed"} {
@@ -38,8 +37,8 @@
 	})
 }
 
-// A name of a field with a blank was accepted. Its line was not taken for what it may have
-// been, such as a length, and the caller got a body that was not that of the upstream.
+// A field name with a blank was accepted, but the field had no effect. If it was meant to
+// state the length or the encoding, the caller got another body than that of the upstream.
 func TestAnswerWithInvalidFieldNameIsLost(t *testing.T) {
 	const head, end = "HTTP/1.1 200 OK\r\nX-Note: a\r\n", "Content-Length: 2\r\n\r\nok"
 	for _, c := range []struct{ name, answer string }{
--- a/internal/connection/reader/client.go
+++ b/internal/connection/reader/client.go
@@ -14,8 +14,8 @@
 	"magnoliafront.dev/magnoliafront/internal/connection/validator"
 )
 
-// NewClient returns a client for the requests of readers. An invalid response is an error of
-// the type [*validator.Error].
+// NewClient returns a client for the requests of readers. It returns a [*validator.Error] for
+// a response that is not valid HTTP.
 func NewClient() *http.Client {
 	return &http.Client{Transport: &validator.Transport{Base: &http.Transport{DisableKeepAlives: true, DialContext: dial}}}
 }
--- a/internal/connection/reader/malformed_head_test.go
+++ b/internal/connection/reader/malformed_head_test.go
@@ -47,8 +47,8 @@
 	})
 }
 
-// An answer in whose head the name of a field held a blank was passed on, with a body that
-// was not that of the upstream if the line stated how the body ends.
+// An answer with a blank in a field name was passed on, with another body than that of the
+// upstream if the field was meant to state the length or the encoding.
 func TestAnswerWithInvalidFieldNameIsLost(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nX-Note: a\r\n"
 	for _, c := range []struct{ name, head string }{
@@ -61,6 +61,6 @@
 	} {
 		t.Run(c.name, func(t *testing.T) { assertHeadIsLost(t, c.head, false) })
 	}
-	// The parser finds no answer, and none to the health check either.
+	// net/http rejects this answer by itself, and that to the health check as well.
 	t.Run("control byte", func(t *testing.T) { assertHeadIsLost(t, head+"X\x01Odd: 1\r\n", true) })
 }
--- a/internal/connection/reader/probe.go
+++ b/internal/connection/reader/probe.go
@@ -66,7 +66,7 @@
 	resp, err := client.Do(req)
 	if err != nil {
 		if sentErrorKind(err) == ErrorMalformed {
-			// The upstream responds.
+			// The upstream responds, though not in valid HTTP.
 			return nil
 		}
 		return err
--- a/internal/connection/validator/error.go
+++ b/internal/connection/validator/error.go
@@ -7,13 +7,13 @@
 
 // The error kinds.
 const (
-	// ErrorStatus means that the status is none that a response may have.
+	// ErrorStatus means that the status is not one of a response.
 	ErrorStatus ErrorKind = iota
-	// ErrorFieldName means that the name of a field has a byte that no name may have.
+	// ErrorFieldName means that a field name is not a token of HTTP.
 	ErrorFieldName
 )
 
-// Error describes a response that is not valid in HTTP.
+// Error describes a response that is not valid HTTP.
 type Error struct {
 	Op   string
 	Kind ErrorKind
--- a/internal/connection/validator/transport.go
+++ b/internal/connection/validator/transport.go
@@ -13,22 +13,24 @@
 	Base http.RoundTripper
 }
 
-// RoundTrip implements [http.RoundTripper]. For an invalid response, the error wraps one of
-// the type [*Error], and the connection is closed: a response without a body would leave it
-// to the next request.
+// RoundTrip implements [http.RoundTripper]. For an invalid response, the error is or wraps an
+// [*Error], and the connection is closed. After a response without a body, net/http would use
+// it for the next request.
 func (t *Transport) RoundTrip(q *http.Request) (*http.Response, error) {
 	var conn net.Conn
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
 		// An error ends the request, and net/http closes the connection.
-		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return checkNames(http.Header(h)) },
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return checkFieldNames(http.Header(h)) },
 	}
 	resp, err := t.base().RoundTrip(q.WithContext(httptrace.WithClientTrace(q.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
 	if err := Check(resp); err != nil {
-		_ = conn.Close()
+		if conn != nil {
+			_ = conn.Close()
+		}
 		_ = resp.Body.Close()
 		return nil, err
 	}
--- a/internal/connection/validator/validator.go
+++ b/internal/connection/validator/validator.go
@@ -1,14 +1,14 @@
-// Package validator rejects responses whose heads are not valid in HTTP.
+// Package validator rejects responses whose heads are not valid HTTP.
 //
-// The parser of net/http accepts more than HTTP does. It takes any number of three
-// characters for a status, also 000 and 999. One below 200 passes for that of an
-// informational response, so that what follows is taken for the answer. One that HTTP does
-// not have says nothing about whether the request has run. The parser also keeps blanks in
-// the name of a field. Such a field may have been meant to state the length or the encoding
-// of the body, so that it is unknown where the body ends.
+// The parser of net/http accepts more than HTTP allows. It takes any number of three
+// characters as a status, including 000 and 999. One below 100 would pass for that of an
+// informational response, so that the bytes after it are taken for the answer. One above 599
+// says nothing about whether the request has run. The parser also keeps blanks in field
+// names. Such a field may have been meant as a Content-Length or Transfer-Encoding, so that
+// the end of the body is unknown.
 //
-// A line that begins with a blank goes on with the value of the field before it, as in older
-// versions of HTTP, and is no name.
+// A line that begins with a blank continues the value of the field before it (obs-fold in
+// RFC 9112, section 5.2). It is accepted, since a gateway may replace the fold by a blank.
 //
 // # Usage
 //
@@ -32,37 +32,37 @@
 // maxStatus is the largest status of HTTP (RFC 9110, section 15).
 const maxStatus = 599
 
-// Check returns an error of the type [*Error] unless the head of a response, which may be an
-// informational one, is valid. The connection of an invalid one must not be used any more.
+// Check returns an error of the type [*Error] unless the head of a response is valid. The
+// response may be informational. The connection of an invalid one must be closed.
 func Check(resp *http.Response) error {
 	if err := checkStatus(resp.StatusCode); err != nil {
 		return err
 	}
-	return checkNames(resp.Header)
+	return checkFieldNames(resp.Header)
 }
 
-// checkStatus returns an error unless status may be that of a response. No request asks to
-// switch protocols.
+// checkStatus returns an error unless a response may have the status. 101 is invalid, since
+// no request of this system asks for another protocol.
 func checkStatus(status int) error {
 	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
-		return &Error{Op: "check the status", Kind: ErrorStatus, Err: errors.Errorf("%03d is none of a response", status)}
+		return &Error{Op: "check the status", Kind: ErrorStatus, Err: errors.Errorf("%03d is not allowed", status)}
 	}
 	return nil
 }
 
-// checkNames returns an error unless the names of all fields are valid.
-func checkNames(h http.Header) error {
+// checkFieldNames returns an error unless all field names are valid.
+func checkFieldNames(h http.Header) error {
 	for name := range h {
-		if name == "" || strings.ContainsFunc(name, isNoToken) {
-			return &Error{Op: "check the fields", Kind: ErrorFieldName, Err: errors.Errorf("%q is no name of a field", name)}
+		if name == "" || strings.ContainsFunc(name, isInvalidInToken) {
+			return &Error{Op: "check the header", Kind: ErrorFieldName, Err: errors.Errorf("invalid field name %q", name)}
 		}
 	}
 	return nil
 }
 
-// isNoToken reports whether r must not stand in the name of a field (RFC 9110, section
-// 5.6.2).
-func isNoToken(r rune) bool {
+// isInvalidInToken reports whether a token, such as a field name, must not contain r (RFC
+// 9110, section 5.6.2).
+func isInvalidInToken(r rune) bool {
 	isAlphanumeric := '0' <= r && r <= '9' || 'A' <= r && r <= 'Z' || 'a' <= r && r <= 'z'
 	return !isAlphanumeric && !strings.ContainsRune("!#$%&'*+-.^_`|~", r)
 }
--- a/internal/connection/validator/validator_test.go
+++ b/internal/connection/validator/validator_test.go
@@ -17,8 +17,8 @@
 	is.Equal(invalid.Kind, kind)
 }
 
-// Each status of HTTP must be accepted, also one that has no meaning yet, and no other.
-func TestCheckAcceptsStatusOfHTTP(t *testing.T) {
+// Each status that HTTP allows must be accepted, also one without a meaning yet, and no other.
+func TestCheckAcceptsOnlyValidStatus(t *testing.T) {
 	for _, status := range []int{100, 103, 199, 200, 299, 304, 418, 499, 503, 599} {
 		is.New(t).NoErr(Check(&http.Response{StatusCode: status}))
 	}
@@ -27,8 +27,8 @@
 	}
 }
 
-// Each name that HTTP allows must be accepted, and no other.
-func TestCheckAcceptsNameOfHTTP(t *testing.T) {
+// Each field name that HTTP allows must be accepted, and no other.
+func TestCheckAcceptsOnlyValidFieldName(t *testing.T) {
 	check := func(name string) error {
 		return Check(&http.Response{StatusCode: http.StatusOK, Header: http.Header{"X": {"1"}, name: {"1"}}})
 	}
--- a/internal/process/starter/gateway_malformed_head_test.go
+++ b/internal/process/starter/gateway_malformed_head_test.go
@@ -28,8 +28,8 @@
 	})
 }
 
-// assertHeadDoesNotReachCaller checks that a caller gets a failure of the entry that promises
-// nothing in place of an answer with the head.
+// assertHeadDoesNotReachCaller checks that a caller gets 502 from the entry, which promises
+// nothing, in place of an answer with the head.
 func assertHeadDoesNotReachCaller(t *testing.T, status, lines string) {
 	t.Helper()
 	r := newGatewayFixture(t, 0)
@@ -46,7 +46,7 @@
 	}
 }
 
-// Callers got answers whose status or whose names of fields are none of HTTP.
+// Callers got answers with an invalid status, or with a blank in a field name.
 func TestGatewayMalformedHeadDoesNotReachCaller(t *testing.T) {
 	for _, c := range []struct{ name, status, lines string }{
 		{"status 000", "000", ""},
--- a/internal/process/starter/invalid_answer_test.go
+++ b/internal/process/starter/invalid_answer_test.go
@@ -60,5 +60,5 @@
 func TestInvalidAnswerOfPlatformIsNoAcknowledgement(t *testing.T) {
 	const end = "Content-Length: 2\r\n\r\n{}"
 	t.Run("status", func(t *testing.T) { assertNoAcknowledgement(t, "HTTP/1.1 000 Failed\r\n"+end) })
-	t.Run("name of a field", func(t *testing.T) { assertNoAcknowledgement(t, "HTTP/1.1 200 OK\r\nX Odd: 1\r\n"+end) })
+	t.Run("field name", func(t *testing.T) { assertNoAcknowledgement(t, "HTTP/1.1 200 OK\r\nX Odd: 1\r\n"+end) })
 }
--- a/internal/process/starter/starter.go
+++ b/internal/process/starter/starter.go
@@ -106,7 +106,7 @@
 	return &accessor.Client{URL: url, HTTP: newHTTPClient()}
 }
 
-// newHTTPClient returns a client that takes an invalid response for none.
+// newHTTPClient returns a client that returns an error for a response that is not valid HTTP.
 func newHTTPClient() *http.Client {
 	return &http.Client{Transport: &validator.Transport{}}
 }
