--- a/internal/process/starter/gateway_test.go
+++ b/internal/process/starter/gateway_test.go
@@ -26,7 +26,7 @@
 	g := r.startReadyEntry()
 	t.Run("call", func(t *testing.T) {
 		a := g.call(http.MethodPost, "/hold/7?unit=1%2F2", "h1", "unit=12", func(req *http.Request) {
-			req.Header.Set("Magnoliafront-Tenant", "somebody")
+			req.Header.Set(platform.HeaderOrganisation, "somebody")
 			req.Header.Set("Magnoliafront-Hold", "forged")
 			req.Header.Set("Magnoliafront-Pin-Ms", "5000")
 			req.Header.Set("Kv-From", "10.0.0.1:1/x")
@@ -42,7 +42,7 @@
 		h := runs[0].Header
 		is.Equal(runs[0].Target, "/hold/7?unit=1%2F2")
 		is.Equal(runs[0].Body, "unit=12")
-		is.Equal(h.Get("Magnoliafront-Tenant"), "guides")
+		is.Equal(h.Get(platform.HeaderOrganisation), "guides")
 		is.Equal(h.Get("Magnoliafront-Model"), "m")
 		is.Equal(h.Get("X-Other"), "2")
 		for _, name := range []string{"Authorization", "Magnoliafront-Hold", "Magnoliafront-Pin-Ms", "Kv-From", "X-Hop"} {
