Announce the end of the connections of a test's upstream

Its log has "connection reset by peer" 0.3 ms after the request was sent to an upstream that had just answered another one whole.

Cause: the stand-in closes each connection after its answer without saying so. The entry rightly keeps the connection of a whole framed answer, and may send the next request just before the close; a hold is not sent again.

Change: the answers say Connection: close. All cuts and checks are as before, and the header adds cuts of its own; a kept connection that ends unannounced was never what the test checks.

--- a/internal/process/starter/gateway_cut_test.go
+++ b/internal/process/starter/gateway_cut_test.go
@@ -96,7 +96,9 @@
 // cutAnswer returns the whole answer to a request.
 func cutAnswer(req *http.Request, framing string) string {
 	id, last := req.Header.Get("Magnoliafront-Request-Id"), req.Header.Get("Last-Event-Id")
-	body, head := cutBody(req.URL.Path, id, last), "HTTP/1.1 200 OK\r\nMagnoliafront-Request-Id: "+id+"\r\nMagnoliafront-Response-Signature: s\r\n"
+	// The connection ends after the answer. Unannounced, the next request could be sent on it
+	// just before and be lost.
+	body, head := cutBody(req.URL.Path, id, last), "HTTP/1.1 200 OK\r\nMagnoliafront-Request-Id: "+id+"\r\nMagnoliafront-Response-Signature: s\r\nConnection: close\r\n"
 	if strings.HasPrefix(req.URL.Path, "/stream/") {
 		head += "Content-Type: text/event-stream\r\n"
 	}
