Log what decides whether an upstream has ended an answer

After the end of an answer without length and chunks, an upstream that accepts no connection is taken as there if other connections to it are open. Nothing in the log told such an end from one that a probe had confirmed, so that a record of a stream that ended too early did not show which of the two had been wrong.

The entry logs the number of open and ended connections and the verdict. Only upstreams that accept no connection cause the line.

--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -140,7 +140,7 @@
 // may have a part of its answer, and must not be resumed once it has ended.
 func (f *Forwarder) handleReport(now time.Time, p *pool, r carrier.Report) {
 	if r.Unconfirmed {
-		p.confirm(r.Conn)
+		p.confirm(r)
 		return
 	}
 	t := f.inFlight[r.Request]
--- a/internal/process/forwarder/pool.go
+++ b/internal/process/forwarder/pool.go
@@ -73,7 +73,13 @@
 }
 
 // confirm tells a call whether the upstream, which accepts no connections, is still there.
-func (p *pool) confirm(c *carrier.Conn) { c.Confirm(prober.IsThere(p.evidenceBeside(c))) }
+func (p *pool) confirm(r carrier.Report) {
+	e := p.evidenceBeside(r.Conn)
+	there := prober.IsThere(e)
+	klog.InfoS("end of answer unconfirmed", "request", r.Request, "attempt", r.Attempt, "upstream", p.upstream.InstanceID(),
+		"events", r.RelayedEvents, "open", e.Open, "ended", e.Ended, "there", there, "err", r.Err)
+	r.Conn.Confirm(there)
+}
 
 // evidenceBeside returns what the calls beside that of c show of the upstream.
 func (p *pool) evidenceBeside(c *carrier.Conn) prober.Evidence {
