Take a connection that may be silent for no sign of its upstream

Cause: after the end of such an answer the entry connects again. If that is refused, the upstream has ended, or has begun a planned stop, and the other connections to it decide. One that had fallen silent, or whose end was lost, looked open, and overruled the refused connection.

Change: an open connection counts once data has arrived on it since the end of the answer, or once it has outlived the keep-alive that ends a silent one (3 s). An upstream that accepts and closes connections, and one on the same VM, are judged as before. prober.Judge has three verdicts in place of two.

--- a/internal/connection/carrier/carrier.go
+++ b/internal/connection/carrier/carrier.go
@@ -232,8 +232,8 @@
 	options Options
 	calls   *buffer.Ring[Call, buffer.Reject]
 	permits *buffer.Ring[struct{}, buffer.Reject]
-	// confirmations tell the call whether the upstream is still there.
-	confirmations *buffer.Ring[bool, buffer.Reject]
+	// confirmations tell the call what other connections show of the upstream.
+	confirmations *buffer.Ring[prober.Verdict, buffer.Reject]
 
 	// The fields below are used only by the goroutine of the connection.
 	conn     net.Conn
@@ -255,7 +255,7 @@
 		calls:   buffer.New[Call, buffer.Reject]("carrier_calls", 1),
 		permits: buffer.New[struct{}, buffer.Reject]("carrier_permits", 1),
 
-		confirmations: buffer.New[bool, buffer.Reject]("carrier_confirmations", 1),
+		confirmations: buffer.New[prober.Verdict, buffer.Reject]("carrier_confirmations", 1),
 	}
 	go func() {
 		for {
--- a/internal/connection/carrier/confirm.go
+++ b/internal/connection/carrier/confirm.go
@@ -5,6 +5,8 @@
 	"context"
 	"net"
 	"net/http"
+
+	"magnoliafront.dev/magnoliafront/internal/connection/prober"
 )
 
 // confirmEnd checks whether the end of a response is that of the answer. Only the close of
@@ -17,10 +19,14 @@
 	}
 	// It frees a descriptor of this process and a place at the upstream.
 	c.closeConn()
-	conn, err := c.Socket.Confirm(a.call.Context, c.options.Clock, func(ctx context.Context) (net.Conn, error) {
-		// The deadline of the call may have passed, and the answer have arrived in time.
-		return c.connect(ctx, c.options.Clock.Now().Add(a.call.DialTimeout))
-	}, func(err error) (there, ok bool) { return c.askOwner(a, err) })
+	conn, err := c.Socket.Confirm(a.call.Context, prober.Inquiry{
+		Clock: c.options.Clock, Deadline: a.call.Deadline,
+		Dial: func(ctx context.Context) (net.Conn, error) {
+			// The deadline of the call may have passed, and the answer have arrived in time.
+			return c.connect(ctx, c.options.Clock.Now().Add(a.call.DialTimeout))
+		},
+		Ask: func(err error) (v prober.Verdict, ok bool) { return c.askOwner(a, err) },
+	})
 	switch {
 	case conn == nil:
 	case resp.ProtoAtLeast(1, 1):
@@ -33,18 +39,17 @@
 	return err
 }
 
-// askOwner asks the owner of the connection whether an upstream is there to which another
-// connection failed with err. It reports false if the call was cancelled.
-func (c *Conn) askOwner(a *attempt, err error) (there, ok bool) {
+// askOwner asks the owner of the connection what the other connections show of an upstream
+// to which another connection failed with err. It reports false if the call was cancelled.
+func (c *Conn) askOwner(a *attempt, err error) (v prober.Verdict, ok bool) {
 	r := a.interimReport()
 	r.Unconfirmed, r.Err = true, err
 	c.options.Report(r)
 	return c.confirmations.Take(a.call.Context)
 }
 
-// Confirm answers a report with Unconfirmed set: there is true if the upstream is still
-// there.
-func (c *Conn) Confirm(there bool) { c.confirmations.Put(context.Background(), there) }
+// Confirm answers a report with Unconfirmed set.
+func (c *Conn) Confirm(v prober.Verdict) { c.confirmations.Put(context.Background(), v) }
 
 // adopt makes conn the network connection of c.
 func (c *Conn) adopt(conn net.Conn) {
--- a/internal/connection/peeker/peeker.go
+++ b/internal/connection/peeker/peeker.go
@@ -76,25 +76,51 @@
 // bytes to read. Where the kernel does not tell, a connection with bytes to read counts as
 // open.
 func IsOpen(conn net.Conn) bool {
+	if _, ok := conn.(syscall.Conn); !ok {
+		return true
+	}
+	info, err := tcpInfo(conn)
+	switch {
+	case errors.Is(err, errControl):
+		return false
+	case err != nil:
+		return Peek(conn) != Ended
+	}
+	return info.State == unix.BPF_TCP_ESTABLISHED
+}
+
+// Received returns the number of bytes that have arrived on conn, whether or not they have
+// been read. It reports false where the kernel does not tell.
+func Received(conn net.Conn) (uint64, bool) {
+	info, err := tcpInfo(conn)
+	if err != nil {
+		return 0, false
+	}
+	return info.Bytes_received, true
+}
+
+// errControl means that a connection is closed on this side.
+var errControl = errors.New("the socket is not usable")
+
+// tcpInfo returns what the kernel knows of a connection.
+func tcpInfo(conn net.Conn) (*unix.TCPInfo, error) {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
-		return true
+		return nil, errors.New("the connection is not a socket")
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return nil, errors.Wrap(errControl, err.Error())
 	}
 	var info *unix.TCPInfo
 	var infoErr error
-	if raw.Control(func(fd uintptr) {
+	err = raw.Control(func(fd uintptr) {
 		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-	}) != nil {
-		return false
-	}
-	if infoErr != nil {
-		return Peek(conn) != Ended
+	})
+	if err != nil {
+		return nil, errors.Wrap(errControl, err.Error())
 	}
-	return info.State == unix.BPF_TCP_ESTABLISHED
+	return info, infoErr
 }
 
 // HasWaiting reports whether a connection waits at l to be accepted. It returns false if l
--- a/internal/connection/prober/prober.go
+++ b/internal/connection/prober/prober.go
@@ -12,7 +12,11 @@
 // or has begun a planned stop, in which many servers close their listener first and finish
 // their answers then. One that is accepted and closed at once means that the connections
 // of the upstream are used up, or that something in front of it accepts in its place. What
-// tells these apart are the other connections to the same upstream; see [IsThere].
+// tells these apart are the other connections to the same upstream; see [Judge].
+//
+// A connection that has fallen silent, or whose end was lost on the way, looks open. It
+// counts only once data has arrived on it since, or once it has outlived the keep-alive of
+// connections to other VMs; see [Looks].
 //
 // An upstream that lives and has given up one answer looks like one that has finished it.
 //
@@ -21,7 +25,7 @@
 //	var s prober.Socket
 //	s.Set(conn)
 //	// the upstream ends conn at the end of an answer
-//	next, err := s.Confirm(ctx, clock, dial, ask)
+//	next, err := s.Confirm(ctx, prober.Inquiry{Clock: clock, Dial: dial, Ask: ask, Deadline: deadline})
 //	if err != nil {
 //		// the answer was cut off
 //	}
@@ -30,7 +34,7 @@
 //
 //	var e prober.Evidence
 //	e.Add(&s, &other)
-//	there := prober.IsThere(e)
+//	verdict := prober.Judge(e)
 package prober
 
 import (
@@ -50,20 +54,49 @@
 	// Accepts is true if it has accepted another connection and keeps that open.
 	Accepts bool
 	// Open and Ended count the other connections on which it is answering requests: those
-	// that are open, and those that it has ended at about the same time.
-	Open, Ended int
+	// that are open, and those that it has ended at about the same time. Active is the
+	// number of the open ones on which data has arrived since the first look.
+	Open, Active, Ended int
 }
 
-// IsThere decides whether the process of an upstream is still there. One that does not
-// accept connections is if it has kept most of the others open: a process that ends, ends
+// Verdict is what is known of an upstream.
+type Verdict int
+
+// The verdicts.
+const (
+	// Undecided means that open connections may be silent ones.
+	Undecided Verdict = iota
+	// There means that the process of the upstream is still there.
+	There
+	// Gone means that it has ended.
+	Gone
+)
+
+// String returns the name of v in log lines.
+func (v Verdict) String() string { return [...]string{"undecided", "there", "gone"}[v] }
+
+// Judge decides whether the process of an upstream is still there. One that does not
+// accept connections is if it goes on with most of the others: a process that ends, ends
 // all of them. The last answer of a planned stop looks like one that was cut off.
-func IsThere(e Evidence) bool { return e.Accepts || e.Open > e.Ended }
+func Judge(e Evidence) Verdict {
+	switch {
+	case e.Accepts || e.Active > e.Ended:
+		return There
+	case e.Open <= e.Ended:
+		return Gone
+	}
+	return Undecided
+}
 
-// Add adds what the connection other shows after the end of the connection s.
+// Add adds what the connection other shows after the end of the connection s. All calls with
+// the same s must come from the same goroutine.
 func (e *Evidence) Add(s, other *Socket) {
 	switch {
 	case other.isOpen():
 		e.Open++
+		if s.seesDataOn(other) {
+			e.Active++
+		}
 	case other.hasEndedWith(s):
 		e.Ended++
 	}
@@ -79,12 +112,30 @@
 	closeSkew = 50 * time.Millisecond
 	// firstLook is the time after which most connections of a process that ends are closed.
 	firstLook = 5 * time.Millisecond
+	// retransmissionLook is the time after which a lost end has been sent once more, and
+	// longLook one after which it has been sent several times.
+	retransmissionLook = 250 * time.Millisecond
+	longLook           = time.Second
+	// lastLook is the time after which the keep-alive of an entry, which takes 3 s, has
+	// ended a connection that was silent.
+	lastLook = 3200 * time.Millisecond
 )
 
-// Waits are the times after which the other connections of an upstream that accepts none
-// should be looked at. Those of a process that ends may be open for a moment, so that only
-// the last look shows that it is there. Any of them may show that it is not.
-func Waits() []time.Duration { return []time.Duration{firstLook, closeSkew} }
+// errClosesConnections is the error of a probe of an upstream, or of something in front of
+// it, that is there and keeps no connection open.
+var errClosesConnections = errors.New("the upstream accepts connections and closes them")
+
+// Looks are the times after a failed probe at which the other connections of an upstream
+// should be looked at. Those of a process that ends may be open for a moment, so that no look
+// before closeSkew shows that it is there. Any of them may show that it is not. If no
+// connection can be silent, brief is true, and the looks end with closeSkew.
+func Looks(brief bool) []time.Duration {
+	all := []time.Duration{firstLook, closeSkew, retransmissionLook, longLook, lastLook}
+	if brief {
+		return all[:2]
+	}
+	return all
+}
 
 // Dial connects to an upstream. It bounds the time of one try.
 type Dial func(context.Context) (net.Conn, error)
@@ -100,7 +151,7 @@
 		}
 		if err == nil {
 			_ = conn.Close()
-			err = errors.New("the upstream accepts connections and closes them")
+			err = errClosesConnections
 		}
 		last = err
 		if ctx.Err() != nil {
--- a/internal/connection/prober/socket.go
+++ b/internal/connection/prober/socket.go
@@ -24,6 +24,10 @@
 	// endedAt is the time at which the upstream ended the connection, in nanoseconds since
 	// the Unix epoch, while the upstream is probed, else zero.
 	endedAt atomic.Int64
+	// received holds the number of bytes that other connections had received when they were
+	// first looked at after watchedSince, a value of endedAt. Only their owner uses it.
+	received     map[*Socket]uint64
+	watchedSince int64
 }
 
 // Set makes conn the connection. Nil means that there is none.
@@ -51,26 +55,65 @@
 	return time.Duration(max(at, other.endedAt.Load())-min(at, other.endedAt.Load())) <= closeSkew
 }
 
+// seesDataOn reports whether data has arrived on the connection other since it was first asked
+// after the end of s.
+func (s *Socket) seesDataOn(other *Socket) bool {
+	if at := s.endedAt.Load(); at != s.watchedSince {
+		s.watchedSince, s.received = at, map[*Socket]uint64{}
+	}
+	conn := other.conn.Load()
+	if conn == nil {
+		return false
+	}
+	n, ok := peeker.Received(*conn)
+	before, known := s.received[other]
+	if ok && !known {
+		s.received[other] = n
+	}
+	return ok && known && n > before
+}
+
+// Inquiry configures [Socket.Confirm].
+type Inquiry struct {
+	Clock timer.Clock
+	Dial  Dial
+	// Ask returns what the other connections show, after a probe that failed with err. It
+	// reports false if the call was cancelled.
+	Ask func(err error) (v Verdict, ok bool)
+	// Local is true if the upstream is on the same VM, so that no connection falls silent.
+	Local bool
+	// Deadline bounds the time for which connections to other VMs are watched.
+	Deadline time.Time
+}
+
 // Confirm checks whether the upstream is there after it has ended the connection, with which
 // an answer ended. It returns a new connection, or nil if only the other connections show
-// that. Whether they do is what ask returns, unless ctx has ended; err is that of the probe.
-func (s *Socket) Confirm(ctx context.Context, c timer.Clock, dial Dial, ask func(err error) (there, ok bool)) (net.Conn, error) {
-	s.endedAt.Store(c.Now().UnixNano())
+// that.
+func (s *Socket) Confirm(ctx context.Context, q Inquiry) (net.Conn, error) {
+	s.endedAt.Store(q.Clock.Now().UnixNano())
 	defer s.endedAt.Store(0)
-	conn, err := Probe(ctx, dial, c)
+	conn, err := Probe(ctx, q.Dial, q.Clock)
 	if err == nil {
 		return conn, nil
 	}
-	for _, wait := range Waits() {
-		sleep(ctx, c, wait)
-		there, ok := ask(err)
+	start := q.Clock.Now()
+	for _, look := range Looks(q.Local || errors.Is(err, errClosesConnections)) {
+		at := start.Add(look)
+		if look > closeSkew && at.After(q.Deadline) {
+			return nil, goneError(err)
+		}
+		sleepUntil(ctx, q.Clock, at)
+		v, ok := q.Ask(err)
 		switch {
 		case !ok:
 			return nil, context.Cause(ctx)
-		case !there:
+		case v == Gone:
 			return nil, goneError(err)
+		case v == There && look >= closeSkew:
+			return nil, nil
 		}
 	}
+	// What is still open is not silent.
 	return nil, nil
 }
 
@@ -85,9 +128,9 @@
 	return errors.Errorf("%s: %v", goneReason, err)
 }
 
-// sleep waits for d or until ctx is done.
-func sleep(ctx context.Context, c timer.Clock, d time.Duration) {
-	wake, stop := c.After(d)
+// sleepUntil waits until a time or until ctx is done.
+func sleepUntil(ctx context.Context, c timer.Clock, at time.Time) {
+	wake, stop := c.After(at.Sub(c.Now()))
 	defer stop()
 	select {
 	case <-wake:
--- a/internal/connection/reader/confirm.go
+++ b/internal/connection/reader/confirm.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"net/url"
+
+	"magnoliafront.dev/magnoliafront/internal/connection/prober"
 )
 
 // isCloseDelimited reports whether the end of a response is marked only by the end of the
@@ -18,10 +20,11 @@
 // connections of a service that was killed or crashed end in the same way. It returns an
 // error if the service has ended.
 func (r *Reader) confirmEnd(ctx context.Context) error {
-	conn, err := r.Socket.Confirm(ctx, r.clock, r.dialAgain, func(err error) (there, ok bool) {
+	ask := func(err error) (v prober.Verdict, ok bool) {
 		r.emitEvent(Event{Kind: EventUnconfirmed, Err: err})
 		return r.confirmations.Take(ctx)
-	})
+	}
+	conn, err := r.Socket.Confirm(ctx, prober.Inquiry{Clock: r.clock, Dial: r.dialAgain, Ask: ask, Local: true})
 	if conn != nil {
 		_ = conn.Close()
 	}
@@ -42,8 +45,8 @@
 	return d.DialContext(ctx, "tcp", net.JoinHostPort(u.Hostname(), port))
 }
 
-// Confirm answers an EventUnconfirmed: there is true if the upstream is still there.
-func (r *Reader) Confirm(there bool) { r.confirmations.Put(context.Background(), there) }
+// Confirm answers an EventUnconfirmed.
+func (r *Reader) Confirm(v prober.Verdict) { r.confirmations.Put(context.Background(), v) }
 
 // follow makes conn the connection of Reader.Socket. A wrapper hides the state of its socket.
 func (r *Reader) follow(conn net.Conn) {
--- a/internal/connection/reader/reader.go
+++ b/internal/connection/reader/reader.go
@@ -131,14 +131,14 @@
 	emit   func(Event)
 	cancel context.CancelFunc
 	// confirmations receives the answers to EventUnconfirmed.
-	confirmations *buffer.Ring[bool, buffer.Reject]
+	confirmations *buffer.Ring[prober.Verdict, buffer.Reject]
 }
 
 func newReader(client *http.Client, c timer.Clock, url string, job Job, emit func(Event)) (*Reader, context.Context) {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Reader{
 		client: client, clock: c, url: url, job: job, emit: emit, cancel: cancel,
-		confirmations: buffer.New[bool, buffer.Reject]("reader_confirmations", 1),
+		confirmations: buffer.New[prober.Verdict, buffer.Reject]("reader_confirmations", 1),
 	}, ctx
 }
 
--- a/internal/process/executor/run.go
+++ b/internal/process/executor/run.go
@@ -237,7 +237,7 @@
 		x.stepScheduler(scheduler.Event{Kind: scheduler.EventAdvanced, Key: e.Key, Tokens: len(e.Tokens)})
 		return
 	case reader.EventUnconfirmed:
-		r.reader.Confirm(prober.IsThere(x.evidenceBeside(e.Key)))
+		r.reader.Confirm(prober.Judge(x.evidenceBeside(e.Key)))
 	case reader.EventResponse:
 		x.endRun(e.Key, r, tracer.KindFinished, "", messenger.Frame{Kind: messenger.FrameResponse, Response: e.Response})
 	case reader.EventFinished:
--- a/internal/process/forwarder/pool.go
+++ b/internal/process/forwarder/pool.go
@@ -72,13 +72,14 @@
 	p.idle = append(p.idle, idleConn{r.Conn, now.Add(timeout - idleTimeoutMargin)})
 }
 
-// confirm tells a call whether the upstream, which accepts no connections, is still there.
+// confirm tells a call what the calls beside it show of the upstream, which accepts no
+// connections.
 func (p *pool) confirm(r carrier.Report) {
 	e := p.evidenceBeside(r.Conn)
-	there := prober.IsThere(e)
+	v := prober.Judge(e)
 	klog.InfoS("end of answer unconfirmed", "request", r.Request, "attempt", r.Attempt, "upstream", p.upstream.InstanceID(),
-		"events", r.RelayedEvents, "open", e.Open, "ended", e.Ended, "there", there, "err", r.Err)
-	r.Conn.Confirm(there)
+		"events", r.RelayedEvents, "open", e.Open, "active", e.Active, "ended", e.Ended, "verdict", v.String(), "err", r.Err)
+	r.Conn.Confirm(v)
 }
 
 // evidenceBeside returns what the calls beside that of c show of the upstream.
--- a/internal/process/starter/gateway_ended_upstream_test.go
+++ b/internal/process/starter/gateway_ended_upstream_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -85,6 +86,20 @@
 	}
 }
 
+// endBesideSilence closes the sockets as a kernel does when the process ends, but the end of
+// the connections after the first is not seen before a time: they have fallen silent.
+func (u *mortalUpstream) endBesideSilence(silence time.Duration) {
+	u.stopListening()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	_ = u.conns[0].Close()
+	time.Sleep(silence)
+	for _, c := range u.conns[1:] {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+}
+
 // beginCall sends a request with the protocol and returns a channel with its answer.
 func (g *gateway) beginCall(path, protocol string) <-chan answer {
 	done := make(chan answer, 1)
@@ -123,6 +138,12 @@
 	is.Equal(a.body, cutBody(path, mortalID(path), ""))
 }
 
+// assertNotWhole checks that an answer is cut off or a failure of the entry.
+func assertNotWhole(t *testing.T, a answer) {
+	t.Helper()
+	is.New(t).True(a.err != nil || a.status == http.StatusBadGateway)
+}
+
 // forEachProtocol runs f with a fresh entry and upstreams for each protocol of callers.
 func forEachProtocol(t *testing.T, upstreams int, f func(t *testing.T, g *gateway, u []*mortalUpstream, protocol string)) {
 	for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
@@ -180,6 +201,26 @@
 	}
 }
 
+// An upstream was killed while another connection to it was silent. That one looked open, so
+// that the upstream was taken for one in a planned stop, and the caller got a part of the
+// answer as the whole.
+func TestGatewaySilentConnectionDoesNotShowThatUpstreamIsThere(t *testing.T) {
+	const silence = 2 * time.Second
+	for _, kind := range []string{"/stream/brief/", "/hold/"} {
+		t.Run(kind, func(t *testing.T) {
+			forEachProtocol(t, 1, func(t *testing.T, g *gateway, u []*mortalUpstream, protocol string) {
+				first := g.beginCall(kind+"1", protocol)
+				<-u[0].begun
+				second := g.beginCall(kind+"2", protocol)
+				<-u[0].begun
+				u[0].endBesideSilence(silence)
+				assertNotWhole(t, <-first)
+				assertNotWhole(t, <-second)
+			})
+		})
+	}
+}
+
 // An upstream in a planned stop closes its listener and finishes its answers, which must
 // not be cut off because it accepts no more connections.
 func TestGatewayAnswerOfStoppingUpstreamIsWhole(t *testing.T) {
