Let a stream go on only at the software version that began it

Cause: the version in the registration was not read. Upstreams were chosen for a stream as for a new request.

Change: package resumer knows at which version a stream began. A request whose caller has an event goes on only at upstreams of that version. The request that takes a stream up names the one that brought its first event; entries tell each other their streams, each twice, while a service has several versions. What nobody knows goes on only if one version can have begun it, else the caller gets 503.

Evidence: both cases of TestGatewayBrokenStreamGoesOnAtItsVersion and TestGatewayStreamIsTakenUpAtItsVersion failed before.

--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -41,6 +41,7 @@
 	"magnoliafront.dev/magnoliafront/internal/process/detector"
 	"magnoliafront.dev/magnoliafront/internal/process/picker"
 	"magnoliafront.dev/magnoliafront/internal/process/registrar"
+	"magnoliafront.dev/magnoliafront/internal/process/resumer"
 	"magnoliafront.dev/magnoliafront/internal/process/separator"
 	"magnoliafront.dev/magnoliafront/internal/request/retrier"
 	"magnoliafront.dev/magnoliafront/internal/version/matcher"
@@ -101,6 +102,8 @@
 	trial    string
 	exchange loadExchange
 	demand   demandMeter
+	// resumer knows at which software version streams may go on.
+	resumer *resumer.Resumer
 	// stop is set once the entry stops, and finalAnswersGiven is true once the requests
 	// without an answer have got a final one.
 	stop              Stop
@@ -138,7 +141,7 @@
 	return &Dispatcher{
 		settings: s, entries: 1, services: map[string]*service{},
 		inFlight: map[string]*inFlightRequest{}, suspended: map[string]*inFlightRequest{},
-		contents: map[string]int{}, strikesLearned: s.StrikesWait == 0,
+		contents: map[string]int{}, resumer: resumer.New(), strikesLearned: s.StrikesWait == 0,
 		// Zero is the observer of strikes from entries that send none.
 		detector: detector.Detector{ID: s.Seed + 1, Mesh: true},
 	}
@@ -165,6 +168,7 @@
 	case EventConfigured:
 		d.configure(now, e.Table)
 	case EventUpstreams:
+		d.listVersions(now, e)
 		return d.updateUpstreams(now, e.Upstreams)
 	case EventEntryCount:
 		d.entries = max(1, e.Entries)
--- a/internal/process/dispatcher/event.go
+++ b/internal/process/dispatcher/event.go
@@ -27,6 +27,10 @@
 	Parts []uint64
 	// Digest is a hash of the content. A retry by the caller has the same digest.
 	Digest string
+	// Stream is the digest of the identity of the request that begins the stream: the
+	// request itself or, if TakesUp is true, the one that began the stream that it takes up.
+	Stream  uint64
+	TakesUp bool
 }
 
 // EventKind is the kind of an [Event].
@@ -55,7 +59,8 @@
 	EventAborted
 	// EventConfigured carries a configuration.
 	EventConfigured
-	// EventUpstreams carries the upstreams that may get requests.
+	// EventUpstreams carries the upstreams that may get requests, and as Registered all that
+	// are registered, such as those that are draining.
 	EventUpstreams
 	// EventEntryCount carries the number of entries of the system.
 	EventEntryCount
@@ -139,10 +144,12 @@
 
 	Table     *matcher.Table
 	Upstreams []registrar.Upstream
-	Entries   int
-	Strikes   []detector.Strike
-	Synced    bool
-	Complete  bool
+	// Registered is set for EventUpstreams.
+	Registered []registrar.Upstream
+	Entries    int
+	Strikes    []detector.Strike
+	Synced     bool
+	Complete   bool
 	// Entry is the identity of the entry that sent the Report of EventLoadReceived.
 	Entry  string
 	Report LoadReport
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -6,6 +6,7 @@
 
 	"magnoliafront.dev/magnoliafront/internal/process/detector"
 	"magnoliafront.dev/magnoliafront/internal/process/picker"
+	"magnoliafront.dev/magnoliafront/internal/process/resumer"
 	"magnoliafront.dev/magnoliafront/internal/process/separator"
 	"magnoliafront.dev/magnoliafront/internal/request/admitter"
 	"magnoliafront.dev/magnoliafront/internal/request/retrier"
@@ -74,6 +75,9 @@
 	tried     []string
 	begun     bool
 	lastEvent string
+	// version is the digest of the software version at which the stream may go on, zero
+	// while any may.
+	version uint64
 	// foundEmpty is true if an upstream had no event after lastEvent.
 	foundEmpty bool
 	// counted is true once the request was counted for the usage of its organisation.
@@ -87,6 +91,8 @@
 	// upstream.
 	attempt  int
 	upstream string
+	// version is the digest of the software version of the upstream.
+	version uint64
 	// suspect is true if the content was suspect when the attempt was sent.
 	suspect bool
 	// answering is true once the attempt has had a first event.
@@ -148,6 +154,9 @@
 	if failure != nil {
 		return []Action{d.failAction(now, f, failure)}
 	}
+	if failure := d.bindTakeUp(now, f); failure != nil {
+		return []Action{d.failAction(now, f, failure)}
+	}
 	a := f.admission
 	f.state = retrier.RequestState{Repeatable: a.Route.Repeatable(), MaxRuns: max(1, a.Route.MaxAttempts)}
 	d.add(f)
@@ -189,7 +198,7 @@
 		return []Action{d.failAction(now, f, tooLateFailure())}
 	}
 	f.attempts++
-	f.run = run{attempt: f.attempts, upstream: id, suspect: q.Suspect, pendingTokens: tokens, sentAt: now}
+	f.run = run{attempt: f.attempts, upstream: id, version: resumer.Digest(s.upstreams[id].Version), suspect: q.Suspect, pendingTokens: tokens, sentAt: now}
 	priority := f.admission.Priority
 	if placed == placedDeferred {
 		priority = matcher.PriorityLevels - 1
@@ -220,7 +229,7 @@
 // query returns the query for the upstream of the next attempt of f.
 func (d *Dispatcher) query(now time.Time, s *service, f *inFlightRequest) picker.Query {
 	return picker.Query{
-		Candidates: s.instanceIDs, AvailabilityZone: d.settings.AvailabilityZone, Exclude: d.exclude(s, f),
+		Candidates: s.candidates(f), AvailabilityZone: d.settings.AvailabilityZone, Exclude: d.exclude(s, f),
 		Tier: f.admission.Priority + 1, TokenGapTarget: f.admission.Route.GapTarget, LatencyTarget: f.admission.Route.LatencyTarget,
 		Prefix: f.request.Prefix, PrefixTokens: f.request.PrefixTokens, PromptTokens: f.request.PromptTokens,
 		PrefillPerToken: s.separator.PrefillPerToken(), CacheResidence: s.separator.CacheResidence(),
@@ -275,10 +284,12 @@
 	return idle
 }
 
-// recordPart records the part of the answer that the caller has according to e.
-func (f *inFlightRequest) recordPart(e Event) {
+// recordPart records the part of the answer that the caller has according to e, a report of
+// the current attempt.
+func (d *Dispatcher) recordPart(now time.Time, f *inFlightRequest, e Event) {
 	f.foundEmpty = f.foundEmpty && e.LastEvent == f.lastEvent
 	f.begun, f.lastEvent = e.Begun, e.LastEvent
+	d.bindVersion(now, f)
 }
 
 // recordProgress handles events of an answer.
@@ -288,7 +299,7 @@
 		return nil
 	}
 	s := d.service(f.admission.Service.Name)
-	f.recordPart(e)
+	d.recordPart(now, f, e)
 	if e.First {
 		out := d.countBegin(f)
 		s.picker.Step(now, picker.Event{Kind: picker.EventFirstToken, Upstream: f.upstream, Elapsed: e.Elapsed, Prefix: f.request.Prefix, Deferred: f.deferred, PromptTokens: f.pendingTokens})
--- a/internal/process/dispatcher/load.go
+++ b/internal/process/dispatcher/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"magnoliafront.dev/magnoliafront/internal/process/picker"
+	"magnoliafront.dev/magnoliafront/internal/process/resumer"
 	"magnoliafront.dev/magnoliafront/internal/process/separator"
 )
 
@@ -55,6 +56,9 @@
 	Kinds []ServiceKinds
 	// Arrivals are the arrivals since the previous report with arrivals.
 	Arrivals []Arrivals
+	// Streams are the streams that the entry has begun since the previous report, while a
+	// service has several software versions.
+	Streams []resumer.Stream
 	// AvailabilityZone is that of the entry. The receiver sets it.
 	AvailabilityZone string
 }
@@ -145,6 +149,7 @@
 	if d.MeasuresDemand() {
 		d.demand.receive(now, entry, r)
 	}
+	d.resumer.HandleEvent(now, resumer.Event{Kind: resumer.EventLearned, Streams: r.Streams})
 	for _, id := range r.Lost {
 		for _, s := range d.services {
 			if _, ok := s.upstreams[id]; ok {
@@ -242,7 +247,8 @@
 	report.Placements, report.Lost = d.exchange.placements, d.exchange.lost
 	arrivals, arrivalsDue := d.demand.takeDue(now)
 	report.Arrivals = arrivals
-	if len(report.Loads)+len(report.Placements)+len(report.Lost) == 0 && !d.exchange.lastReportHadLoads && !arrivalsDue {
+	report.Streams = d.resumer.TakeReport(now)
+	if len(report.Loads)+len(report.Placements)+len(report.Lost)+len(report.Streams) == 0 && !d.exchange.lastReportHadLoads && !arrivalsDue {
 		return nil
 	}
 	d.exchange.lastReportHadLoads, d.exchange.placements, d.exchange.lost = len(report.Loads) > 0, nil, nil
--- a/internal/process/dispatcher/outcome.go
+++ b/internal/process/dispatcher/outcome.go
@@ -30,7 +30,7 @@
 		// The caller has a part of this answer, which another one must not follow.
 		out = d.abandonSuspended(now, f, reasonPart)
 	}
-	f.recordPart(e)
+	d.recordPart(now, f, e)
 	f.foundEmpty = f.foundEmpty || e.Empty
 	f.state.Repeatable = f.state.Repeatable && !e.Unresumable
 	out = append(out, d.countEnd(f, e)...)
--- a/internal/process/dispatcher/silence.go
+++ b/internal/process/dispatcher/silence.go
@@ -58,6 +58,7 @@
 		return []Action{d.withdrawSilent(now, f, reasonSilent)}
 	}
 	f.begun, f.lastEvent = e.Begun, e.LastEvent
+	d.bindVersion(now, f)
 	f.state.Repeatable = f.state.Repeatable && !e.Unresumable
 	s := d.service(f.admission.Service.Name)
 	silent := f.run
--- /dev/null
+++ b/internal/process/dispatcher/version.go
@@ -0,0 +1,69 @@
+package dispatcher
+
+import (
+	"time"
+
+	"magnoliafront.dev/magnoliafront/internal/process/registrar"
+	"magnoliafront.dev/magnoliafront/internal/process/resumer"
+	"magnoliafront.dev/magnoliafront/internal/request/admitter"
+	"magnoliafront.dev/magnoliafront/internal/version/matcher"
+)
+
+// What two software versions of the upstreams write does not fit together, so that a stream
+// goes on only at the version that began it, within one answer and where a caller takes it
+// up; see package resumer.
+
+// codeVersionUnknown is the code of the refusal of a request that takes up a stream of an
+// unknown version.
+const codeVersionUnknown = "version_unknown"
+
+// bindTakeUp binds a request that takes up a stream to the version that began it. It returns
+// the failure of a request whose version is not known.
+func (d *Dispatcher) bindTakeUp(now time.Time, f *inFlightRequest) *admitter.Failure {
+	if !f.request.TakesUp || f.admission.Route.Kind != matcher.Streaming {
+		return nil
+	}
+	version, ok := d.resumer.Version(now, f.admission.Service.Name, f.request.Stream)
+	if !ok {
+		return unavailable(codeVersionUnknown, "the software version that began the stream is not known")
+	}
+	f.version = version
+	return nil
+}
+
+// bindVersion binds a request whose caller has a part of a stream to the version that wrote
+// it.
+func (d *Dispatcher) bindVersion(now time.Time, f *inFlightRequest) {
+	if f.version != 0 || f.lastEvent == "" || f.run.version == 0 {
+		return
+	}
+	f.version = f.run.version
+	if f.admission.Route.Resumable && f.request.Stream != 0 {
+		d.resumer.HandleEvent(now, resumer.Event{Kind: resumer.EventBegun, Streams: []resumer.Stream{{ID: f.request.Stream, Version: f.version}}})
+	}
+}
+
+// candidates returns the instance IDs of the upstreams that may get f.
+func (s *service) candidates(f *inFlightRequest) []string {
+	if f.version == 0 {
+		return s.instanceIDs
+	}
+	var out []string
+	for _, id := range s.instanceIDs {
+		if resumer.Digest(s.upstreams[id].Version) == f.version {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// listVersions records the software versions of all upstreams.
+func (d *Dispatcher) listVersions(now time.Time, e Event) {
+	var served []resumer.Served
+	for _, all := range [][]registrar.Upstream{e.Upstreams, e.Registered} {
+		for _, u := range all {
+			served = append(served, resumer.Served{Service: u.Service, Version: resumer.Digest(u.Version)})
+		}
+	}
+	d.resumer.HandleEvent(now, resumer.Event{Kind: resumer.EventListed, Served: served})
+}
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -380,9 +380,10 @@
 // them.
 func (f *Forwarder) updateUpstreams(now time.Time) {
 	eligible := f.registrar.Eligible(now)
-	f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventUpstreams, Upstreams: eligible})
+	registered := f.registrar.Registered()
+	f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventUpstreams, Upstreams: eligible, Registered: registered})
 	s := f.State()
-	s.Upstreams, s.EligibleCount, s.UpstreamsListed = f.registrar.Registered(), len(eligible), f.upstreamsListed
+	s.Upstreams, s.EligibleCount, s.UpstreamsListed = registered, len(eligible), f.upstreamsListed
 	f.state.Store(&s)
 }
 
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -51,6 +51,8 @@
 	Service          string `json:"service"`
 	Address          string `json:"address"`
 	AvailabilityZone string `json:"availability_zone"`
+	// Version is the version of its software, empty if it is unknown.
+	Version string `json:"version,omitempty"`
 	// Slots is the number of requests that the upstream processes concurrently,
 	// or zero if it is unknown.
 	Slots int `json:"slots,omitempty"`
--- /dev/null
+++ b/internal/process/resumer/resumer.go
@@ -0,0 +1,249 @@
+// Package resumer decides at which software version of the upstreams a stream may go on.
+//
+// It makes decisions only and does no I/O. What two software versions write does not fit
+// together, so that a stream may go on only at the version that began it, and upstreams do
+// not check this. Within one answer the entry knows that version. A caller that takes a
+// stream up names the request that brought its first event, which may have been handled by
+// another entry. A [Resumer] therefore knows the versions of the streams of all entries:
+// entries tell each other what they have begun, and keep it in the platform, while more
+// than one version of a service is in use.
+//
+// A stream that nobody knows may go on if only one version can have begun it: if the service
+// has had no other for [Horizon]. An entry that has just started does not know that by
+// itself; see [Event].
+//
+// # Usage
+//
+//	r := resumer.New()
+//	r.HandleEvent(now, resumer.Event{Kind: resumer.EventListed, Served: all})
+//	r.HandleEvent(now, resumer.Event{Kind: resumer.EventBegun, Streams: []resumer.Stream{s}})
+//	version, ok := r.Version(now, "desk", resumer.Digest("r1"))
+package resumer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// Horizon is the time for which the version of a stream is known after its first event.
+	// It is longer than callers wait for an answer.
+	Horizon = 40 * time.Second
+	// maxStreams bounds the streams whose version is known. The oldest are forgotten.
+	maxStreams = 1 << 16
+	// maxReported bounds the streams of one report.
+	maxReported = 1024
+)
+
+// Digest returns the digest of the identity of a request or of a version. It is never zero.
+func Digest(name string) uint64 { return max(1, xxhash.Sum64String(name)) }
+
+// Stream is a stream that has begun. ID is the digest of the identity of the request that
+// brought its first event, and Version that of the software version that began it.
+type Stream struct {
+	ID      uint64
+	Version uint64
+}
+
+// Served is a software version of a service, by its digest.
+type Served struct {
+	Service string
+	Version uint64
+}
+
+// EventKind is the kind of an [Event].
+type EventKind int
+
+// Kinds of events.
+const (
+	// EventListed carries the versions of all registered upstreams.
+	EventListed EventKind = iota
+	// EventBegun carries a stream that this entry has begun to relay.
+	EventBegun
+	// EventLearned carries streams that other entries have begun.
+	EventLearned
+	// EventRecalled carries the versions and streams that all entries have kept, and that
+	// the platform has no others. Until then, this entry cannot know which versions were in
+	// use before its start.
+	EventRecalled
+)
+
+// Event is an input of a [Resumer]. Served is set for EventListed and EventRecalled, Streams
+// for all others.
+type Event struct {
+	Kind    EventKind
+	Served  []Served
+	Streams []Stream
+}
+
+// Resumer knows the software versions of streams and services. Create it with [New].
+type Resumer struct {
+	streams map[uint64]begun
+	// order has the identities of streams in the order of their expiry.
+	order []uint64
+	// listed has the versions of the registered upstreams, and left those of others with the
+	// time at which the last upstream has left.
+	listed map[Served]struct{}
+	left   map[Served]time.Time
+	// completeSince is the time since which all versions are known, zero before the first
+	// list. With recalled, those before that time are known, too.
+	completeSince time.Time
+	recalled      bool
+	// unreported has the own streams that the other entries have not been told of, and
+	// repeated those of the last report, which may have been lost.
+	unreported, repeated []Stream
+}
+
+// begun is what is known of a stream.
+type begun struct {
+	version uint64
+	at      time.Time
+}
+
+// New returns a resumer that knows nothing.
+func New() *Resumer {
+	return &Resumer{streams: map[uint64]begun{}, listed: map[Served]struct{}{}, left: map[Served]time.Time{}}
+}
+
+// HandleEvent applies e.
+func (r *Resumer) HandleEvent(now time.Time, e Event) {
+	r.forget(now)
+	switch e.Kind {
+	case EventListed:
+		r.list(now, e.Served)
+	case EventBegun:
+		r.add(now, e.Streams)
+		r.unreported = append(r.unreported, e.Streams...)
+		r.unreported = r.unreported[max(0, len(r.unreported)-maxStreams):]
+	case EventLearned:
+		r.add(now, e.Streams)
+	case EventRecalled:
+		r.add(now, e.Streams)
+		for _, s := range e.Served {
+			if _, ok := r.listed[s]; !ok {
+				r.left[s] = now
+			}
+		}
+		r.recalled = true
+	}
+}
+
+// list replaces the versions of the registered upstreams.
+func (r *Resumer) list(now time.Time, all []Served) {
+	if r.completeSince.IsZero() && len(all) > 0 {
+		r.completeSince = now
+	}
+	before := r.listed
+	r.listed = make(map[Served]struct{}, len(before))
+	for _, s := range all {
+		r.listed[s] = struct{}{}
+		delete(r.left, s)
+	}
+	for s := range before {
+		if _, ok := r.listed[s]; !ok {
+			r.left[s] = now
+		}
+	}
+}
+
+// add adds streams. What is known of a stream is not replaced.
+func (r *Resumer) add(now time.Time, streams []Stream) {
+	for _, s := range streams {
+		if _, ok := r.streams[s.ID]; ok {
+			continue
+		}
+		r.streams[s.ID] = begun{version: s.Version, at: now}
+		r.order = append(r.order, s.ID)
+	}
+	for len(r.order) > maxStreams {
+		r.forgetOldest()
+	}
+}
+
+// forget forgets streams that began, and versions that left, before the horizon.
+func (r *Resumer) forget(now time.Time) {
+	for len(r.order) > 0 && now.Sub(r.streams[r.order[0]].at) >= Horizon {
+		r.forgetOldest()
+	}
+	maps.DeleteFunc(r.left, func(_ Served, at time.Time) bool { return now.Sub(at) >= Horizon })
+}
+
+func (r *Resumer) forgetOldest() {
+	delete(r.streams, r.order[0])
+	r.order = r.order[1:]
+}
+
+// Version returns the digest of the version at which a stream may go on. It returns false if
+// that is not known.
+func (r *Resumer) Version(now time.Time, service string, stream uint64) (uint64, bool) {
+	r.forget(now)
+	if s, ok := r.streams[stream]; ok {
+		return s.version, true
+	}
+	versions := r.versions(service)
+	isComplete := !r.completeSince.IsZero() && (r.recalled || now.Sub(r.completeSince) >= Horizon)
+	if len(versions) != 1 || !isComplete {
+		return 0, false
+	}
+	return versions[0], true
+}
+
+// versions returns the versions of a service that may have begun a stream within the horizon.
+func (r *Resumer) versions(service string) []uint64 {
+	var out []uint64
+	for s := range r.listed {
+		if s.Service == service {
+			out = append(out, s.Version)
+		}
+	}
+	for s := range r.left {
+		if s.Service == service {
+			out = append(out, s.Version)
+		}
+	}
+	return out
+}
+
+// isMixed reports whether any service may have streams of several versions.
+func (r *Resumer) isMixed() bool {
+	count := map[string]int{}
+	for s := range r.listed {
+		count[s.Service]++
+	}
+	for s := range r.left {
+		count[s.Service]++
+	}
+	for _, n := range count {
+		if n > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// TakeReport returns the own streams that the other entries must be told of, each in two
+// reports. There are none while each service has one version.
+func (r *Resumer) TakeReport(now time.Time) []Stream {
+	r.forget(now)
+	if len(r.unreported)+len(r.repeated) == 0 {
+		return nil
+	}
+	if !r.isMixed() {
+		r.unreported = slices.DeleteFunc(r.unreported, func(s Stream) bool { return !r.knows(s) })
+		return nil
+	}
+	// The newest streams come first: their callers have waited least.
+	n := max(0, len(r.unreported)-maxReported)
+	news := slices.Clone(r.unreported[n:])
+	out := slices.Concat(news, r.repeated)
+	r.unreported, r.repeated = r.unreported[:n], news
+	return out
+}
+
+func (r *Resumer) knows(s Stream) bool {
+	_, ok := r.streams[s.ID]
+	return ok
+}
--- /dev/null
+++ b/internal/process/starter/gateway_version_test.go
@@ -0,0 +1,116 @@
+package starter
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"magnoliafront.dev/magnoliafront/internal/process/emulator"
+)
+
+// newVersionedFixture returns a fixture with a runner for each software version.
+func newVersionedFixture(t *testing.T, versions ...string) *gatewayFixture {
+	t.Helper()
+	r := newGatewayFixture(t, len(versions))
+	for i, v := range versions {
+		r.registerVersion(r.runners[i], v)
+	}
+	return r
+}
+
+func (r *gatewayFixture) registerVersion(run *emulator.Runner, version string) {
+	spec := run.StoreSpec("desk", "ready")
+	spec["version"] = version
+	r.store.Put("servers", run.ID, spec)
+}
+
+// runnersOf returns the names of the runners that ran the requests with an identity.
+func (r *gatewayFixture) runnersOf(id string) []string {
+	var out []string
+	for _, run := range r.runners {
+		for _, q := range run.Requests() {
+			if q.ID == id && q.Executed {
+				out = append(out, run.ID)
+			}
+		}
+	}
+	return out
+}
+
+// beginBroken sends a request for a stream. Each has another content, since content of which
+// upstreams end is refused.
+func (g *gateway) beginBroken(id string) answer {
+	return g.call(http.MethodPost, "/stream/chat/"+id, id, "", nil)
+}
+
+// takeUp takes up the stream that the request began at an entry, behind its fourth event.
+func (g *gateway) takeUp(id, began string) answer {
+	return g.call(http.MethodPost, "/stream/chat/"+began, id, "", func(q *http.Request) {
+		q.Header.Set("Last-Event-Id", "4")
+		q.Header.Set("Resumes", began)
+	})
+}
+
+// A stream that had broken off went on at an upstream of another software version, and the
+// caller got one text of two that do not fit together.
+func TestGatewayBrokenStreamGoesOnAtItsVersion(t *testing.T) {
+	t.Run("no other upstream of the version", func(t *testing.T) {
+		r := newVersionedFixture(t, "v1", "v2")
+		g := r.startReadyEntry()
+		r.setBehaviourOnce(emulator.RunnerAbortsStream)
+		a := g.beginBroken("r1")
+		is := is.New(t)
+		is.True(a.err != nil)
+		is.Equal(len(r.runnersOf("r1")), 1)
+	})
+	t.Run("another upstream of the version", func(t *testing.T) {
+		r := newVersionedFixture(t, "v1", "v2", "v1", "v2")
+		g := r.startReadyEntry()
+		for i := range 8 {
+			r.setBehaviourOnce(emulator.RunnerAbortsStream)
+			id := fmt.Sprint("r", i)
+			a := g.beginBroken(id)
+			is := is.New(t)
+			is.NoErr(a.err)
+			ran := strings.Join(r.runnersOf(id), " ")
+			is.True(ran == "i-0 i-2" || ran == "i-1 i-3")
+		}
+	})
+}
+
+// A stream that its caller took up at another entry went on at another software version.
+func TestGatewayStreamIsTakenUpAtItsVersion(t *testing.T) {
+	r := newVersionedFixture(t, "v1", "v2")
+	first := r.startReadyEntry()
+	second := r.startEntry("entry-2", r.storeURL, first.peerAddress)
+	assertEventually(t, "ready", second.isReady)
+	assertEventually(t, "known to the first", func() bool { return slices.Contains(first.peering.syncer.Listed(), "entry-2") })
+	const streams = 8
+	for i := range streams {
+		r.setBehaviourOnce(emulator.RunnerAbortsStream)
+		is.New(t).True(first.beginBroken(fmt.Sprint("r", i)).err != nil)
+	}
+	for i := range streams {
+		assertTakenUp(t, r, second, fmt.Sprint("r", i))
+	}
+	t.Run("unknown stream", func(t *testing.T) {
+		assertStatus(t, second.takeUp("u", "unknown"), http.StatusServiceUnavailable)
+	})
+}
+
+// assertTakenUp checks that the stream that a request began goes on at its version, once the
+// entry knows that.
+func assertTakenUp(t *testing.T, r *gatewayFixture, g *gateway, began string) {
+	t.Helper()
+	id := ""
+	assertEventually(t, "taken up", func() bool {
+		id = fmt.Sprint(began, "-", time.Now().UnixNano())
+		return g.takeUp(id, began).status == http.StatusOK
+	})
+	is.New(t).Equal(r.runnersOf(id), r.runnersOf(began))
+}
--- a/internal/process/syncer/message.go
+++ b/internal/process/syncer/message.go
@@ -7,6 +7,7 @@
 
 	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
 	"magnoliafront.dev/magnoliafront/internal/process/registrar"
+	"magnoliafront.dev/magnoliafront/internal/process/resumer"
 	"magnoliafront.dev/magnoliafront/internal/version/matcher"
 )
 
@@ -50,6 +51,9 @@
 	// [packKinds].
 	Kinds   []byte `json:"kinds,omitempty"`
 	Arrived []byte `json:"arrived,omitempty"`
+	// Streams has a record for each stream that the sender has begun: 8 bytes each with the
+	// digests of the stream and of its software version.
+	Streams []byte `json:"streams,omitempty"`
 	// Usage is the packed usage update of the sender; see [packUsage]. A message that has
 	// only an update has no Runs.
 	Usage []byte `json:"usage,omitempty"`
@@ -61,6 +65,7 @@
 	sharesRecordSize  = 5
 	lostRecordSize    = 4
 	arrivedRecordSize = 8
+	streamsRecordSize = 16
 	// pendingTokensUnit is the resolution of pending tokens. An engine prefills
 	// this many tokens in about 7 ms.
 	pendingTokensUnit = 1024
@@ -89,6 +94,7 @@
 	}
 	return Load{
 		Runs: runs, Placed: placed, Shares: shares, Lost: lost, Kinds: packKinds(r.Kinds), Arrived: packArrivals(r.Arrivals),
+		Streams: packStreams(r.Streams),
 	}
 }
 
@@ -123,9 +129,27 @@
 		}
 	}
 	r.Kinds = unpackKinds(l.Kinds, services, routes)
+	r.Streams = unpackStreams(l.Streams)
 	return r
 }
 
+func packStreams(streams []resumer.Stream) []byte {
+	var b []byte
+	for _, s := range streams {
+		b = binary.BigEndian.AppendUint64(b, s.ID)
+		b = binary.BigEndian.AppendUint64(b, s.Version)
+	}
+	return b
+}
+
+func unpackStreams(b []byte) []resumer.Stream {
+	var out []resumer.Stream
+	for ; len(b) >= streamsRecordSize; b = b[streamsRecordSize:] {
+		out = append(out, resumer.Stream{ID: binary.BigEndian.Uint64(b), Version: binary.BigEndian.Uint64(b[8:])})
+	}
+	return out
+}
+
 // hashName returns the hash that stands for an instance ID or the name of a service.
 func hashName(name string) uint32 {
 	h := fnv.New32a()
--- a/internal/process/syncer/message_test.go
+++ b/internal/process/syncer/message_test.go
@@ -7,6 +7,7 @@
 
 	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
 	"magnoliafront.dev/magnoliafront/internal/process/registrar"
+	"magnoliafront.dev/magnoliafront/internal/process/resumer"
 )
 
 // A packed load report must be unpacked to the same known upstreams, with its
@@ -43,6 +44,13 @@
 		got := pack(dispatcher.LoadReport{Placements: sent}).unpack(known, nil)
 		is.New(t).Equal(got.Placements, []dispatcher.Placement{sent[0], sent[2]})
 	})
+	t.Run("streams are restored", func(t *testing.T) {
+		sent := []resumer.Stream{{ID: 1 << 60, Version: 3}, {ID: 4, Version: 1 << 62}}
+		l := pack(dispatcher.LoadReport{Streams: sent})
+		is.New(t).Equal(l.unpack(nil, nil).Streams, sent)
+		l.Streams = l.Streams[:len(l.Streams)-1]
+		is.New(t).Equal(l.unpack(nil, nil).Streams, sent[:1])
+	})
 	t.Run("shares of known services are restored", func(t *testing.T) {
 		sent := []dispatcher.LongPromptShare{{Service: "desk", Share: 0.2}, {Service: "unknown", Share: 0.5}, {Service: "desk", Share: 7}}
 		got := pack(dispatcher.LoadReport{Shares: sent}).unpack(known, nil)
