Keep the software versions of streams in the platform

A restarted entry also refused unknown streams for 40 s where one version was in use.

Cause: which version began a stream, and which versions were in use, was known to processes only.

Change: each entry keeps an object with the versions in use, written when they change, and while there are several its streams that have not ended, each 0.1 s at most and 50 times a second for all entries. An entry that starts reads the objects of all entries before it takes requests, 0.4 s at most. Package archiver reads and writes, resumer decides what is kept.

--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -36,6 +36,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"magnoliafront.dev/magnoliafront/internal/process/detector"
@@ -68,6 +69,9 @@
 	// until it has a configuration, upstreams and the strikes that the other entries know. Zero means
 	// that it does not wait.
 	StrikesWait time.Duration
+	// KeepVersions is true if the software versions of streams are kept in the platform, and
+	// recalled after the start.
+	KeepVersions bool
 }
 
 // Dispatcher holds the requests in flight and the state of all services of an
@@ -104,6 +108,8 @@
 	demand   demandMeter
 	// resumer knows at which software version streams may go on.
 	resumer *resumer.Resumer
+	// versionsRecalled is true once it knows what the entries have kept.
+	versionsRecalled bool
 	// stop is set once the entry stops, and finalAnswersGiven is true once the requests
 	// without an answer have got a final one.
 	stop              Stop
@@ -141,7 +147,7 @@
 	return &Dispatcher{
 		settings: s, entries: 1, services: map[string]*service{},
 		inFlight: map[string]*inFlightRequest{}, suspended: map[string]*inFlightRequest{},
-		contents: map[string]int{}, resumer: resumer.New(), strikesLearned: s.StrikesWait == 0,
+		contents: map[string]int{}, resumer: resumer.New(), versionsRecalled: !s.KeepVersions, strikesLearned: s.StrikesWait == 0,
 		// Zero is the observer of strikes from entries that send none.
 		detector: detector.Detector{ID: s.Seed + 1, Mesh: true},
 	}
@@ -150,7 +156,7 @@
 // Step processes one event and returns the resulting actions.
 func (d *Dispatcher) Step(now time.Time, e Event) []Action {
 	d.updateStrikesLearned(now)
-	return append(d.handle(now, e), d.admitHeld(now)...)
+	return slices.Concat(d.handle(now, e), d.admitHeld(now), d.keepVersions(now))
 }
 
 func (d *Dispatcher) handle(now time.Time, e Event) []Action {
@@ -173,6 +179,8 @@
 	case EventEntryCount:
 		d.entries = max(1, e.Entries)
 		d.setBudgets()
+	case EventVersionsRecalled:
+		d.recallVersions(now, e.Record)
 	case EventRetryBudget:
 		d.settings.RetryRatio, d.settings.RetryCapacity = e.RetryRatio, e.RetryCapacity
 		d.setBudgets()
--- a/internal/process/dispatcher/event.go
+++ b/internal/process/dispatcher/event.go
@@ -5,6 +5,7 @@
 
 	"magnoliafront.dev/magnoliafront/internal/process/detector"
 	"magnoliafront.dev/magnoliafront/internal/process/registrar"
+	"magnoliafront.dev/magnoliafront/internal/process/resumer"
 	"magnoliafront.dev/magnoliafront/internal/request/admitter"
 	"magnoliafront.dev/magnoliafront/internal/version/matcher"
 )
@@ -69,6 +70,9 @@
 	// EventStrikesLearned carries the strikes that another entry knows, after the start.
 	// If Complete is true, the entry has learned enough to begin.
 	EventStrikesLearned
+	// EventVersionsRecalled carries the Record of the software versions that all entries have
+	// kept in the platform, after the start.
+	EventVersionsRecalled
 	// EventRetryBudget carries new settings of the retry budget.
 	EventRetryBudget
 	// EventLoadReceived carries the load report of another entry.
@@ -159,6 +163,8 @@
 	RetryCapacity float64
 	// Stop is set for EventStopping.
 	Stop Stop
+	// Record is set for EventVersionsRecalled.
+	Record resumer.Record
 }
 
 // ActionKind is the kind of an [Action].
@@ -196,6 +202,8 @@
 	ActionUpstreamHeldBack
 	// ActionCountUsage counts a request of Organisation that an upstream has begun.
 	ActionCountUsage
+	// ActionKeepVersions keeps Record in the platform, in place of the last one.
+	ActionKeepVersions
 )
 
 // Action is an instruction for the caller of [Dispatcher.Step]. Only the fields of
@@ -235,6 +243,8 @@
 	Separation Separation
 	// RetryAfter is set for ActionUpstreamHeldBack.
 	RetryAfter time.Duration
+	// Record is set for ActionKeepVersions.
+	Record resumer.Record
 	// Summary describes the request for logs and metrics.
 	Summary Summary
 }
--- a/internal/process/dispatcher/outcome.go
+++ b/internal/process/dispatcher/outcome.go
@@ -37,6 +37,7 @@
 	out = append(out, d.recordOutcome(now, f, e)...)
 	switch e.Outcome {
 	case OutcomeAnswered:
+		d.endStream(now, f)
 		return append(out, d.finish(now, f, "answered"))
 	case OutcomeCancelled:
 		return append(out, d.finish(now, f, "cancelled"))
--- a/internal/process/dispatcher/starting.go
+++ b/internal/process/dispatcher/starting.go
@@ -6,12 +6,12 @@
 )
 
 // An entry that has just started knows neither the configuration nor the upstreams nor
-// which content crashes them. All of it arrives within some tens of milliseconds, less than the time in which a
+// which content crashes them, nor the software versions of streams. All of it arrives within some tens of milliseconds, less than the time in which a
 // refused caller comes back, so that requests are held until then.
 
 // isStarting reports whether requests must wait until the entry knows what it needs.
 func (d *Dispatcher) isStarting(now time.Time) bool {
-	return now.Before(d.strikesDue) && (!d.strikesLearned || d.table == nil || !d.upstreamsListed)
+	return now.Before(d.strikesDue) && (!d.strikesLearned || d.table == nil || !d.upstreamsListed || !d.versionsRecalled)
 }
 
 // arrive admits a request, or holds it while the entry is starting.
--- a/internal/process/dispatcher/starting_test.go
+++ b/internal/process/dispatcher/starting_test.go
@@ -45,6 +45,15 @@
 			assertSent(t, order[2](d), 1)
 		}
 	})
+	t.Run("sent once the versions of streams are recalled", func(t *testing.T) {
+		d := New(Settings{StrikesWait: testStrikesWait, KeepVersions: true})
+		d.Step(testTime(), Event{Kind: EventSynced, Synced: true})
+		d.Step(testTime(), Event{Kind: EventArrived, Request: request("/chat/1")})
+		for _, f := range []func(*Dispatcher) []Action{configure, list, learn} {
+			is.New(t).Equal(len(f(d)), 0)
+		}
+		assertSent(t, d.Step(testTime(), Event{Kind: EventVersionsRecalled})[:1], 1)
+	})
 	t.Run("refused when the wait has ended without a configuration", func(t *testing.T) {
 		d := startingDispatcher(t)
 		all := d.Step(testTime().Add(testStrikesWait), Event{Kind: EventTick})
--- a/internal/process/dispatcher/version.go
+++ b/internal/process/dispatcher/version.go
@@ -17,6 +17,14 @@
 // unknown version.
 const codeVersionUnknown = "version_unknown"
 
+const (
+	// minRecordInterval is the minimum time between two records of the streams of an entry in
+	// the platform. Streams that begin within it are not known after the loss of all entries.
+	minRecordInterval = 100 * time.Millisecond
+	// recordSpacing bounds the rate at which all entries together write records.
+	recordSpacing = 20 * time.Millisecond
+)
+
 // bindTakeUp binds a request that takes up a stream to the version that began it. It returns
 // the failure of a request whose version is not known.
 func (d *Dispatcher) bindTakeUp(now time.Time, f *inFlightRequest) *admitter.Failure {
@@ -38,11 +46,23 @@
 		return
 	}
 	f.version = f.run.version
-	if f.admission.Route.Resumable && f.request.Stream != 0 {
+	if f.isBeginning() {
 		d.resumer.HandleEvent(now, resumer.Event{Kind: resumer.EventBegun, Streams: []resumer.Stream{{ID: f.request.Stream, Version: f.version}}})
 	}
 }
 
+// isBeginning reports whether f began the stream of its answer, which may be taken up.
+func (f *inFlightRequest) isBeginning() bool {
+	return f.admission.Route.Resumable && !f.request.TakesUp && f.request.Stream != 0
+}
+
+// endStream records that the caller has the whole of the stream that f began.
+func (d *Dispatcher) endStream(now time.Time, f *inFlightRequest) {
+	if f.version != 0 && f.isBeginning() {
+		d.resumer.HandleEvent(now, resumer.Event{Kind: resumer.EventEnded, Streams: []resumer.Stream{{ID: f.request.Stream}}})
+	}
+}
+
 // candidates returns the instance IDs of the upstreams that may get f.
 func (s *service) candidates(f *inFlightRequest) []string {
 	if f.version == 0 {
@@ -67,3 +87,22 @@
 	}
 	d.resumer.HandleEvent(now, resumer.Event{Kind: resumer.EventListed, Served: served})
 }
+
+// keepVersions returns the action that keeps the versions of the streams of this entry in the
+// platform, if a record is due.
+func (d *Dispatcher) keepVersions(now time.Time) []Action {
+	if !d.settings.KeepVersions || !d.versionsRecalled {
+		return nil
+	}
+	r, ok := d.resumer.TakeRecord(now, max(minRecordInterval, time.Duration(d.entries)*recordSpacing))
+	if !ok {
+		return nil
+	}
+	return []Action{{Kind: ActionKeepVersions, Record: r}}
+}
+
+// recallVersions adds what all entries have kept.
+func (d *Dispatcher) recallVersions(now time.Time, r resumer.Record) {
+	d.versionsRecalled = true
+	d.resumer.HandleEvent(now, resumer.Event{Kind: resumer.EventRecalled, Served: r.Served, Streams: r.Streams})
+}
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -12,6 +12,7 @@
 	"magnoliafront.dev/magnoliafront/internal/connection/carrier"
 	"magnoliafront.dev/magnoliafront/internal/process/detector"
 	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
+	"magnoliafront.dev/magnoliafront/internal/process/resumer"
 	"magnoliafront.dev/magnoliafront/internal/request/relayer"
 )
 
@@ -35,11 +36,7 @@
 			t.ready.PermitRelay()
 		}
 	case dispatcher.ActionAbandon:
-		if t := f.inFlight[a.ID]; t != nil && t.suspended != nil {
-			logDecision("silent attempt abandoned", a)
-			t.suspended.cancel()
-			t.suspended = nil
-		}
+		f.abandon(a)
 	case dispatcher.ActionForwardError:
 		if t := f.endRequest(a); t != nil {
 			t.job.Replies.End(t.errorResponse)
@@ -61,6 +58,8 @@
 			"address", a.Upstream.Address, "request", a.ID, "retry_after", a.RetryAfter)
 	case dispatcher.ActionCountUsage:
 		f.countUsage(a.Organisation)
+	case dispatcher.ActionKeepVersions:
+		f.keepVersions(a.Record)
 	case dispatcher.ActionSendLoad:
 		if f.options.SendLoad != nil {
 			f.options.SendLoad(a.Report)
@@ -74,6 +73,21 @@
 	}
 }
 
+func (f *Forwarder) keepVersions(r resumer.Record) {
+	if f.options.KeepVersions != nil {
+		f.options.KeepVersions(r)
+	}
+}
+
+// abandon ends a suspended call.
+func (f *Forwarder) abandon(a dispatcher.Action) {
+	if t := f.inFlight[a.ID]; t != nil && t.suspended != nil {
+		logDecision("silent attempt abandoned", a)
+		t.suspended.cancel()
+		t.suspended = nil
+	}
+}
+
 // removeUpstream closes the connections to an upstream that gets no more requests.
 func (f *Forwarder) removeUpstream(a dispatcher.Action) {
 	if p := f.pools[a.Upstream.InstanceID()]; p != nil {
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -31,6 +31,7 @@
 	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
 	"magnoliafront.dev/magnoliafront/internal/process/recoverer"
 	"magnoliafront.dev/magnoliafront/internal/process/registrar"
+	"magnoliafront.dev/magnoliafront/internal/process/resumer"
 	"magnoliafront.dev/magnoliafront/internal/request/relayer"
 	"magnoliafront.dev/magnoliafront/internal/version/matcher"
 	"magnoliafront.dev/magnoliafront/pkg/buffer"
@@ -85,6 +86,9 @@
 	// CountUsage counts a request of an organisation that an upstream has begun. It must
 	// not block. It may be nil.
 	CountUsage func(organisation string)
+	// KeepVersions keeps the software versions of streams in the platform, in place of what
+	// was kept before. It must not block. It may be nil.
+	KeepVersions func(resumer.Record)
 	// Observe is called at the end of each request. It must not block. It may be
 	// nil.
 	Observe func(Observation)
@@ -189,6 +193,7 @@
 	eventStrikesLearned
 	eventStrikesFetched
 	eventExplained
+	eventVersionsRecalled
 )
 
 // event is an input of the goroutine other than a job. Only the fields of its kind
@@ -212,6 +217,7 @@
 	// complete and reply are set for eventStrikesLearned and eventStrikesFetched.
 	complete bool
 	reply    func(strikes []detector.Strike, complete bool)
+	record   resumer.Record
 	// explained and explain are the request and the reply of eventExplained.
 	explained dispatcher.Request
 	explain   func(dispatcher.Explanation)
@@ -267,6 +273,12 @@
 	f.put(event{kind: eventLoadReceived, entry: entry, loadReport: r})
 }
 
+// RecallVersions adds the software versions of streams that all entries have kept in the
+// platform, after the start.
+func (f *Forwarder) RecallVersions(r resumer.Record) {
+	f.put(event{kind: eventVersionsRecalled, record: r})
+}
+
 // State returns the current snapshot.
 func (f *Forwarder) State() State { return *f.state.Load() }
 
@@ -364,6 +376,8 @@
 		e.reply(f.dispatcher.KnownStrikes(now))
 	case eventExplained:
 		e.explain(f.dispatcher.Explain(now, e.explained))
+	case eventVersionsRecalled:
+		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventVersionsRecalled, Record: e.record})
 	case eventSynced:
 		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventSynced, Synced: e.synced})
 	case eventLoadReceived:
--- a/internal/process/resumer/resumer.go
+++ b/internal/process/resumer/resumer.go
@@ -21,6 +21,7 @@
 package resumer
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -54,6 +55,14 @@
 	Version uint64
 }
 
+// Record is what an entry keeps in the platform, for entries that start later: the versions
+// that were in use within the horizon and, while a service has several, the streams that the
+// entry has begun and not relayed to their end.
+type Record struct {
+	Served  []Served
+	Streams []Stream
+}
+
 // EventKind is the kind of an [Event].
 type EventKind int
 
@@ -63,11 +72,13 @@
 	EventListed EventKind = iota
 	// EventBegun carries a stream that this entry has begun to relay.
 	EventBegun
+	// EventEnded carries a stream that this entry has relayed to its end, so that its caller
+	// will hardly take it up.
+	EventEnded
 	// EventLearned carries streams that other entries have begun.
 	EventLearned
-	// EventRecalled carries the versions and streams that all entries have kept, and that
-	// the platform has no others. Until then, this entry cannot know which versions were in
-	// use before its start.
+	// EventRecalled carries the versions and streams that all entries have kept. Until then,
+	// this entry cannot know which versions were in use before its start.
 	EventRecalled
 )
 
@@ -95,12 +106,19 @@
 	// unreported has the own streams that the other entries have not been told of, and
 	// repeated those of the last report, which may have been lost.
 	unreported, repeated []Stream
+	// kept has the versions of the last record, and keptAt is its time. With unkept, an own
+	// stream has begun since.
+	kept   []Served
+	keptAt time.Time
+	unkept bool
 }
 
 // begun is what is known of a stream.
 type begun struct {
 	version uint64
 	at      time.Time
+	// own is true if this entry has begun it and not relayed its end.
+	own bool
 }
 
 // New returns a resumer that knows nothing.
@@ -115,13 +133,21 @@
 	case EventListed:
 		r.list(now, e.Served)
 	case EventBegun:
-		r.add(now, e.Streams)
+		r.add(now, e.Streams, true)
+		r.unkept = true
 		r.unreported = append(r.unreported, e.Streams...)
 		r.unreported = r.unreported[max(0, len(r.unreported)-maxStreams):]
+	case EventEnded:
+		for _, s := range e.Streams {
+			if b, ok := r.streams[s.ID]; ok {
+				b.own = false
+				r.streams[s.ID] = b
+			}
+		}
 	case EventLearned:
-		r.add(now, e.Streams)
+		r.add(now, e.Streams, false)
 	case EventRecalled:
-		r.add(now, e.Streams)
+		r.add(now, e.Streams, false)
 		for _, s := range e.Served {
 			if _, ok := r.listed[s]; !ok {
 				r.left[s] = now
@@ -150,12 +176,12 @@
 }
 
 // add adds streams. What is known of a stream is not replaced.
-func (r *Resumer) add(now time.Time, streams []Stream) {
+func (r *Resumer) add(now time.Time, streams []Stream, own bool) {
 	for _, s := range streams {
 		if _, ok := r.streams[s.ID]; ok {
 			continue
 		}
-		r.streams[s.ID] = begun{version: s.Version, at: now}
+		r.streams[s.ID] = begun{version: s.Version, at: now, own: own}
 		r.order = append(r.order, s.ID)
 	}
 	for len(r.order) > maxStreams {
@@ -183,7 +209,12 @@
 	if s, ok := r.streams[stream]; ok {
 		return s.version, true
 	}
-	versions := r.versions(service)
+	var versions []uint64
+	for _, s := range r.served() {
+		if s.Service == service {
+			versions = append(versions, s.Version)
+		}
+	}
 	isComplete := !r.completeSince.IsZero() && (r.recalled || now.Sub(r.completeSince) >= Horizon)
 	if len(versions) != 1 || !isComplete {
 		return 0, false
@@ -191,33 +222,21 @@
 	return versions[0], true
 }
 
-// versions returns the versions of a service that may have begun a stream within the horizon.
-func (r *Resumer) versions(service string) []uint64 {
-	var out []uint64
-	for s := range r.listed {
-		if s.Service == service {
-			out = append(out, s.Version)
-		}
-	}
-	for s := range r.left {
-		if s.Service == service {
-			out = append(out, s.Version)
-		}
-	}
+// served returns the versions of all services that may have begun a stream within the
+// horizon, in order.
+func (r *Resumer) served() []Served {
+	out := slices.AppendSeq(slices.Collect(maps.Keys(r.listed)), maps.Keys(r.left))
+	slices.SortFunc(out, func(a, b Served) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
+	})
 	return out
 }
 
 // isMixed reports whether any service may have streams of several versions.
 func (r *Resumer) isMixed() bool {
-	count := map[string]int{}
-	for s := range r.listed {
-		count[s.Service]++
-	}
-	for s := range r.left {
-		count[s.Service]++
-	}
-	for _, n := range count {
-		if n > 1 {
+	all := r.served()
+	for i := range all {
+		if i > 0 && all[i].Service == all[i-1].Service {
 			return true
 		}
 	}
@@ -247,3 +266,24 @@
 	_, ok := r.streams[s.ID]
 	return ok
 }
+
+// TakeRecord returns the record that this entry must keep, if the last one is out of date and
+// older than interval.
+func (r *Resumer) TakeRecord(now time.Time, interval time.Duration) (Record, bool) {
+	if now.Sub(r.keptAt) < interval {
+		return Record{}, false
+	}
+	r.forget(now)
+	served, mixed := r.served(), r.isMixed()
+	if slices.Equal(served, r.kept) && (!mixed || !r.unkept) {
+		return Record{}, false
+	}
+	r.kept, r.keptAt, r.unkept = served, now, false
+	out := Record{Served: served}
+	for _, id := range r.order {
+		if s := r.streams[id]; mixed && s.own {
+			out.Streams = append(out.Streams, Stream{ID: id, Version: s.version})
+		}
+	}
+	return out, true
+}
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -19,6 +19,7 @@
 	"magnoliafront.dev/magnoliafront/internal/connection/validator"
 	"magnoliafront.dev/magnoliafront/internal/process/acceptor"
 	"magnoliafront.dev/magnoliafront/internal/process/allocator"
+	"magnoliafront.dev/magnoliafront/internal/process/archiver"
 	"magnoliafront.dev/magnoliafront/internal/process/detector"
 	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
 	"magnoliafront.dev/magnoliafront/internal/process/explainer"
@@ -30,6 +31,7 @@
 	"magnoliafront.dev/magnoliafront/internal/process/recoverer"
 	"magnoliafront.dev/magnoliafront/internal/process/reloader"
 	"magnoliafront.dev/magnoliafront/internal/process/reserver"
+	"magnoliafront.dev/magnoliafront/internal/process/resumer"
 	"magnoliafront.dev/magnoliafront/internal/process/syncer"
 	"magnoliafront.dev/magnoliafront/pkg/buffer"
 	"magnoliafront.dev/magnoliafront/pkg/timer"
@@ -84,7 +86,7 @@
 		fx.Invoke(func(m *meter.Meter, r *recoverer.Recoverer) error { return m.WatchPanics(&r.Panics) }),
 		fx.Invoke(func(m *meter.Meter, f *forwarder.Forwarder, p *peering, r *receiver.Receiver, d *duties, v *provisioning) error {
 			return m.WatchRings(func() []buffer.Stats {
-				return slices.Concat(f.Stats(), p.syncer.Stats(), d.stats(), v.stats(), r.Stats())
+				return slices.Concat(f.Stats(), p.syncer.Stats(), p.archiver.Stats(), d.stats(), v.stats(), r.Stats())
 			})
 		}),
 		fx.Invoke(watchRequests, watchGatewayConnections),
@@ -120,18 +122,26 @@
 }
 
 // peering holds the components that connect the forwarder to the store and to
-// other entries: the syncer, and the linker and acceptor for the dialled and the
-// accepted connections.
+// other entries: the syncer and the archiver, and the linker and acceptor for the dialled
+// and the accepted connections.
 type peering struct {
 	syncer   *syncer.Syncer
+	archiver *archiver.Archiver
 	linker   *linker.Linker
 	acceptor *acceptor.Acceptor
 }
 
-// syncerRef passes the calls of the forwarder to the syncer, which starts after
-// the forwarder. Calls before that are dropped.
+// syncerRef passes the calls of the forwarder to the syncer and the archiver, which start
+// after the forwarder. Calls before that are dropped.
 type syncerRef struct {
-	syncer atomic.Pointer[syncer.Syncer]
+	syncer   atomic.Pointer[syncer.Syncer]
+	archiver atomic.Pointer[archiver.Archiver]
+}
+
+func (r *syncerRef) keepVersions(record resumer.Record) {
+	if a := r.archiver.Load(); a != nil {
+		a.Keep(record)
+	}
 }
 
 func (r *syncerRef) sendStrikes(strikes []detector.Strike) {
@@ -148,13 +158,13 @@
 
 func newForwarder(lc fx.Lifecycle, s loader.Gateway, c timer.Clock, ref *syncerRef, receiver *receiverRef, usage *dutiesRef, m *meter.Meter, rec *recoverer.Recoverer, shares allocator.Shares) *forwarder.Forwarder {
 	f := forwarder.New(forwarder.Options{
-		Clock: c, Codec: platform.Codec{}, Recoverer: rec, SendStrikes: ref.sendStrikes, SendLoad: ref.sendLoad, CountUsage: usage.countUsage,
+		Clock: c, Codec: platform.Codec{}, Recoverer: rec, SendStrikes: ref.sendStrikes, SendLoad: ref.sendLoad, KeepVersions: ref.keepVersions, CountUsage: usage.countUsage,
 		Configured: receiver.refreshLimits, MaxConns: shares.Upstreams,
 		Observe:       func(o forwarder.Observation) { observe(m, o) },
 		ObserveAnswer: func(o forwarder.AnswerObservation) { m.Answer(o.Framing, o.End) },
 		Dispatcher: dispatcher.Settings{
 			AvailabilityZone: s.AvailabilityZone, Seed: uint64(c.Now().UnixNano()),
-			RetryRatio: s.RetryShare, RetryCapacity: s.RetrySlack, StrikesWait: syncer.StrikesWait,
+			RetryRatio: s.RetryShare, RetryCapacity: s.RetrySlack, StrikesWait: syncer.StrikesWait, KeepVersions: true,
 			CountUsage: s.Duties != nil && bool(s.Duties.Usage), MeasureDemand: s.Duties != nil && bool(s.Duties.Scale),
 		},
 	})
@@ -194,11 +204,14 @@
 		Send: p.linker.Send, ReceiveUsage: usage.receiveUsage, Recoverer: rec,
 	})
 	close(ready)
+	p.archiver = archiver.New(archiver.Options{Store: store, Kind: platform.KindVersions, Identity: self.Identity, Clock: c, Recall: f.RecallVersions, Recoverer: rec})
+	ref.archiver.Store(p.archiver)
 	var err error
 	p.acceptor, err = listenForPeers(s.PeerListen, messenger.Options{Self: self, Secret: []byte(s.SharedSecret), Recoverer: rec}, acceptor.Routes{
 		messenger.MethodFetchState: handle, messenger.MethodStrike: handle, messenger.MethodLoad: handle, messenger.MethodFetchStrikes: handle,
 	}, c, shares)
 	if err != nil {
+		p.archiver.Stop()
 		p.syncer.Stop()
 		p.linker.Stop()
 		return nil, err
@@ -206,6 +219,7 @@
 	ref.syncer.Store(p.syncer)
 	lc.Append(fx.StopHook(func() {
 		p.acceptor.Stop()
+		p.archiver.Stop()
 		p.syncer.Stop()
 		p.linker.Stop()
 	}))
--- a/internal/process/starter/gateway_version_test.go
+++ b/internal/process/starter/gateway_version_test.go
@@ -13,6 +13,9 @@
 	"magnoliafront.dev/magnoliafront/internal/process/emulator"
 )
 
+// recordDelay exceeds the time after which an entry has kept what it has begun.
+const recordDelay = time.Second
+
 // newVersionedFixture returns a fixture with a runner for each software version.
 func newVersionedFixture(t *testing.T, versions ...string) *gatewayFixture {
 	t.Helper()
@@ -114,3 +117,48 @@
 	})
 	is.New(t).Equal(r.runnersOf(id), r.runnersOf(began))
 }
+
+// restartEntry ends an entry, which forgets all, and starts another one in its place.
+func (r *gatewayFixture) restartEntry(g *gateway) *gateway {
+	r.t.Helper()
+	is.New(r.t).NoErr(g.app.Stop(r.t.Context()))
+	return r.startReadyEntry()
+}
+
+// After the loss of all entries, nobody knew which version had begun a stream, or that there
+// had been another one.
+func TestGatewayStreamIsTakenUpAtItsVersionAfterLossOfAllEntries(t *testing.T) {
+	t.Run("both versions are in use", func(t *testing.T) {
+		r := newVersionedFixture(t, "v1", "v2")
+		g := r.startReadyEntry()
+		for i := range 4 {
+			r.setBehaviourOnce(emulator.RunnerAbortsStream)
+			is.New(t).True(g.beginBroken(fmt.Sprint("r", i)).err != nil)
+		}
+		time.Sleep(recordDelay)
+		g = r.restartEntry(g)
+		for i := range 4 {
+			assertTakenUp(t, r, g, fmt.Sprint("r", i))
+		}
+		assertStatus(t, g.takeUp("u", "unknown"), http.StatusServiceUnavailable)
+	})
+	t.Run("the version has left", func(t *testing.T) {
+		r := newVersionedFixture(t, "v1")
+		g := r.startReadyEntry()
+		r.setBehaviourOnce(emulator.RunnerAbortsStream)
+		is.New(t).True(g.beginBroken("r").err != nil)
+		time.Sleep(recordDelay)
+		r.registerVersion(r.runners[0], "v2")
+		g = r.restartEntry(g)
+		assertStatus(t, g.takeUp("u", "r"), http.StatusServiceUnavailable)
+	})
+	t.Run("one version was in use", func(t *testing.T) {
+		r := newVersionedFixture(t, "v1")
+		g := r.startReadyEntry()
+		r.setBehaviourOnce(emulator.RunnerAbortsStream)
+		is.New(t).True(g.beginBroken("r").err != nil)
+		time.Sleep(recordDelay)
+		g = r.restartEntry(g)
+		assertStatus(t, g.takeUp("u", "r"), http.StatusOK)
+	})
+}
