Hold only requests that take a stream up until versions are recalled

An entry that started while the platform was down held all requests for 0.4 s, though only those that take a stream up need to know the versions of streams. Whether versions are mixed was computed for each event of the dispatcher; now it is when a version comes or goes.

The case of TestStartingEntryHoldsRequests on the versions of streams now checks that another request is sent meanwhile.

--- a/internal/process/dispatcher/starting_test.go
+++ b/internal/process/dispatcher/starting_test.go
@@ -45,14 +45,17 @@
 			assertSent(t, order[2](d), 1)
 		}
 	})
-	t.Run("sent once the versions of streams are recalled", func(t *testing.T) {
+	t.Run("one that takes a stream up is sent once the versions of streams are recalled", func(t *testing.T) {
 		d := New(Settings{StrikesWait: testStrikesWait, KeepVersions: true})
 		d.Step(testTime(), Event{Kind: EventSynced, Synced: true})
+		takeUp := request("/chat/2")
+		takeUp.ID, takeUp.TakesUp, takeUp.Stream = "r2", true, 7
+		d.Step(testTime(), Event{Kind: EventArrived, Request: takeUp})
 		d.Step(testTime(), Event{Kind: EventArrived, Request: request("/chat/1")})
-		for _, f := range []func(*Dispatcher) []Action{configure, list, learn} {
-			is.New(t).Equal(len(f(d)), 0)
-		}
-		assertSent(t, d.Step(testTime(), Event{Kind: EventVersionsRecalled})[:1], 1)
+		is.New(t).Equal(len(configure(d)), 0)
+		is.New(t).Equal(len(list(d)), 0)
+		is.New(t).Equal(assertSent(t, learn(d), 1).ID, "r1")
+		is.New(t).Equal(assertSent(t, d.Step(testTime(), Event{Kind: EventVersionsRecalled})[:1], 1).ID, "r2")
 	})
 	t.Run("refused when the wait has ended without a configuration", func(t *testing.T) {
 		d := startingDispatcher(t)
--- a/internal/process/resumer/resumer.go
+++ b/internal/process/resumer/resumer.go
@@ -99,6 +99,8 @@
 	// time at which the last upstream has left.
 	listed map[Served]struct{}
 	left   map[Served]time.Time
+	// mixed is true if any service may have streams of several versions.
+	mixed bool
 	// completeSince is the time since which all versions are known, zero before the first
 	// list. With recalled, those before that time are known, too.
 	completeSince time.Time
@@ -106,11 +108,10 @@
 	// unreported has the own streams that the other entries have not been told of, and
 	// repeated those of the last report, which may have been lost.
 	unreported, repeated []Stream
-	// kept has the versions of the last record, and keptAt is its time. With unkept, an own
-	// stream has begun since.
-	kept   []Served
-	keptAt time.Time
-	unkept bool
+	// keptAt is the time of the last record. With unkept, an own stream has begun since, and
+	// with changed, a version has come or gone.
+	keptAt          time.Time
+	unkept, changed bool
 }
 
 // begun is what is known of a stream.
@@ -154,6 +155,7 @@
 			}
 		}
 		r.recalled = true
+		r.noteChange()
 	}
 }
 
@@ -173,6 +175,18 @@
 			r.left[s] = now
 		}
 	}
+	if !maps.Equal(before, r.listed) {
+		r.noteChange()
+	}
+}
+
+// noteChange is called after the versions in use have changed.
+func (r *Resumer) noteChange() {
+	r.changed, r.mixed = true, false
+	all := r.served()
+	for i := range all {
+		r.mixed = r.mixed || i > 0 && all[i].Service == all[i-1].Service
+	}
 }
 
 // add adds streams. What is known of a stream is not replaced.
@@ -194,7 +208,11 @@
 	for len(r.order) > 0 && now.Sub(r.streams[r.order[0]].at) >= Horizon {
 		r.forgetOldest()
 	}
+	known := len(r.left)
 	maps.DeleteFunc(r.left, func(_ Served, at time.Time) bool { return now.Sub(at) >= Horizon })
+	if len(r.left) < known {
+		r.noteChange()
+	}
 }
 
 func (r *Resumer) forgetOldest() {
@@ -232,17 +250,6 @@
 	return out
 }
 
-// isMixed reports whether any service may have streams of several versions.
-func (r *Resumer) isMixed() bool {
-	all := r.served()
-	for i := range all {
-		if i > 0 && all[i].Service == all[i-1].Service {
-			return true
-		}
-	}
-	return false
-}
-
 // TakeReport returns the own streams that the other entries must be told of, each in two
 // reports. There are none while each service has one version.
 func (r *Resumer) TakeReport(now time.Time) []Stream {
@@ -250,7 +257,7 @@
 	if len(r.unreported)+len(r.repeated) == 0 {
 		return nil
 	}
-	if !r.isMixed() {
+	if !r.mixed {
 		r.unreported = slices.DeleteFunc(r.unreported, func(s Stream) bool { return !r.knows(s) })
 		return nil
 	}
@@ -270,18 +277,15 @@
 // TakeRecord returns the record that this entry must keep, if the last one is out of date and
 // older than interval.
 func (r *Resumer) TakeRecord(now time.Time, interval time.Duration) (Record, bool) {
-	if now.Sub(r.keptAt) < interval {
-		return Record{}, false
-	}
 	r.forget(now)
-	served, mixed := r.served(), r.isMixed()
-	if slices.Equal(served, r.kept) && (!mixed || !r.unkept) {
+	isDue := r.changed || r.mixed && r.unkept
+	if !isDue || now.Sub(r.keptAt) < interval {
 		return Record{}, false
 	}
-	r.kept, r.keptAt, r.unkept = served, now, false
-	out := Record{Served: served}
+	r.keptAt, r.unkept, r.changed = now, false, false
+	out := Record{Served: r.served()}
 	for _, id := range r.order {
-		if s := r.streams[id]; mixed && s.own {
+		if s := r.streams[id]; r.mixed && s.own {
 			out.Streams = append(out.Streams, Stream{ID: id, Version: s.version})
 		}
 	}
