Connect to an upstream only after it has had time to end

What callers saw: a stream without length and chunks ended as complete although its upstream had been killed within it (ORDER), without any other disturbance. It had been seen once before, untraced.

Cause: the entry connected again at once. The kernel of a process that ends may close its connections before its listener, and accepts in between. Such a connection is mostly reset, but not always; then it stays open without a peer, and the upstream counted as there. The log of the entry shows it: two streams of the same upstream got refused connections in the same millisecond, the third ended 50 ms later without the line for a refusal.

Ruled out: a restart at the same address (208 ms later by the record of the upstream), and another listener there.

Change: the probe connects 50 ms after the end of the connection, and watches the new one for 10 ms instead of 50 ms.

Evidence: TestProbeDoesNotConnectWhileListenerEnds failed before.

--- a/internal/connection/prober/prober.go
+++ b/internal/connection/prober/prober.go
@@ -8,6 +8,10 @@
 // address again. Who calls the upstream needs a new connection for its next request
 // anyway, and can use this one.
 //
+// The listener may end after the connections, and the kernel then still accepts for a moment.
+// Some of the connections that it accepts while the listener ends are never reset, and look
+// open without a peer. [Probe] therefore waits before it connects.
+//
 // A refused connection means that nobody listens there any more: the upstream has ended,
 // or has begun a planned stop, in which many servers close their listener first and finish
 // their answers then. One that is accepted and closed at once means that the connections
@@ -108,8 +112,11 @@
 	// closeSkew bounds the time in which a process that ends closes its sockets, one after
 	// the other. It takes much less, unless other processes run in between, such as those
 	// that the first closed connections wake. A connection that the listener had not
-	// accepted is reset then.
+	// accepted is reset then, or stays without a peer.
 	closeSkew = 50 * time.Millisecond
+	// refusalWait is the time in which an upstream whose connections are used up closes a new
+	// one.
+	refusalWait = 10 * time.Millisecond
 	// firstLook is the time after which most connections of a process that ends are closed.
 	firstLook = 5 * time.Millisecond
 	// retransmissionLook is the time after which a lost end has been sent once more, and
@@ -140,10 +147,14 @@
 // Dial connects to an upstream. It bounds the time of one try.
 type Dial func(context.Context) (net.Conn, error)
 
-// Probe connects with dial. It returns the connection, or an error if the upstream does not
-// accept one or does not keep it open.
+// Probe connects with dial after closeSkew. It returns the connection, or an error if the
+// upstream does not accept one or does not keep it open.
 func Probe(ctx context.Context, dial Dial, c timer.Clock) (net.Conn, error) {
-	var last error
+	sleepUntil(ctx, c, c.Now().Add(closeSkew))
+	last := ctx.Err()
+	if last != nil {
+		return nil, last
+	}
 	for range maxDials {
 		conn, err := dial(ctx)
 		if err == nil && staysOpen(conn, c) {
@@ -164,10 +175,10 @@
 	return nil, last
 }
 
-// staysOpen reports whether the peer keeps a new connection open for closeSkew and sends
+// staysOpen reports whether the peer keeps a new connection open for refusalWait and sends
 // nothing.
 func staysOpen(conn net.Conn, c timer.Clock) bool {
-	if conn.SetReadDeadline(c.Now().Add(closeSkew)) != nil {
+	if conn.SetReadDeadline(c.Now().Add(refusalWait)) != nil {
 		return false
 	}
 	_, err := conn.Read(make([]byte, 1))
--- a/internal/connection/prober/prober_test.go
+++ b/internal/connection/prober/prober_test.go
@@ -75,6 +75,21 @@
 	})
 }
 
+// The kernel of an upstream that was killed accepted a connection before it closed the
+// listener, and never reset it. The upstream was taken for one that is there.
+func TestProbeDoesNotConnectWhileListenerEnds(t *testing.T) {
+	end := time.Now()
+	open, refused := dialer(t, connOpen), dialer(t, connRefused)
+	dial := func(ctx context.Context) (net.Conn, error) {
+		if time.Since(end) < closeSkew {
+			return open(ctx)
+		}
+		return refused(ctx)
+	}
+	_, err := Probe(t.Context(), dial, timer.System{})
+	is.New(t).True(errors.Is(err, syscall.ECONNREFUSED))
+}
+
 // A stopping upstream, which had closed its listener and was finishing its streams, must
 // not be taken for one that has ended, nor one that has ended for a stopping one: a silent
 // connection looks open.
