--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -75,9 +75,9 @@
 	tried     []string
 	begun     bool
 	lastEvent string
-	// version is the digest of the software version at which the stream may go on, zero
+	// boundVersion is the digest of the software version at which the stream may go on, zero
 	// while any may.
-	version uint64
+	boundVersion uint64
 	// foundEmpty is true if an upstream had no event after lastEvent.
 	foundEmpty bool
 	// counted is true once the request was counted for the usage of its organisation.
--- a/internal/process/dispatcher/version.go
+++ b/internal/process/dispatcher/version.go
@@ -35,19 +35,19 @@
 	if !ok {
 		return unavailable(codeVersionUnknown, "the software version that began the stream is not known")
 	}
-	f.version = version
+	f.boundVersion = version
 	return nil
 }
 
 // bindVersion binds a request whose caller has a part of a stream to the version that wrote
 // it.
 func (d *Dispatcher) bindVersion(now time.Time, f *inFlightRequest) {
-	if f.version != 0 || f.lastEvent == "" || f.run.version == 0 {
+	if f.boundVersion != 0 || f.lastEvent == "" || f.version == 0 {
 		return
 	}
-	f.version = f.run.version
+	f.boundVersion = f.version
 	if f.isBeginning() {
-		d.resumer.HandleEvent(now, resumer.Event{Kind: resumer.EventBegun, Streams: []resumer.Stream{{ID: f.request.Stream, Version: f.version}}})
+		d.resumer.HandleEvent(now, resumer.Event{Kind: resumer.EventBegun, Streams: []resumer.Stream{{ID: f.request.Stream, Version: f.boundVersion}}})
 	}
 }
 
@@ -58,19 +58,19 @@
 
 // endStream records that the caller has the whole of the stream that f began.
 func (d *Dispatcher) endStream(now time.Time, f *inFlightRequest) {
-	if f.version != 0 && f.isBeginning() {
+	if f.boundVersion != 0 && f.isBeginning() {
 		d.resumer.HandleEvent(now, resumer.Event{Kind: resumer.EventEnded, Streams: []resumer.Stream{{ID: f.request.Stream}}})
 	}
 }
 
 // candidates returns the instance IDs of the upstreams that may get f.
 func (s *service) candidates(f *inFlightRequest) []string {
-	if f.version == 0 {
+	if f.boundVersion == 0 {
 		return s.instanceIDs
 	}
 	var out []string
 	for _, id := range s.instanceIDs {
-		if resumer.Digest(s.upstreams[id].Version) == f.version {
+		if resumer.Digest(s.upstreams[id].Version) == f.boundVersion {
 			out = append(out, id)
 		}
 	}
