--- a/internal/process/starter/gateway_fixture_test.go
+++ b/internal/process/starter/gateway_fixture_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -145,16 +146,25 @@
 
 // freeAddress returns an address at which nothing listens. Its IP address belongs to this
 // process alone, since an outgoing connection from 127.0.0.1 may take any free port there
-// before an entry listens on it.
+// before an entry listens on it. No address is returned twice: two of those of an entry were
+// the same now and then.
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	pid := os.Getpid()
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>16&63, pid>>8&255, pid&255))
-	is.New(t).NoErr(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>16&63, pid>>8&255, pid&255))
+		is.New(t).NoErr(err)
+		address := l.Addr().String()
+		_ = l.Close()
+		if _, taken := takenAddresses.LoadOrStore(address, struct{}{}); !taken {
+			return address
+		}
+	}
 }
 
+// takenAddresses has the addresses that freeAddress has returned.
+var takenAddresses sync.Map
+
 func (g *gateway) isReady() bool {
 	resp, err := http.Get("http://" + g.readyAddress + "/-/ready")
 	if err != nil {
