Keep routes closed when the last organisation is removed

Cause: the decoder of the configuration made the same value of a missing list and of an empty one, and the matcher asked for a key only if there was an organisation. The first holds in deployments without keys, the second is what the removal of the last organisation leaves. Entries told each other the same ambiguous list.

Change: a configuration states whether keys are needed (KeyPolicy). Without a statement keys are needed. An entry of older software does not state it; its configuration is ignored if it has no organisations, since it may mean either, and the platform's counts. The log line "configuration in force" has the policy.

One test of the outage wrote null to say that there is no list. It leaves the field out now; its check is the same. Two fixtures without organisations state that keys are optional, as they always meant.

--- a/internal/process/dispatcher/demand_test.go
+++ b/internal/process/dispatcher/demand_test.go
@@ -18,7 +18,7 @@
 	d.Step(testTime(), Event{Kind: EventSynced, Synced: true})
 	d.Step(testTime(), Event{Kind: EventEntryCount, Entries: 3})
 	d.Step(testTime(), Event{Kind: EventConfigured, Table: matcher.New(matcher.Configuration{
-		Version: 1, Routes: routes(), Services: []matcher.Service{{Name: "desk", Scaling: &matcher.Scaling{MaxReplicas: 9}}, {Name: "booking"}},
+		Version: 1, Routes: routes(), Keys: matcher.KeysOptional, Services: []matcher.Service{{Name: "desk", Scaling: &matcher.Scaling{MaxReplicas: 9}}, {Name: "booking"}},
 	})})
 	all := upstreams()
 	for i := range all {
--- a/internal/process/dispatcher/explain_test.go
+++ b/internal/process/dispatcher/explain_test.go
@@ -114,7 +114,7 @@
 func TestExplainSaysWhatRulesUpstreamOut(t *testing.T) {
 	d := newDispatcher()
 	d.Step(testTime(), Event{Kind: EventConfigured, Table: matcher.New(matcher.Configuration{
-		Version: 2, Routes: routes(), Services: []matcher.Service{{Name: "desk", MaxConnections: 1}},
+		Version: 2, Routes: routes(), Keys: matcher.KeysOptional, Services: []matcher.Service{{Name: "desk", MaxConnections: 1}},
 	})})
 	var full string
 	for i := range minConnections * 2 {
--- a/internal/process/starter/gateway_test.go
+++ b/internal/process/starter/gateway_test.go
@@ -262,7 +262,7 @@
 		r := newGatewayFixture(t, 1)
 		g := r.startReadyEntry()
 		r.store.SetMode(emulator.StoreSilent)
-		r.configure(func(c map[string]any) { c["tenants"] = nil })
+		r.configure(func(c map[string]any) { delete(c, "tenants") })
 		r.store.Compact()
 		r.store.SetMode(emulator.StoreServing)
 		assertEventually(t, "no key is needed", func() bool {
--- /dev/null
+++ b/internal/process/syncer/peer_configuration_test.go
@@ -0,0 +1,36 @@
+package syncer
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"magnoliafront.dev/magnoliafront/internal/process/registrar"
+	"magnoliafront.dev/magnoliafront/internal/version/matcher"
+)
+
+// An entry of older software does not tell whether a configuration without organisations
+// admits everybody or nobody.
+func TestPeerConfigurationWithoutKeyPolicyIsAmbiguous(t *testing.T) {
+	guides := []matcher.Organisation{{Name: "guides", Keys: []string{"key"}}}
+	for _, c := range []struct {
+		name    string
+		peer    matcher.Configuration
+		version int64
+	}{
+		{"not stated, no organisations", matcher.Configuration{Version: 7}, 1},
+		{"not stated, organisations", matcher.Configuration{Version: 7, Organisations: guides}, 7},
+		{"required, no organisations", matcher.Configuration{Version: 7, Keys: matcher.KeysRequired}, 7},
+		{"optional, no organisations", matcher.Configuration{Version: 7, Keys: matcher.KeysOptional}, 7},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newOutageFixture(t)
+			f.configure()
+			// The forwarder applies the list after the configuration.
+			listed := []registrar.Upstream{{Name: "desk-1", Service: "desk"}}
+			f.syncer.input.Put(t.Context(), input{state: &State{Configuration: &c.peer, Synced: true, Upstreams: listed}, peer: "entry-2"})
+			f.awaitEligible(1)
+			is.New(t).Equal(f.forwarder.State().Table.Configuration.Version, c.version)
+		})
+	}
+}
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -336,8 +336,8 @@
 
 // handleState applies the state of another entry.
 func (s *Syncer) handleState(i input) {
-	if i.state.Configuration != nil {
-		s.applyConfiguration(*i.state.Configuration, i.peer)
+	if c := i.state.Configuration; c != nil {
+		s.applyPeerConfiguration(*c, i.peer)
 	}
 	if i.state.Synced {
 		s.peerSyncedAt = s.options.Clock.Now()
@@ -356,12 +356,24 @@
 	s.applyConfiguration(c, "platform")
 }
 
+// applyPeerConfiguration applies the configuration of another entry. An entry of older
+// software does not state whether keys are needed. Without organisations, its configuration
+// may be one of a deployment without keys or one whose last organisation was removed, and
+// the entry waits for the platform.
+func (s *Syncer) applyPeerConfiguration(c matcher.Configuration, peer string) {
+	if c.Keys == matcher.KeysUnstated && len(c.Organisations) == 0 {
+		klog.InfoS("configuration ignored", "version", c.Version, "source", peer, "reason", "key policy not stated")
+		return
+	}
+	s.applyConfiguration(c, peer)
+}
+
 func (s *Syncer) applyConfiguration(c matcher.Configuration, source string) {
 	if c.Version <= s.configurationVersion {
 		return
 	}
 	s.configurationVersion = c.Version
-	klog.InfoS("configuration in force", "version", c.Version, "source", source, "routes", len(c.Routes), "organisations", len(c.Organisations))
+	klog.InfoS("configuration in force", "version", c.Version, "source", source, "routes", len(c.Routes), "organisations", len(c.Organisations), "keys", c.Keys)
 	s.options.Forwarder.Configure(matcher.New(c))
 }
 
--- a/internal/version/matcher/matcher.go
+++ b/internal/version/matcher/matcher.go
@@ -8,8 +8,9 @@
 //
 // Among the routes of the requested host, the one with the longest matching
 // path prefix applies. A route that is not public requires the API key of an
-// organisation, unless the configuration has no organisations. The priority of
-// the organisation takes precedence over the priority of the route.
+// organisation, unless the configuration makes keys optional; see [KeyPolicy].
+// The priority of the organisation takes precedence over the priority of the
+// route.
 //
 // # Usage
 //
@@ -114,6 +115,24 @@
 	Priority *int `json:"priority,omitempty"`
 }
 
+// KeyPolicy determines whether routes that are not public require an API key.
+//
+// It does not follow from the number of organisations: a configuration whose last
+// organisation was removed admits nobody, one of a deployment without organisations
+// admits everybody.
+type KeyPolicy string
+
+// Key policies.
+const (
+	// KeysUnstated is the zero value, as in a configuration from an entry whose software
+	// has no policies. Keys are required.
+	KeysUnstated KeyPolicy = ""
+	// KeysRequired means that a request needs the key of an organisation.
+	KeysRequired KeyPolicy = "required"
+	// KeysOptional means that a request is admitted with any key and without one.
+	KeysOptional KeyPolicy = "optional"
+)
+
 // Limits holds the limits on the requests and connections of callers.
 type Limits struct {
 	// MaxHeaderBytes and MaxBodyBytes are zero if there is no limit.
@@ -130,6 +149,7 @@
 	Routes        []Route        `json:"routes"`
 	Services      []Service      `json:"services"`
 	Organisations []Organisation `json:"organisations"`
+	Keys          KeyPolicy      `json:"keys"`
 	Limits        Limits         `json:"limits"`
 }
 
@@ -244,7 +264,7 @@
 	k := priorityKey{r.Priority, r.Priority}
 	// A valid key on a public route also identifies the organisation.
 	o, known := t.organisationsByKey[q.APIKey]
-	if !known && !r.Public && len(t.Configuration.Organisations) > 0 {
+	if !known && !r.Public && t.Configuration.Keys != KeysOptional {
 		return a, notRunFailure(http.StatusUnauthorized, "unknown_key", "the bearer key belongs to no organisation")
 	}
 	if known && q.APIKey != "" {
--- a/internal/version/matcher/matcher_test.go
+++ b/internal/version/matcher/matcher_test.go
@@ -20,6 +20,7 @@
 			{Name: "open", Host: "open.example", PathPrefix: "/", WeightedServices: services, Public: true},
 			{Name: "split", Host: "split.example", PathPrefix: "/", WeightedServices: []WeightedService{{"a", 90}, {"b", 10}, {"c", 0}}},
 		},
+		Keys: KeysRequired,
 		Organisations: []Organisation{
 			{Name: "guides", Keys: []string{"g1", "g2"}, Priority: &high},
 			{Name: "staff", Keys: []string{"s1"}, Priority: &low},
@@ -58,6 +59,41 @@
 	}
 }
 
+// A configuration whose last organisation was removed must not admit everybody, as one of a
+// deployment without organisations does.
+func TestAdmitFollowsKeyPolicyWithoutOrganisations(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		policy   KeyPolicy
+		host     string
+		admitted bool
+	}{
+		{"keys are required", KeysRequired, "desk.example", false},
+		{"the policy is not stated", KeysUnstated, "desk.example", false},
+		{"keys are required, but the route is public", KeysRequired, "open.example", true},
+		{"keys are optional", KeysOptional, "desk.example", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			configuration := testConfiguration()
+			configuration.Keys, configuration.Organisations = c.policy, nil
+			table := New(configuration)
+			assertAdmitted(t, table, Query{Host: c.host, Path: "/x"}, c.admitted)
+			assertAdmitted(t, table, Query{Host: c.host, Path: "/x", APIKey: "g1"}, c.admitted)
+		})
+	}
+}
+
+// assertAdmitted checks whether a request is admitted, and otherwise refused for its key.
+func assertAdmitted(t *testing.T, table *Table, q Query, want bool) {
+	t.Helper()
+	is := is.New(t)
+	_, failure := table.Admit(q)
+	is.Equal(failure == nil, want)
+	if failure != nil {
+		is.Equal(failure.Status, http.StatusUnauthorized)
+	}
+}
+
 // An engine preempts the newest of the least urgent requests. With equal
 // priority levels for all requests of an organisation, an interactive chat
 // was preempted for a long briefing. Requests of one organisation are
