Admit no request without a key beside an empty key

In the own front end the hash of an empty string did the same, with the organisation.

Empty keys are left out of the index of a configuration, and no organisation owns an empty key.

--- a/internal/process/starter/gateway_keys_test.go
+++ b/internal/process/starter/gateway_keys_test.go
@@ -37,8 +37,8 @@
 // When the last organisation was removed, requests ran with any key and without one.
 func TestGatewayRemovalOfLastOrganisationOpensNoRoute(t *testing.T) {
 	for _, c := range []struct {
-		name    string
-		tenants any
+		name string
+		list any
 	}{
 		{"empty list", []any{}},
 		{"null", nil},
@@ -47,7 +47,7 @@
 			r := newGatewayFixture(t, 1)
 			g := r.startReadyEntry()
 			assertStatus(t, g.call(http.MethodPost, "/hold/1", "admitted", "", nil), http.StatusOK)
-			r.configure(func(m map[string]any) { m["tenants"] = c.tenants })
+			r.configure(func(m map[string]any) { m["tenants"] = c.list })
 			assertInForce(t, r, g)
 			assertKeysRefused(t, r, g, "key", "unknown", "")
 		})
--- a/internal/version/compiler/compiler.go
+++ b/internal/version/compiler/compiler.go
@@ -75,8 +75,11 @@
 }
 
 // OrganisationOfKey returns the name of the organisation that owns the API
-// key.
+// key. Nobody owns an empty one, although a record may have its hash.
 func (s *Snapshot) OrganisationOfKey(apiKey string) (string, bool) {
+	if apiKey == "" {
+		return "", false
+	}
 	sum := sha256.Sum256([]byte(apiKey))
 	hash := hex.EncodeToString(sum[:])
 	name, ok := s.OrganisationsByKeyHash[hash]
--- a/internal/version/matcher/matcher.go
+++ b/internal/version/matcher/matcher.go
@@ -221,7 +221,10 @@
 	}
 	for _, o := range c.Organisations {
 		for _, key := range o.Keys {
-			t.organisationsByKey[key] = o
+			// The key of a request that has none is empty, too.
+			if key != "" {
+				t.organisationsByKey[key] = o
+			}
 		}
 	}
 	t.assignLevels()
@@ -267,7 +270,7 @@
 	if !known && !r.Public && t.Configuration.Keys != KeysOptional {
 		return a, notRunFailure(http.StatusUnauthorized, "unknown_key", "the bearer key belongs to no organisation")
 	}
-	if known && q.APIKey != "" {
+	if known {
 		a.Organisation = o.Name
 		if o.Priority != nil {
 			k.effective = *o.Priority
--- a/internal/version/matcher/matcher_test.go
+++ b/internal/version/matcher/matcher_test.go
@@ -83,6 +83,17 @@
 	}
 }
 
+// An empty string in a list of keys, as from a variable that is not set, admitted requests
+// without a key.
+func TestAdmitRequiresKeyBesideEmptyKey(t *testing.T) {
+	configuration := testConfiguration()
+	configuration.Organisations[0].Keys = []string{"", "g1"}
+	table := New(configuration)
+	assertAdmitted(t, table, Query{Host: "desk.example", Path: "/x"}, false)
+	assertAdmitted(t, table, Query{Host: "desk.example", Path: "/x", APIKey: "g1"}, true)
+	assertAdmitted(t, table, Query{Host: "open.example", Path: "/x"}, true)
+}
+
 // assertAdmitted checks whether a request is admitted, and otherwise refused for its key.
 func assertAdmitted(t *testing.T, table *Table, q Query, want bool) {
 	t.Helper()
