Allow no further class to an organisation with an empty list of classes

An empty list is kept through decoding and encoding, in both schema versions, and allows the default class only. Without the list all classes are allowed, as before.

Measured: the case "empty list" of TestAdmitTellsEmptyListOfClassesFromMissing failed before (admitted in place of 403) and passes.

--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -113,7 +113,7 @@
 	if !ok {
 		return a, notRunFailure(http.StatusBadRequest, "unknown_class", fmt.Sprintf("class %q does not exist", a.ClassName))
 	}
-	if len(o.Classes) > 0 && !slices.Contains(o.Classes, a.ClassName) && a.ClassName != o.DefaultClass {
+	if o.Classes != nil && !slices.Contains(o.Classes, a.ClassName) && a.ClassName != o.DefaultClass {
 		return a, notRunFailure(http.StatusForbidden, "class_not_allowed", fmt.Sprintf("organisation %s may not use class %s", name, a.ClassName))
 	}
 	a.Class = class
--- a/internal/request/admitter/admitter_test.go
+++ b/internal/request/admitter/admitter_test.go
@@ -52,3 +52,23 @@
 	assertStatus(t, s, Request{Model: "desk"}, http.StatusUnauthorized)
 	assertStatus(t, s, Request{Model: "desk", APIKey: "g1"}, 0)
 }
+
+// An organisation whose last class was taken away got all classes, as one without a list.
+func TestAdmitTellsEmptyListOfClassesFromMissing(t *testing.T) {
+	for _, c := range []struct {
+		name, fields string
+		draft        int
+	}{
+		{"no list: all classes", "", 0},
+		{"list with the class", `,"classes":["draft"]`, 0},
+		{"list without the class", `,"classes":["chat"]`, http.StatusForbidden},
+		{"empty list: the default class only", `,"classes":[]`, http.StatusForbidden},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSnapshot(t, c.fields, "g1")
+			assertStatus(t, s, Request{Model: "desk", APIKey: "g1", Class: "draft"}, c.draft)
+			assertStatus(t, s, Request{Model: "desk", APIKey: "g1", Class: "chat"}, 0)
+			assertStatus(t, s, Request{Model: "desk", APIKey: "g1"}, 0)
+		})
+	}
+}
--- a/pkg/descriptor/codec.go
+++ b/pkg/descriptor/codec.go
@@ -37,7 +37,7 @@
 	header
 	KeyHashes    []string `json:"key_hashes,omitempty"`
 	DefaultClass string   `json:"default_class"`
-	Classes      []string `json:"classes,omitempty"`
+	Classes      []string `json:"classes,omitzero"`
 	Limit        float64  `json:"limit,omitempty"`
 }
 
@@ -45,7 +45,7 @@
 	header
 	KeyHashes    []string `json:"key_hashes,omitempty"`
 	DefaultClass string   `json:"default_class"`
-	Classes      []string `json:"classes,omitempty"`
+	Classes      []string `json:"classes,omitzero"`
 	RequestRate  float64  `json:"request_rate,omitempty"`
 	Concurrency  int      `json:"concurrency,omitempty"`
 }
@@ -268,7 +268,7 @@
 	o := &Organisation{
 		KeyHashes:    f.hashes("key_hashes"),
 		DefaultClass: f.name("default_class"),
-		Classes:      f.names("classes"),
+		Classes:      f.optionalNames("classes"),
 	}
 	if version == 1 {
 		o.RequestRate = f.rate("limit")
--- a/pkg/descriptor/descriptor.go
+++ b/pkg/descriptor/descriptor.go
@@ -83,7 +83,8 @@
 	// KeyHashes are the SHA-256 hashes of its API keys, in hexadecimal digits.
 	KeyHashes    []string
 	DefaultClass string
-	// Classes lists the classes that it may use. Empty means all.
+	// Classes lists the classes that it may use beside the default class. Nil, as for a
+	// record without the list, means all. An empty list means none.
 	Classes []string
 	// RequestRate is the limit of its requests per second over all entries. Zero
 	// means no limit.
--- a/pkg/descriptor/descriptor_test.go
+++ b/pkg/descriptor/descriptor_test.go
@@ -24,6 +24,9 @@
 		{"organisation",
 			`{"schema_version":1,"kind":"organisation","name":"o","key_hashes":["` + hash + `"],"default_class":"chat","limit":12.5}`,
 			`{"schema_version":2,"kind":"organisation","name":"o","key_hashes":["` + hash + `"],"default_class":"chat","request_rate":12.5}`},
+		{"organisation with an empty list of classes",
+			`{"schema_version":1,"kind":"organisation","name":"o","default_class":"chat","classes":[]}`,
+			`{"schema_version":2,"kind":"organisation","name":"o","default_class":"chat","classes":[]}`},
 		{"upstream",
 			`{"schema_version":1,"kind":"upstream","name":"u","service":"s","type":"engine","address":"10.0.0.5:9001","availability_zone":"z","models":["m"],"capacity":16}`,
 			`{"schema_version":2,"kind":"upstream","name":"u","service":"s","type":"engine","address":"10.0.0.5:9001","availability_zone":"z","models":["m"],"slots":16}`},
@@ -133,6 +136,7 @@
 func FuzzDecodeFile(f *testing.F) {
 	f.Add([]byte(`[{"schema_version":1,"kind":"class","name":"c","priority":4,"target":"1s/33ms"}]`))
 	f.Add([]byte(`{"schema_version":2,"kind":"organisation","name":"o","default_class":"c","key_hashes":["` + hash + `"]}`))
+	f.Add([]byte(`{"schema_version":2,"kind":"organisation","name":"o","default_class":"c","classes":[]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		records, err := DecodeFile(data)
 		if err != nil {
--- a/pkg/descriptor/fields.go
+++ b/pkg/descriptor/fields.go
@@ -119,6 +119,17 @@
 	return f.list(name, "names that are not empty and have no slash", isName)
 }
 
+// optionalNames decodes a list for which empty and absent differ. It returns nil only if
+// the list is absent.
+func (f *fields) optionalNames(name string) []string {
+	isPresent := f.has(name)
+	list := f.names(name)
+	if isPresent && list == nil {
+		return []string{}
+	}
+	return list
+}
+
 func (f *fields) hashes(name string) []string {
 	list := f.list(name, "SHA-256 hashes of 64 hexadecimal digits", func(s string) bool {
 		b, err := hex.DecodeString(s)
