Keep the upstreams if the state of an entry has no list

Entries of this software always send the list, so that only one of other software shows it.

A state without the list, or with null, says nothing of the upstreams and does not keep the entry in step.

Measured: two of three cases of TestPeerStateWithoutListKeepsUpstreams failed before and pass; an empty list still drops them.

--- a/internal/process/syncer/outage_test.go
+++ b/internal/process/syncer/outage_test.go
@@ -107,7 +107,12 @@
 func (f *outageFixture) configure() {
 	f.version++
 	f.answer(configurationKind, storeAnswer{objects: []accessor.Object{{Key: "main", Version: f.version}}})
-	for f.forwarder.State().Table == nil || f.forwarder.State().Table.Configuration.Version < f.version {
+	f.awaitVersion(f.version)
+}
+
+// awaitVersion waits until a configuration is in force.
+func (f *outageFixture) awaitVersion(version int64) {
+	for f.forwarder.State().Table == nil || f.forwarder.State().Table.Configuration.Version < version {
 		time.Sleep(time.Millisecond)
 	}
 }
--- a/internal/process/syncer/peer_configuration_test.go
+++ b/internal/process/syncer/peer_configuration_test.go
@@ -1,6 +1,7 @@
 package syncer
 
 import (
+	"encoding/json"
 	"testing"
 
 	"github.com/matryer/is"
@@ -34,3 +35,34 @@
 		})
 	}
 }
+
+// A state without a list of upstreams was taken for an empty list, so that an entry out of
+// reach of the platform dropped all upstreams.
+func TestPeerStateWithoutListKeepsUpstreams(t *testing.T) {
+	for _, c := range []struct {
+		name, state string
+		eligible    int
+	}{
+		{"no list", `{"synced":true,"configuration":{"version":7,"keys":"optional"}}`, 1},
+		{"null", `{"synced":true,"upstreams":null,"configuration":{"version":7,"keys":"optional"}}`, 1},
+		{"empty list", `{"synced":true,"upstreams":[],"configuration":{"version":7,"keys":"optional"}}`, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newOutageFixture(t)
+			f.learn(`{"synced":true,"upstreams":[{"name":"desk-1","service":"desk"}]}`)
+			f.awaitEligible(1)
+			f.learn(c.state)
+			f.learn(`{"configuration":{"version":8,"keys":"optional"}}`)
+			f.awaitVersion(8)
+			is.New(t).Equal(f.forwarder.State().EligibleCount, c.eligible)
+		})
+	}
+}
+
+// learn handles the state of another entry.
+func (f *outageFixture) learn(text string) {
+	f.t.Helper()
+	var s State
+	is.New(f.t).NoErr(json.Unmarshal([]byte(text), &s))
+	f.syncer.input.Put(f.t.Context(), input{state: &s, peer: "entry-2"})
+}
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -339,7 +339,8 @@
 	if c := i.state.Configuration; c != nil {
 		s.applyPeerConfiguration(*c, i.peer)
 	}
-	if i.state.Synced {
+	// A state without a list says nothing of the upstreams. It must not count as an empty one.
+	if i.state.Synced && i.state.Upstreams != nil {
 		s.peerSyncedAt = s.options.Clock.Now()
 		if !s.reachableKinds[s.options.Kinds.Upstreams] {
 			s.options.Forwarder.HandleRegistrarEvent(registrar.Event{Kind: registrar.EventListed, Upstreams: i.state.Upstreams})
