Find out the version of a taken-up stream from the other entries

Cause: an entry let an unknown stream go on if it had heard of only one version. What it has heard says nothing of what began a moment ago elsewhere: it may be cut off, have stood still, or be about to hear of a new version.

Change: a request that takes up an unknown stream waits, 0.3 s at most, until the records of all entries were read in a call that began after it. If these have one version, it goes on there. Otherwise the other entries are asked for the stream. If the platform cannot be read, half of the other entries have to reply, and all of them have to have the one version. The rest is refused (503, version_unknown). A stream that may be taken up begins at a version only after the platform has acknowledged the record of the entry with that version, unless there is no other upstream, so that no stream is ahead of the records. A changed list of versions is written within 0.1 s, and a record again each minute, so that those of entries that have ended become old. Log lines have the reason in `take_up`.

One test had a request sent on what was read before it had arrived. It expects the second read now, and the same attempt after it.

Measured: TestGatewayCutOffEntryTakesUpNoStreamOfUnknownVersion failed before (200 in place of 503) and passes.

--- a/internal/process/archiver/archiver.go
+++ b/internal/process/archiver/archiver.go
@@ -1,17 +1,22 @@
 // Package archiver keeps the software versions of streams in the platform.
 //
 // An entry forgets with its process which software version began a stream, and the other
-// entries may end at the same moment. Each entry therefore writes an object with what package
-// resumer decides to keep. An entry that starts reads those of all entries once.
+// entries may end at the same moment, or be out of reach. Each entry therefore writes an
+// object with what package resumer decides to keep. Any entry can read those of all.
 //
 // An [Archiver] is a goroutine that owns the object of its entry. A record that could not be
-// written is replaced by the next one, or written again after [RetryInterval].
+// written is replaced by the next one, or written again after [RetryInterval]. A [Recaller]
+// is a goroutine that reads the objects of all entries: once after the start, and whenever it
+// is asked to.
 //
 // # Usage
 //
-//	a := archiver.New(archiver.Options{Store: store, Kind: "versions", Identity: "entry-1", Clock: c, Recall: f.RecallVersions})
-//	a.Keep(record)
+//	a := archiver.New(archiver.Options{Store: store, Kind: "versions", Identity: "entry-1", Clock: c, Kept: f.VersionsKept})
 //	defer a.Stop()
+//	a.Keep(record)
+//	r := archiver.NewRecaller(archiver.RecallerOptions{Store: store, Kind: "versions", Identity: "entry-1", Clock: c, Recalled: f.RecallVersions})
+//	defer r.Stop()
+//	r.Recall(1)
 package archiver
 
 import (
@@ -41,8 +46,8 @@
 	Kind     string
 	Identity string
 	Clock    timer.Clock
-	// Recall is called once, with what all entries have kept.
-	Recall func(resumer.Record)
+	// Kept is called with each record that the platform has acknowledged. It may be nil.
+	Kept func(resumer.Record)
 	// Recoverer handles panics. It may be nil.
 	Recoverer *recoverer.Recoverer
 }
@@ -56,7 +61,7 @@
 	done    chan struct{}
 
 	// The fields below are owned by the goroutine.
-	recalled bool
+
 	// pending is the record that is not written yet, nil if there is none.
 	pending *resumer.Record
 	// version is that of the object of this entry, if versionKnown is true.
@@ -73,7 +78,6 @@
 	}
 	go func() {
 		defer close(a.done)
-		_ = o.Recoverer.Run("archiver recall", a.recall)
 		for a.step() {
 		}
 	}()
@@ -96,7 +100,7 @@
 // step waits for one record or the next try and handles it. It returns false after Stop.
 func (a *Archiver) step() bool {
 	var retry <-chan time.Time
-	if !a.recalled || a.pending != nil {
+	if a.pending != nil {
 		due, stop := a.options.Clock.After(RetryInterval)
 		defer stop()
 		retry = due
@@ -108,36 +112,10 @@
 	case <-a.records.Done():
 		return false
 	}
-	_ = a.options.Recoverer.Run("archiver step", func() {
-		a.recall()
-		a.write()
-	})
+	_ = a.options.Recoverer.Run("archiver write", a.write)
 	return true
 }
 
-// recall reads the records of all entries, unless it has.
-func (a *Archiver) recall() {
-	if a.recalled {
-		return
-	}
-	ctx, cancel := context.WithTimeout(a.ctx, callTimeout)
-	defer cancel()
-	objects, err := a.options.Store.List(ctx, a.options.Kind+"/")
-	if err != nil {
-		klog.InfoS("software versions of streams not read", "kind", a.options.Kind, "err", err)
-		return
-	}
-	a.recalled, a.versionKnown = true, true
-	for _, o := range objects {
-		if o.Key == a.key() {
-			a.version = o.Version
-		}
-	}
-	r := merge(objects)
-	klog.InfoS("software versions of streams read", "entries", len(objects), "versions", len(r.Served), "streams", len(r.Streams))
-	a.options.Recall(r)
-}
-
 // write writes the pending record, if there is one.
 func (a *Archiver) write() {
 	if a.pending == nil {
@@ -152,7 +130,11 @@
 		klog.InfoS("software versions of streams not written", "key", a.key(), "err", err)
 		return
 	}
+	kept := *a.pending
 	a.pending = nil
+	if a.options.Kept != nil {
+		a.options.Kept(kept)
+	}
 }
 
 func (a *Archiver) put(ctx context.Context) error {
--- a/internal/process/archiver/archiver_test.go
+++ b/internal/process/archiver/archiver_test.go
@@ -27,8 +27,10 @@
 func start(t *testing.T, s accessor.Store, identity string) (*Archiver, resumer.Record) {
 	t.Helper()
 	recalled := make(chan resumer.Record, 1)
-	a := New(Options{Store: s, Kind: "versions", Identity: identity, Clock: timer.System{}, Recall: func(r resumer.Record) { recalled <- r }})
+	a := New(Options{Store: s, Kind: "versions", Identity: identity, Clock: timer.System{}})
 	t.Cleanup(a.Stop)
+	r := NewRecaller(RecallerOptions{Store: s, Kind: "versions", Identity: identity, Clock: timer.System{}, Recalled: func(r resumer.Recall) { recalled <- resumer.Merge(r.Records) }})
+	t.Cleanup(r.Stop)
 	select {
 	case r := <-recalled:
 		return a, r
@@ -45,7 +47,7 @@
 	for end := time.Now().Add(waitTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		objects, err := s.List(t.Context(), "versions/")
 		is.New(t).NoErr(err)
-		if got := merge(objects); len(got.Streams) == len(r.Streams) && len(objects) > 0 {
+		if got := resumer.Merge(decode(objects, "versions/", "")); len(got.Streams) == len(r.Streams) && len(objects) > 0 {
 			is.New(t).Equal(got, r)
 			return
 		}
@@ -114,7 +116,7 @@
 		objects = append(objects, accessor.Object{Value: value})
 	}
 	objects = append(objects, accessor.Object{Value: []byte("{")})
-	is.New(t).Equal(merge(objects), want)
+	is.New(t).Equal(resumer.Merge(decode(objects, "versions/", "")), want)
 }
 
 // The object of an entry that ended long ago made a version look as if it were in use.
--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -110,6 +110,8 @@
 	resumer *resumer.Resumer
 	// versionsRecalled is true once it knows what the entries have kept.
 	versionsRecalled bool
+	// takeUps holds the requests that wait for the version of the stream that they take up.
+	takeUps takeUpQueue
 	// stop is set once the entry stops, and finalAnswersGiven is true once the requests
 	// without an answer have got a final one.
 	stop              Stop
@@ -180,7 +182,13 @@
 		d.entries = max(1, e.Entries)
 		d.setBudgets()
 	case EventVersionsRecalled:
-		d.recallVersions(now, e.Record)
+		return d.recallVersions(now, e.Recall)
+	case EventVersionsKept:
+		d.resumer.HandleEvent(now, resumer.Event{Kind: resumer.EventKept, Served: e.Record.Served})
+	case EventVersionsReceived:
+		return d.receiveVersions(now, e.Entry, e.Reply)
+	case EventTakeUpDue:
+		return d.judgeTakeUps(now)
 	case EventRetryBudget:
 		d.settings.RetryRatio, d.settings.RetryCapacity = e.RetryRatio, e.RetryCapacity
 		d.setBudgets()
--- a/internal/process/dispatcher/event.go
+++ b/internal/process/dispatcher/event.go
@@ -70,9 +70,16 @@
 	// EventStrikesLearned carries the strikes that another entry knows, after the start.
 	// If Complete is true, the entry has learned enough to begin.
 	EventStrikesLearned
-	// EventVersionsRecalled carries the Record of the software versions that all entries have
-	// kept in the platform, after the start.
+	// EventVersionsRecalled carries the software versions that all entries have kept in the
+	// platform, after the start and after an ActionRecallVersions.
 	EventVersionsRecalled
+	// EventVersionsKept carries the Record of an ActionKeepVersions that the platform has
+	// acknowledged.
+	EventVersionsKept
+	// EventVersionsReceived carries the Reply of Entry to an ActionFetchVersions.
+	EventVersionsReceived
+	// EventTakeUpDue is due at [Dispatcher.TakeUpDueAt].
+	EventTakeUpDue
 	// EventRetryBudget carries new settings of the retry budget.
 	EventRetryBudget
 	// EventLoadReceived carries the load report of another entry.
@@ -154,7 +161,8 @@
 	Strikes    []detector.Strike
 	Synced     bool
 	Complete   bool
-	// Entry is the identity of the entry that sent the Report of EventLoadReceived.
+	// Entry is the identity of the entry that sent the Report of EventLoadReceived or the
+	// Reply of EventVersionsReceived.
 	Entry  string
 	Report LoadReport
 	// RetryRatio and RetryCapacity replace the values of [Settings], with
@@ -163,8 +171,11 @@
 	RetryCapacity float64
 	// Stop is set for EventStopping.
 	Stop Stop
-	// Record is set for EventVersionsRecalled.
+	// Recall, Record and Reply are set for EventVersionsRecalled, EventVersionsKept and
+	// EventVersionsReceived.
+	Recall resumer.Recall
 	Record resumer.Record
+	Reply  resumer.Reply
 }
 
 // ActionKind is the kind of an [Action].
@@ -204,6 +215,11 @@
 	ActionCountUsage
 	// ActionKeepVersions keeps Record in the platform, in place of the last one.
 	ActionKeepVersions
+	// ActionRecallVersions reads what all entries have kept, in a call that begins after the
+	// action. Its result has the same Ticket.
+	ActionRecallVersions
+	// ActionFetchVersions asks all other entries for the versions of Streams.
+	ActionFetchVersions
 )
 
 // Action is an instruction for the caller of [Dispatcher.Step]. Only the fields of
@@ -243,8 +259,11 @@
 	Separation Separation
 	// RetryAfter is set for ActionUpstreamHeldBack.
 	RetryAfter time.Duration
-	// Record is set for ActionKeepVersions.
-	Record resumer.Record
+	// Record is set for ActionKeepVersions, Ticket for ActionRecallVersions and Streams for
+	// ActionFetchVersions.
+	Record  resumer.Record
+	Ticket  uint64
+	Streams []uint64
 	// Summary describes the request for logs and metrics.
 	Summary Summary
 }
--- a/internal/process/dispatcher/flight.go
+++ b/internal/process/dispatcher/flight.go
@@ -133,7 +133,7 @@
 		// A newer configuration may permit the request.
 		failure = unavailable("not_in_step", "the configuration may be out of date")
 	}
-	if failure == nil && len(d.inFlight) >= maxInFlight {
+	if failure == nil && len(d.inFlight)+len(d.takeUps.waiting) >= maxInFlight {
 		failure = admitter.OverloadedFailure()
 	}
 	if failure == nil && d.inFlight[r.ID] != nil {
@@ -154,9 +154,17 @@
 	if failure != nil {
 		return []Action{d.failAction(now, f, failure)}
 	}
+	if d.isUnknownTakeUp(now, f) {
+		return d.holdTakeUp(now, f)
+	}
 	if failure := d.bindTakeUp(now, f); failure != nil {
 		return []Action{d.failAction(now, f, failure)}
 	}
+	return d.start(now, f)
+}
+
+// start starts a request that was checked and, if it takes up a stream, bound to its version.
+func (d *Dispatcher) start(now time.Time, f *inFlightRequest) []Action {
 	a := f.admission
 	f.state = retrier.RequestState{Repeatable: a.Route.Repeatable(), MaxRuns: max(1, a.Route.MaxAttempts)}
 	d.add(f)
@@ -229,7 +237,7 @@
 // query returns the query for the upstream of the next attempt of f.
 func (d *Dispatcher) query(now time.Time, s *service, f *inFlightRequest) picker.Query {
 	return picker.Query{
-		Candidates: s.candidates(f), AvailabilityZone: d.settings.AvailabilityZone, Exclude: d.exclude(s, f),
+		Candidates: d.candidates(s, f), AvailabilityZone: d.settings.AvailabilityZone, Exclude: d.exclude(s, f),
 		Tier: f.admission.Priority + 1, TokenGapTarget: f.admission.Route.GapTarget, LatencyTarget: f.admission.Route.LatencyTarget,
 		Prefix: f.request.Prefix, PrefixTokens: f.request.PrefixTokens, PromptTokens: f.request.PromptTokens,
 		PrefillPerToken: s.separator.PrefillPerToken(), CacheResidence: s.separator.CacheResidence(),
--- a/internal/process/dispatcher/outcome.go
+++ b/internal/process/dispatcher/outcome.go
@@ -71,6 +71,9 @@
 // abort ends a request and its attempts.
 func (d *Dispatcher) abort(now time.Time, id string) []Action {
 	f := d.inFlight[id]
+	if f == nil && d.abortTakeUp(id) {
+		return []Action{{Kind: ActionFinish, ID: id}}
+	}
 	if f == nil {
 		return nil
 	}
--- a/internal/process/dispatcher/starting.go
+++ b/internal/process/dispatcher/starting.go
@@ -6,8 +6,9 @@
 )
 
 // An entry that has just started knows neither the configuration nor the upstreams nor
-// which content crashes them, nor the software versions of streams. All of it arrives within some tens of milliseconds, less than the time in which a
-// refused caller comes back, so that requests are held until then.
+// which content crashes them, nor the software versions of streams. All of it arrives within
+// some tens of milliseconds, less than the time in which a refused caller comes back, so that
+// requests are held until then.
 
 // mustWait reports whether a request must wait until the entry knows what it needs.
 func (d *Dispatcher) mustWait(now time.Time, r Request) bool {
@@ -17,7 +18,7 @@
 
 // arrive admits a request, or holds it while the entry is starting.
 func (d *Dispatcher) arrive(now time.Time, r Request) []Action {
-	isHeld := slices.ContainsFunc(d.held, func(h Request) bool { return h.ID == r.ID })
+	isHeld := slices.ContainsFunc(d.held, func(h Request) bool { return h.ID == r.ID }) || d.takeUps.holds(r.ID)
 	if !isHeld && d.mustWait(now, r) && len(d.held) < maxInFlight {
 		d.held = append(d.held, r)
 		return nil
--- a/internal/process/dispatcher/starting_test.go
+++ b/internal/process/dispatcher/starting_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"magnoliafront.dev/magnoliafront/internal/process/registrar"
+	"magnoliafront.dev/magnoliafront/internal/process/resumer"
 	"magnoliafront.dev/magnoliafront/internal/version/matcher"
 )
 
@@ -55,7 +56,11 @@
 		is.New(t).Equal(len(configure(d)), 0)
 		is.New(t).Equal(len(list(d)), 0)
 		is.New(t).Equal(assertSent(t, learn(d), 1).ID, "r1")
-		is.New(t).Equal(assertSent(t, d.Step(testTime(), Event{Kind: EventVersionsRecalled})[:1], 1).ID, "r2")
+		// What was read before the request arrived may lack the version of its stream.
+		first := d.Step(testTime(), Event{Kind: EventVersionsRecalled})
+		is.New(t).Equal(first[0], Action{Kind: ActionRecallVersions, Ticket: 1})
+		recall := resumer.Recall{Ticket: 1, Records: []resumer.EntryRecord{{Entry: "entry-2", WrittenAt: testTime()}}}
+		is.New(t).Equal(assertSent(t, d.Step(testTime(), Event{Kind: EventVersionsRecalled, Recall: recall})[:1], 1).ID, "r2")
 	})
 	t.Run("refused when the wait has ended without a configuration", func(t *testing.T) {
 		d := startingDispatcher(t)
--- a/internal/process/dispatcher/stop.go
+++ b/internal/process/dispatcher/stop.go
@@ -38,7 +38,7 @@
 // FinalAnswersAt returns the time at which EventFinalAnswers is due, or the zero time
 // if the entry does not stop or no request is in flight.
 func (d *Dispatcher) FinalAnswersAt() time.Time {
-	if d.stop.ExitDeadline.IsZero() || len(d.inFlight) == 0 || d.finalAnswersGiven {
+	if d.stop.ExitDeadline.IsZero() || len(d.inFlight)+len(d.takeUps.waiting) == 0 || d.finalAnswersGiven {
 		return time.Time{}
 	}
 	return d.stop.finalAnswersAt()
@@ -93,7 +93,7 @@
 		return nil
 	}
 	d.finalAnswersGiven = true
-	var out []Action
+	out := d.refuseTakeUps(now)
 	for _, f := range d.inFlight {
 		if f.begun || f.permitted {
 			continue
--- a/internal/process/dispatcher/summary.go
+++ b/internal/process/dispatcher/summary.go
@@ -35,6 +35,9 @@
 	Parts []uint64
 	// Digest is the [Request.Digest] of the request.
 	Digest string
+	// TakeUp says what the software version of a stream that was taken up rests on, or why it
+	// is not known. It is empty for other requests, and if this entry knew the version.
+	TakeUp string
 	// Reason is the code of the failure, or why the request ended.
 	Reason string
 }
--- a/internal/process/dispatcher/version.go
+++ b/internal/process/dispatcher/version.go
@@ -25,20 +25,24 @@
 	recordSpacing = 20 * time.Millisecond
 )
 
-// bindTakeUp binds a request that takes up a stream to the version that began it. It returns
-// the failure of a request whose version is not known.
+// bindTakeUp binds a request that takes up a stream to the version that began it, as far as
+// this entry knows. It returns the failure of a request whose version is not known.
 func (d *Dispatcher) bindTakeUp(now time.Time, f *inFlightRequest) *admitter.Failure {
 	if !f.request.TakesUp || f.admission.Route.Kind != matcher.Streaming {
 		return nil
 	}
 	version, ok := d.resumer.Version(now, f.admission.Service.Name, f.request.Stream)
 	if !ok {
-		return unavailable(codeVersionUnknown, "the software version that began the stream is not known")
+		return versionUnknownFailure()
 	}
 	f.boundVersion = version
 	return nil
 }
 
+func versionUnknownFailure() *admitter.Failure {
+	return unavailable(codeVersionUnknown, "the software version that began the stream is not known")
+}
+
 // bindVersion binds a request whose caller has a part of a stream to the version that wrote
 // it.
 func (d *Dispatcher) bindVersion(now time.Time, f *inFlightRequest) {
@@ -63,14 +67,30 @@
 	}
 }
 
-// candidates returns the instance IDs of the upstreams that may get f.
-func (s *service) candidates(f *inFlightRequest) []string {
-	if f.boundVersion == 0 {
+// candidates returns the instance IDs of the upstreams that may get f. A stream that may be
+// taken up begins at an announced version if there is one, so that other entries can find
+// out its version while this one is out of their reach.
+func (d *Dispatcher) candidates(s *service, f *inFlightRequest) []string {
+	if f.boundVersion != 0 {
+		return s.filter(func(u registrar.Upstream) bool { return resumer.Digest(u.Version) == f.boundVersion })
+	}
+	if !d.settings.KeepVersions || f.admission.Route.Kind != matcher.Streaming || !f.isBeginning() {
+		return s.instanceIDs
+	}
+	announced := s.filter(func(u registrar.Upstream) bool {
+		return d.resumer.Announced(resumer.Served{Service: u.Service, Version: resumer.Digest(u.Version)})
+	})
+	if len(announced) == 0 {
 		return s.instanceIDs
 	}
+	return announced
+}
+
+// filter returns the instance IDs of the upstreams that meet a condition.
+func (s *service) filter(condition func(registrar.Upstream) bool) []string {
 	var out []string
 	for _, id := range s.instanceIDs {
-		if resumer.Digest(s.upstreams[id].Version) == f.boundVersion {
+		if condition(s.upstreams[id]) {
 			out = append(out, id)
 		}
 	}
@@ -100,9 +120,3 @@
 	}
 	return []Action{{Kind: ActionKeepVersions, Record: r}}
 }
-
-// recallVersions adds what all entries have kept.
-func (d *Dispatcher) recallVersions(now time.Time, r resumer.Record) {
-	d.versionsRecalled = true
-	d.resumer.HandleEvent(now, resumer.Event{Kind: resumer.EventRecalled, Served: r.Served, Streams: r.Streams})
-}
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -12,7 +12,6 @@
 	"magnoliafront.dev/magnoliafront/internal/connection/carrier"
 	"magnoliafront.dev/magnoliafront/internal/process/detector"
 	"magnoliafront.dev/magnoliafront/internal/process/dispatcher"
-	"magnoliafront.dev/magnoliafront/internal/process/resumer"
 	"magnoliafront.dev/magnoliafront/internal/request/relayer"
 )
 
@@ -58,8 +57,8 @@
 			"address", a.Upstream.Address, "request", a.ID, "retry_after", a.RetryAfter)
 	case dispatcher.ActionCountUsage:
 		f.countUsage(a.Organisation)
-	case dispatcher.ActionKeepVersions:
-		f.keepVersions(a.Record)
+	case dispatcher.ActionKeepVersions, dispatcher.ActionRecallVersions, dispatcher.ActionFetchVersions:
+		f.executeVersions(a)
 	case dispatcher.ActionSendLoad:
 		if f.options.SendLoad != nil {
 			f.options.SendLoad(a.Report)
@@ -73,12 +72,6 @@
 	}
 }
 
-func (f *Forwarder) keepVersions(r resumer.Record) {
-	if f.options.KeepVersions != nil {
-		f.options.KeepVersions(r)
-	}
-}
-
 // abandon ends a suspended call.
 func (f *Forwarder) abandon(a dispatcher.Action) {
 	if t := f.inFlight[a.ID]; t != nil && t.suspended != nil {
@@ -317,7 +310,7 @@
 	}
 	klog.InfoS(message, append([]any{"request", a.ID, "route", s.Route, "service", s.Service, "organisation", s.Organisation,
 		"version", s.Version, "upstream", s.Upstream, "attempts", s.Attempts, "outstanding", s.Outstanding,
-		"pending_tokens", s.PendingTokens, "prefix", s.Prefix, "cache_source", s.CacheSource, "prompt_tokens", s.PromptTokens, "prefill_tokens", s.PrefillTokens, "expected_start", s.ExpectedStart, "deferred", s.Deferred, "content", s.Digest, "elapsed", s.Elapsed, "outcome", s.Reason, "status", status}, keysAndValues...)...)
+		"pending_tokens", s.PendingTokens, "prefix", s.Prefix, "cache_source", s.CacheSource, "prompt_tokens", s.PromptTokens, "prefill_tokens", s.PrefillTokens, "expected_start", s.ExpectedStart, "deferred", s.Deferred, "content", s.Digest, "take_up", s.TakeUp, "elapsed", s.Elapsed, "outcome", s.Reason, "status", status}, keysAndValues...)...)
 }
 
 // logStrikes logs the strikes of an action: one line for all strikes against content,
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -86,9 +86,8 @@
 	// CountUsage counts a request of an organisation that an upstream has begun. It must
 	// not block. It may be nil.
 	CountUsage func(organisation string)
-	// KeepVersions keeps the software versions of streams in the platform, in place of what
-	// was kept before. It must not block. It may be nil.
-	KeepVersions func(resumer.Record)
+	// Versions is used if the versions of streams are kept; see [dispatcher.Settings].
+	Versions Versions
 	// Observe is called at the end of each request. It must not block. It may be
 	// nil.
 	Observe func(Observation)
@@ -194,6 +193,9 @@
 	eventStrikesFetched
 	eventExplained
 	eventVersionsRecalled
+	eventVersionsKept
+	eventVersionsFetched
+	eventVersionsReceived
 )
 
 // event is an input of the goroutine other than a job. Only the fields of its kind
@@ -217,7 +219,13 @@
 	// complete and reply are set for eventStrikesLearned and eventStrikesFetched.
 	complete bool
 	reply    func(strikes []detector.Strike, complete bool)
-	record   resumer.Record
+	// recall and record are set for eventVersionsRecalled and eventVersionsKept, streams and
+	// replyVersions for eventVersionsFetched, versions and entry for eventVersionsReceived.
+	recall        resumer.Recall
+	record        resumer.Record
+	streams       []uint64
+	replyVersions func(resumer.Reply)
+	versions      resumer.Reply
 	// explained and explain are the request and the reply of eventExplained.
 	explained dispatcher.Request
 	explain   func(dispatcher.Explanation)
@@ -273,12 +281,6 @@
 	f.put(event{kind: eventLoadReceived, entry: entry, loadReport: r})
 }
 
-// RecallVersions adds the software versions of streams that all entries have kept in the
-// platform, after the start.
-func (f *Forwarder) RecallVersions(r resumer.Record) {
-	f.put(event{kind: eventVersionsRecalled, record: r})
-}
-
 // State returns the current snapshot.
 func (f *Forwarder) State() State { return *f.state.Load() }
 
@@ -376,8 +378,8 @@
 		e.reply(f.dispatcher.KnownStrikes(now))
 	case eventExplained:
 		e.explain(f.dispatcher.Explain(now, e.explained))
-	case eventVersionsRecalled:
-		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventVersionsRecalled, Record: e.record})
+	case eventVersionsRecalled, eventVersionsKept, eventVersionsFetched, eventVersionsReceived:
+		f.handleVersions(now, e)
 	case eventSynced:
 		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventSynced, Synced: e.synced})
 	case eventLoadReceived:
--- a/internal/process/forwarder/timers.go
+++ b/internal/process/forwarder/timers.go
@@ -13,7 +13,7 @@
 	if at := f.registrar.NextChange(); !at.IsZero() && at.Before(next) {
 		next = at
 	}
-	for _, at := range [...]time.Time{f.dispatcher.FinalAnswersAt(), f.dispatcher.OverlapEndsAt()} {
+	for _, at := range [...]time.Time{f.dispatcher.FinalAnswersAt(), f.dispatcher.OverlapEndsAt(), f.dispatcher.TakeUpDueAt()} {
 		if !at.IsZero() && at.Before(next) {
 			next = at
 		}
@@ -27,7 +27,8 @@
 }
 
 // handleTimer sends a due load report, closes expired connections, updates the
-// upstreams if registrations have expired, ends due overlaps and gives due final answers.
+// upstreams if registrations have expired, ends due overlaps, decides on due streams that were
+// taken up and gives due final answers.
 func (f *Forwarder) handleTimer() {
 	now := f.options.Clock.Now()
 	if !now.Before(f.nextLoadReport) {
@@ -48,6 +49,7 @@
 		f.handleWaitingEvents()
 		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventOverlapEnded})
 	}
+	f.handleTakeUps(now)
 	if at := f.dispatcher.FinalAnswersAt(); !at.IsZero() && !now.Before(at) {
 		// Reports that wait may say that an answer has begun.
 		f.handleWaitingEvents()
@@ -55,6 +57,15 @@
 	}
 }
 
+// handleTakeUps decides on the streams whose callers must not wait any longer.
+func (f *Forwarder) handleTakeUps(now time.Time) {
+	if at := f.dispatcher.TakeUpDueAt(); !at.IsZero() && !now.Before(at) {
+		// Replies that wait may tell the versions.
+		f.handleWaitingEvents()
+		f.dispatch(now, dispatcher.Event{Kind: dispatcher.EventTakeUpDue})
+	}
+}
+
 // handleWaitingEvents handles the events that wait in the ring. A decision at the end of a
 // period must not precede what arrived within it.
 func (f *Forwarder) handleWaitingEvents() {
--- a/internal/process/resumer/resumer.go
+++ b/internal/process/resumer/resumer.go
@@ -8,16 +8,20 @@
 // entries tell each other what they have begun, and keep it in the platform, while more
 // than one version of a service is in use.
 //
-// A stream that nobody knows may go on if only one version can have begun it: if the service
-// has had no other for [Horizon]. An entry that has just started does not know that by
-// itself; see [Event].
+// A stream that this entry does not know may go on if only one version can have begun it.
+// What the entry has heard does not show that, since it may be out of step; it has to look
+// at the records that the others have kept, and to ask them. [Resumer.Judge] decides by an
+// [Inquiry] what to do next.
 //
 // # Usage
 //
 //	r := resumer.New()
 //	r.HandleEvent(now, resumer.Event{Kind: resumer.EventListed, Served: all})
 //	r.HandleEvent(now, resumer.Event{Kind: resumer.EventBegun, Streams: []resumer.Stream{s}})
-//	version, ok := r.Version(now, "desk", resumer.Digest("r1"))
+//	version, ok := r.Lookup(now, resumer.Digest("r1"))
+//	if !ok {
+//		judgement := r.Judge(now, resumer.Inquiry{Service: "desk", Stream: resumer.Digest("r1")})
+//	}
 package resumer
 
 import (
@@ -37,6 +41,11 @@
 	maxStreams = 1 << 16
 	// maxReported bounds the streams of one report.
 	maxReported = 1024
+	// minAnnouncementInterval is the minimum time between two records of changed versions.
+	minAnnouncementInterval = 100 * time.Millisecond
+	// recordLifetime is the time after which a record is written again without a change, by
+	// which those of entries that have ended become old.
+	recordLifetime = time.Minute
 )
 
 // Digest returns the digest of the identity of a request or of a version. It is never zero.
@@ -80,10 +89,12 @@
 	// EventRecalled carries the versions and streams that all entries have kept. Until then,
 	// this entry cannot know which versions were in use before its start.
 	EventRecalled
+	// EventKept carries the versions of a record that the platform has acknowledged.
+	EventKept
 )
 
-// Event is an input of a [Resumer]. Served is set for EventListed and EventRecalled, Streams
-// for all others.
+// Event is an input of a [Resumer]. Served is set for EventListed, EventRecalled and EventKept,
+// Streams for all but EventListed and EventKept.
 type Event struct {
 	Kind    EventKind
 	Served  []Served
@@ -112,6 +123,8 @@
 	// with changed, a version has come or gone.
 	keptAt          time.Time
 	unkept, changed bool
+	// announced has the versions of the last record that the platform has acknowledged.
+	announced map[Served]struct{}
 }
 
 // begun is what is known of a stream.
@@ -156,6 +169,11 @@
 		}
 		r.recalled = true
 		r.noteChange()
+	case EventKept:
+		r.announced = make(map[Served]struct{}, len(e.Served))
+		for _, s := range e.Served {
+			r.announced[s] = struct{}{}
+		}
 	}
 }
 
@@ -220,12 +238,26 @@
 	r.order = r.order[1:]
 }
 
-// Version returns the digest of the version at which a stream may go on. It returns false if
-// that is not known.
-func (r *Resumer) Version(now time.Time, service string, stream uint64) (uint64, bool) {
+// Lookup returns the digest of the version of a stream. It returns false if this entry does
+// not know the stream.
+func (r *Resumer) Lookup(now time.Time, stream uint64) (uint64, bool) {
 	r.forget(now)
-	if s, ok := r.streams[stream]; ok {
-		return s.version, true
+	s, ok := r.streams[stream]
+	return s.version, ok
+}
+
+// Announced reports whether the platform has acknowledged a record of this entry with a
+// version. Until then, others cannot know that this entry begins streams at it.
+func (r *Resumer) Announced(s Served) bool {
+	_, ok := r.announced[s]
+	return ok
+}
+
+// Version returns the digest of the version at which a stream may go on if there is no entry
+// but this one. It returns false if that is not known.
+func (r *Resumer) Version(now time.Time, service string, stream uint64) (uint64, bool) {
+	if version, ok := r.Lookup(now, stream); ok {
+		return version, true
 	}
 	var versions []uint64
 	for _, s := range r.served() {
@@ -274,12 +306,14 @@
 	return ok
 }
 
-// TakeRecord returns the record that this entry must keep, if the last one is out of date and
-// older than interval.
+// TakeRecord returns the record that this entry must keep, if the last one is out of date. A
+// record of new streams only is not taken before the last one is older than interval.
 func (r *Resumer) TakeRecord(now time.Time, interval time.Duration) (Record, bool) {
 	r.forget(now)
-	isDue := r.changed || r.mixed && r.unkept
-	if !isDue || now.Sub(r.keptAt) < interval {
+	age := now.Sub(r.keptAt)
+	isDue := r.changed && age >= minAnnouncementInterval || r.mixed && r.unkept && age >= interval
+	isOld := !r.keptAt.IsZero() && age >= recordLifetime
+	if !isDue && !isOld {
 		return Record{}, false
 	}
 	r.keptAt, r.unkept, r.changed = now, false, false
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -49,9 +49,9 @@
 	// withdrawTimeout bounds the call that deletes a leaving entry from the store.
 	withdrawTimeout = time.Second
 	// maxIdleStoreConnections is the maximum number of idle connections to the
-	// store: one for each of the three watched kinds of objects, and one for other
-	// calls.
-	maxIdleStoreConnections = 4
+	// store: one for each of the three watched kinds of objects, and two for writes and
+	// for reads on demand.
+	maxIdleStoreConnections = 5
 )
 
 // SettingsFile is the settings file of a process, which is reloaded on a signal.
@@ -86,7 +86,7 @@
 		fx.Invoke(func(m *meter.Meter, r *recoverer.Recoverer) error { return m.WatchPanics(&r.Panics) }),
 		fx.Invoke(func(m *meter.Meter, f *forwarder.Forwarder, p *peering, r *receiver.Receiver, d *duties, v *provisioning) error {
 			return m.WatchRings(func() []buffer.Stats {
-				return slices.Concat(f.Stats(), p.syncer.Stats(), p.archiver.Stats(), d.stats(), v.stats(), r.Stats())
+				return slices.Concat(f.Stats(), p.syncer.Stats(), p.archiver.Stats(), p.recaller.Stats(), d.stats(), v.stats(), r.Stats())
 			})
 		}),
 		fx.Invoke(watchRequests, watchGatewayConnections),
@@ -122,20 +122,34 @@
 }
 
 // peering holds the components that connect the forwarder to the store and to
-// other entries: the syncer and the archiver, and the linker and acceptor for the dialled
-// and the accepted connections.
+// other entries: the syncer, the archiver and the recaller, and the linker and acceptor for
+// the dialled and the accepted connections.
 type peering struct {
 	syncer   *syncer.Syncer
 	archiver *archiver.Archiver
+	recaller *archiver.Recaller
 	linker   *linker.Linker
 	acceptor *acceptor.Acceptor
 }
 
-// syncerRef passes the calls of the forwarder to the syncer and the archiver, which start
-// after the forwarder. Calls before that are dropped.
+// syncerRef passes the calls of the forwarder to the syncer, the archiver and the recaller,
+// which start after the forwarder. Calls before that are dropped.
 type syncerRef struct {
 	syncer   atomic.Pointer[syncer.Syncer]
 	archiver atomic.Pointer[archiver.Archiver]
+	recaller atomic.Pointer[archiver.Recaller]
+}
+
+func (r *syncerRef) recallVersions(ticket uint64) {
+	if c := r.recaller.Load(); c != nil {
+		c.Recall(ticket)
+	}
+}
+
+func (r *syncerRef) fetchVersions(streams []uint64) {
+	if s := r.syncer.Load(); s != nil {
+		s.FetchVersions(streams)
+	}
 }
 
 func (r *syncerRef) keepVersions(record resumer.Record) {
@@ -158,7 +172,7 @@
 
 func newForwarder(lc fx.Lifecycle, s loader.Gateway, c timer.Clock, ref *syncerRef, receiver *receiverRef, usage *dutiesRef, m *meter.Meter, rec *recoverer.Recoverer, shares allocator.Shares) *forwarder.Forwarder {
 	f := forwarder.New(forwarder.Options{
-		Clock: c, Codec: platform.Codec{}, Recoverer: rec, SendStrikes: ref.sendStrikes, SendLoad: ref.sendLoad, KeepVersions: ref.keepVersions, CountUsage: usage.countUsage,
+		Clock: c, Codec: platform.Codec{}, Recoverer: rec, SendStrikes: ref.sendStrikes, SendLoad: ref.sendLoad, Versions: forwarder.Versions{Keep: ref.keepVersions, Recall: ref.recallVersions, Fetch: ref.fetchVersions}, CountUsage: usage.countUsage,
 		Configured: receiver.refreshLimits, MaxConns: shares.Upstreams,
 		Observe:       func(o forwarder.Observation) { observe(m, o) },
 		ObserveAnswer: func(o forwarder.AnswerObservation) { m.Answer(o.Framing, o.End) },
@@ -204,13 +218,17 @@
 		Send: p.linker.Send, ReceiveUsage: usage.receiveUsage, Recoverer: rec,
 	})
 	close(ready)
-	p.archiver = archiver.New(archiver.Options{Store: store, Kind: platform.KindVersions, Identity: self.Identity, Clock: c, Recall: f.RecallVersions, Recoverer: rec})
+	p.archiver = archiver.New(archiver.Options{Store: store, Kind: platform.KindVersions, Identity: self.Identity, Clock: c, Kept: f.VersionsKept, Recoverer: rec})
+	p.recaller = archiver.NewRecaller(archiver.RecallerOptions{Store: store, Kind: platform.KindVersions, Identity: self.Identity, Clock: c, Recalled: f.RecallVersions, Recoverer: rec})
 	ref.archiver.Store(p.archiver)
+	ref.recaller.Store(p.recaller)
 	var err error
 	p.acceptor, err = listenForPeers(s.PeerListen, messenger.Options{Self: self, Secret: []byte(s.SharedSecret), Recoverer: rec}, acceptor.Routes{
 		messenger.MethodFetchState: handle, messenger.MethodStrike: handle, messenger.MethodLoad: handle, messenger.MethodFetchStrikes: handle,
+		messenger.MethodFetchVersions: handle,
 	}, c, shares)
 	if err != nil {
+		p.recaller.Stop()
 		p.archiver.Stop()
 		p.syncer.Stop()
 		p.linker.Stop()
@@ -219,6 +237,7 @@
 	ref.syncer.Store(p.syncer)
 	lc.Append(fx.StopHook(func() {
 		p.acceptor.Stop()
+		p.recaller.Stop()
 		p.archiver.Stop()
 		p.syncer.Stop()
 		p.linker.Stop()
--- a/internal/process/starter/gateway_fixture_test.go
+++ b/internal/process/starter/gateway_fixture_test.go
@@ -39,6 +39,9 @@
 	clock        timer.Clock
 	// duties are the duties of the entries that are started next, nil for none.
 	duties *loader.Duties
+	// secret is that of the entries that are started next. Entries with different ones have
+	// no links.
+	secret string
 }
 
 // waitTimeout bounds each wait of a test. Waits usually end long before.
@@ -46,7 +49,7 @@
 
 func newGatewayFixture(t *testing.T, runners int) *gatewayFixture {
 	t.Helper()
-	r := &gatewayFixture{t: t, store: emulator.NewObjectStore(), noticePeriod: "50ms", gracePeriod: "8s", clock: timer.System{}}
+	r := &gatewayFixture{t: t, store: emulator.NewObjectStore(), noticePeriod: "50ms", gracePeriod: "8s", clock: timer.System{}, secret: "secret of the test"}
 	r.storeURL = r.serveStore(r.store).URL
 	t.Cleanup(r.store.Stop)
 	for i := range runners {
@@ -119,7 +122,7 @@
 	s := loader.Gateway{
 		Common: loader.Common{
 			Identity: name, AvailabilityZone: "z", PeerListen: g.peerAddress, Platform: url,
-			SharedSecret: "secret of the test", Peers: peers, Metrics: g.metricsAddress,
+			SharedSecret: r.secret, Peers: peers, Metrics: g.metricsAddress,
 		},
 		Listen: g.callerAddress, ReadyListen: g.readyAddress, GracePeriod: r.gracePeriod, NoticePeriod: r.noticePeriod, LeavingLimit: "2s", RetryShare: 0.2, RetrySlack: 50,
 		Duties: r.duties,
--- a/internal/process/starter/gateway_version_test.go
+++ b/internal/process/starter/gateway_version_test.go
@@ -118,6 +118,57 @@
 	is.New(t).Equal(r.runnersOf(id), r.runnersOf(began))
 }
 
+// addVersion registers a runner of another software version and waits until an entry may use
+// it.
+func (r *gatewayFixture) addVersion(g *gateway, version string) {
+	r.t.Helper()
+	before := g.forwarder.State().EligibleCount
+	run, err := emulator.NewRunner(fmt.Sprint("i-", len(r.runners)))
+	is.New(r.t).NoErr(err)
+	r.t.Cleanup(run.Stop)
+	r.runners = append(r.runners, run)
+	r.registerVersion(run, version)
+	assertEventually(r.t, "the new runner is eligible", func() bool { return g.forwarder.State().EligibleCount == before+1 })
+}
+
+// beginBrokenAt begins streams through an entry until one was begun by a runner and broken
+// off. It returns the identity of the request.
+func (r *gatewayFixture) beginBrokenAt(g *gateway, runner string) string {
+	r.t.Helper()
+	id, tries := "", 0
+	assertEventually(r.t, "a stream of "+runner, func() bool {
+		tries++
+		id = fmt.Sprint(runner, "-", tries)
+		r.setBehaviourOnce(emulator.RunnerAbortsStream)
+		g.beginBroken(id)
+		return slices.Equal(r.runnersOf(id), []string{runner})
+	})
+	return id
+}
+
+// An entry that was cut off in a release took streams of the new software version up at the
+// old one, the only one that it knew.
+func TestGatewayCutOffEntryTakesUpNoStreamOfUnknownVersion(t *testing.T) {
+	r := newVersionedFixture(t, "v1")
+	first := r.startReadyEntry()
+	platform := newTCPProxy(t)
+	platform.setTarget(strings.TrimPrefix(r.storeURL, "http://"))
+	r.secret = "no links to the others"
+	second := r.startEntry("entry-2", "http://"+platform.listener.Addr().String())
+	assertEventually(t, "ready", second.isReady)
+	t.Run("one version in use, in reach", func(t *testing.T) {
+		began := r.beginBrokenAt(first, "i-0")
+		assertStatus(t, second.takeUp("u1", began), http.StatusOK)
+	})
+	t.Run("another version in use, cut off", func(t *testing.T) {
+		platform.cut(t)
+		r.addVersion(first, "v2")
+		began := r.beginBrokenAt(first, "i-1")
+		assertStatus(t, second.takeUp("u2", began), http.StatusServiceUnavailable)
+		assertExecuted(t, r, "u2", 0)
+	})
+}
+
 // restartEntry ends an entry, which forgets all, and starts another one in its place.
 func (r *gatewayFixture) restartEntry(g *gateway) *gateway {
 	r.t.Helper()
--- a/internal/process/starter/proxy_test.go
+++ b/internal/process/starter/proxy_test.go
@@ -77,6 +77,13 @@
 	p.target = target
 }
 
+// cut closes all open connections and forwards no new ones.
+func (p *tcpProxy) cut(t *testing.T) {
+	t.Helper()
+	p.setTarget(freeAddress(t))
+	p.closeConnections()
+}
+
 // closeConnections closes all open connections.
 func (p *tcpProxy) closeConnections() {
 	p.mu.Lock()
--- a/internal/process/syncer/share.go
+++ b/internal/process/syncer/share.go
@@ -38,8 +38,9 @@
 	}
 }
 
-// Handle handles a message of another entry. It replies to [FetchState], queues a
-// [State] and [KnownStrikes] for the goroutine, and passes strikes and load reports to the forwarder.
+// Handle handles a message of another entry. It replies to [FetchState] and [FetchVersions],
+// queues a [State] and [KnownStrikes] for the goroutine, and passes strikes, load reports and
+// [Versions] to the forwarder.
 func (s *Syncer) Handle(c *messenger.Conn, m messenger.Message) (any, error) {
 	switch m.Method {
 	case messenger.MethodFetchState:
@@ -64,6 +65,18 @@
 			return nil, err
 		}
 		s.input.Put(s.ctx, input{strikes: &k, peer: c.Peer.Identity})
+	case messenger.MethodFetchVersions:
+		var q FetchVersions
+		if err := m.Decode(&q); err != nil {
+			return nil, err
+		}
+		s.sendVersions(c, q)
+	case messenger.MethodVersions:
+		var v Versions
+		if err := m.Decode(&v); err != nil {
+			return nil, err
+		}
+		s.options.Forwarder.ReceiveVersions(c.Peer.Identity, v.unpack())
 	case messenger.MethodStrike:
 		var strikes []detector.Strike
 		if err := m.Decode(&strikes); err != nil {
