Let streams of an entry that stands still go on at others

Its callers take their streams up at other entries, and these answer 503, although runners of the version that began the streams are there.

Cause: the entry had begun the streams while there was one version, when nobody tells the others, and could not tell them in the release. To the others they were streams of an unknown version while two were in use.

Change: what no entry has begun that replies was begun by one that does not. If the records of these have one version in common use, the stream goes on there. That holds since no entry begins a stream at a version before the platform has acknowledged its record with it.

--- a/internal/process/resumer/inquiry.go
+++ b/internal/process/resumer/inquiry.go
@@ -7,12 +7,14 @@
 
 // A stream that a caller takes up may have begun anywhere and just now, so that what this
 // entry has heard so far does not tell its version: the entry may have been cut off, have
-// stood still or be about to hear of a new version. Two facts do.
+// stood still or be about to hear of a new version. Three facts do.
 //
 //   - An entry begins streams at a version only after the platform has acknowledged its record
 //     with that version; see [Resumer.Announced]. The records of all entries, read after the
 //     stream was taken up, therefore have its version.
 //   - An entry that is asked knows the streams that it has begun.
+//   - What no entry has begun that replied was begun by one that did not, at a version of the
+//     record of that entry.
 
 // ReadState is the state of reading the records of all entries.
 type ReadState int
@@ -101,12 +103,19 @@
 	if len(used) > 1 && !q.Asked {
 		return Judgement{Verdict: VerdictAsk}
 	}
-	isSilent := func(x EntryRecord) bool {
-		_, ok := q.Replies[x.Entry]
-		return !ok && !x.Own
+	// Only entries that have not replied may have begun the stream.
+	var possible []uint64
+	for _, x := range q.Records {
+		if _, ok := q.Replies[x.Entry]; !ok && !x.Own {
+			possible = append(possible, versionsOf(q.Service, x.Served)...)
+		}
 	}
+	slices.Sort(possible)
+	possible = slices.DeleteFunc(slices.Compact(possible), func(v uint64) bool { return !slices.Contains(used, v) })
 	switch {
-	case !slices.ContainsFunc(q.Records, isSilent):
+	case len(possible) == 1:
+		return Judgement{VerdictGoOn, possible[0], "silent_entries"}
+	case len(possible) == 0:
 		return Judgement{Verdict: VerdictRefuse, Reason: "begun_by_none"}
 	case q.Expired:
 		return Judgement{Verdict: VerdictRefuse, Reason: "entries_silent"}
--- a/internal/process/resumer/inquiry_test.go
+++ b/internal/process/resumer/inquiry_test.go
@@ -13,7 +13,7 @@
 }
 
 // An entry that was out of step in a release took streams of the new version up at the old
-// one.
+// one, and entries in step refused the streams of one out of step.
 func TestJudgeFollowsRecordsAndReplies(t *testing.T) {
 	still, lively := kept("still", 1, 0, v1), kept("lively", 2, 0, v1, v2)
 	unknown := func(entries ...string) map[string][]Served {
@@ -37,6 +37,7 @@
 		{"two versions", Inquiry{Read: ReadDone, Records: release}, Judgement{Verdict: VerdictAsk}},
 		{"no reply", Inquiry{Read: ReadDone, Records: release, Asked: true}, Judgement{Verdict: VerdictWait}},
 		{"no reply in time", Inquiry{Read: ReadDone, Records: release, Asked: true, Expired: true}, Judgement{VerdictRefuse, 0, "entries_silent"}},
+		{"only an entry of one version is silent", Inquiry{Read: ReadDone, Records: release, Asked: true, Replies: unknown("lively")}, Judgement{VerdictGoOn, v1, "silent_entries"}},
 		{"all reply", Inquiry{Read: ReadDone, Records: release, Asked: true, Replies: unknown("still", "lively")}, Judgement{VerdictRefuse, 0, "begun_by_none"}},
 		{"platform down", Inquiry{Read: ReadFailed, Others: 2}, Judgement{Verdict: VerdictAsk}},
 		{"platform down, one of two replies", Inquiry{Read: ReadFailed, Others: 2, Asked: true, Replies: unknown("a")}, Judgement{Verdict: VerdictWait}},
--- a/internal/process/soaker/standstill_test.go
+++ b/internal/process/soaker/standstill_test.go
@@ -148,3 +148,17 @@
 	time.AfterFunc(500*time.Millisecond, func() { still.signal(syscall.SIGCONT) })
 	f.takeUp(still)
 }
+
+// Guards against entries that refuse the streams of one that stands still since before a
+// release, although these can only have begun at the old software version.
+func TestStreamsOfEntryThatStandsStillGoOnAtOthers(t *testing.T) {
+	f := newReleaseFleet(t)
+	still, other := f.entries[0], f.entries[1]
+	leave := f.breakStreams(still)
+	still.signal(syscall.SIGSTOP)
+	f.release("v2")
+	f.awaitUse(other, "v2")
+	f.awaitUse(f.entries[2], "v2")
+	leave()
+	is.New(t).Equal(f.takeUp(other), brokenStreams)
+}
