Count the streams that callers take up by what their version rests on

An operator could see in the log why a stream was refused, but not how many were, or which of the ways to the version is in use.

--- a/internal/process/dispatcher/summary.go
+++ b/internal/process/dispatcher/summary.go
@@ -36,7 +36,8 @@
 	// Digest is the [Request.Digest] of the request.
 	Digest string
 	// TakeUp says what the software version of a stream that was taken up rests on, or why it
-	// is not known. It is empty for other requests, and if this entry knew the version.
+	// is not known, like the Reason of a judgement of package resumer. It is empty for other
+	// requests.
 	TakeUp string
 	// Reason is the code of the failure, or why the request ended.
 	Reason string
--- a/internal/process/dispatcher/version.go
+++ b/internal/process/dispatcher/version.go
@@ -35,7 +35,7 @@
 	if !ok {
 		return versionUnknownFailure()
 	}
-	f.boundVersion = version
+	f.boundVersion, f.summary.TakeUp = version, "known"
 	return nil
 }
 
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -287,7 +287,7 @@
 		s := a.Summary
 		f.options.Observe(Observation{
 			Route: s.Route, Result: s.Reason, Elapsed: s.Elapsed, Sent: s.Attempts > 0,
-			PromptTokens: s.PromptTokens, PrefillTokens: s.PrefillTokens, Deferred: s.Deferred,
+			PromptTokens: s.PromptTokens, PrefillTokens: s.PrefillTokens, Deferred: s.Deferred, TakeUp: s.TakeUp,
 		})
 	}
 	return t
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -115,6 +115,9 @@
 	PromptTokens  int
 	PrefillTokens int
 	Deferred      bool
+	// TakeUp is what the software version of a stream that was taken up rested on, or why it
+	// was not known. It is empty for other requests.
+	TakeUp string
 }
 
 // AnswerObservation describes an answer of an upstream that has ended, for metrics. End
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -50,10 +50,11 @@
 	requestSeconds metric.Float64Histogram
 	// answers counts the answers of upstreams that have ended.
 	answers metric.Int64Counter
-	// promptTokens counts the prompt tokens of requests that were sent, and
-	// deferredRequests those requests that ran after all others.
+	// promptTokens counts the prompt tokens of requests that were sent, deferredRequests
+	// those requests that ran after all others, and takeUps the streams that were taken up.
 	promptTokens     metric.Int64Counter
 	deferredRequests metric.Int64Counter
+	takeUps          metric.Int64Counter
 	// requestsReceived and requestsEnded count the requests of callers, and
 	// requestsInFlight is the number of those that a stage has not ended.
 	requestsReceived metric.Int64ObservableCounter
@@ -120,6 +121,12 @@
 	m.deferredRequests.Add(context.Background(), 1, metric.WithAttributes(attribute.String("route", route)))
 }
 
+// TakeUp counts a stream that a caller took up. The basis is what its software version rested
+// on, or why that was not known, of a fixed set of values.
+func (m *Meter) TakeUp(basis string) {
+	m.takeUps.Add(context.Background(), 1, metric.WithAttributes(attribute.String("basis", basis)))
+}
+
 // Answer counts the end of an answer of an upstream. Both labels have a fixed set of values.
 func (m *Meter) Answer(framing, end string) {
 	m.answers.Add(context.Background(), 1, metric.WithAttributes(
@@ -257,7 +264,10 @@
 	if m.promptTokens, err = m.meter.Int64Counter("magnoliafront_prompt_tokens", metric.WithDescription("Prompt tokens of requests that were sent, by where they were expected to come from.")); err != nil {
 		return err
 	}
-	m.deferredRequests, err = m.meter.Int64Counter("magnoliafront_deferred_requests", metric.WithDescription("Requests that upstreams ran after all others."))
+	if m.deferredRequests, err = m.meter.Int64Counter("magnoliafront_deferred_requests", metric.WithDescription("Requests that upstreams ran after all others.")); err != nil {
+		return err
+	}
+	m.takeUps, err = m.meter.Int64Counter("magnoliafront_streams_taken_up", metric.WithDescription("Streams that callers took up, by what their software version rested on."))
 	return err
 }
 
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -195,6 +195,9 @@
 	if o.Deferred {
 		m.Deferred(o.Route)
 	}
+	if o.TakeUp != "" {
+		m.TakeUp(o.TakeUp)
+	}
 }
 
 func newPeering(lc fx.Lifecycle, s loader.Gateway, self messenger.Peer, c timer.Clock, store *platform.Store, f *forwarder.Forwarder, ref *syncerRef, usage *dutiesRef, rec *recoverer.Recoverer, shares allocator.Shares) (*peering, error) {
