Pass the clock to package bounder

It read the system clock for the pace of its log lines, where the house rule passes the clock in. Its arguments are a struct of options now. What is left of such reads outside package timer: timekeeper, which is a source of readings itself; the deadline of a listener in drainer and two timers of messenger, which follow the clock of the kernel as socket deadlines do.

No behaviour changes; the tests of bounder, receiver and server pass.

--- a/internal/connection/bounder/bounder.go
+++ b/internal/connection/bounder/bounder.go
@@ -14,7 +14,7 @@
 //
 // # Usage
 //
-//	l, err := bounder.Listen(ctx, net.ListenConfig{}, address, memory.Heads)
+//	l, err := bounder.Listen(ctx, address, bounder.Options{Heads: memory.Heads, Clock: c})
 //	srv := &http.Server{Handler: bounder.Guard(h)}
 //	drainer.Serve(srv, l)
 package bounder
@@ -33,6 +33,7 @@
 
 	"magnoliafront.dev/magnoliafront/internal/connection/closer"
 	"magnoliafront.dev/magnoliafront/internal/process/reserver"
+	"magnoliafront.dev/magnoliafront/pkg/timer"
 )
 
 const (
@@ -50,22 +51,32 @@
 // errNoMemory ends a connection whose head finds no room.
 var errNoMemory = errors.New("the memory for heads is used up")
 
+// Options configures a listener.
+type Options struct {
+	// Config is used to listen, but for its Control.
+	Config net.ListenConfig
+	// Heads is the budget of all heads together. Nil means that there is none.
+	Heads *reserver.Budget
+	Clock timer.Clock
+}
+
 // Listener accepts connections whose heads are counted.
 type Listener struct {
 	*net.TCPListener
 	heads *reserver.Budget
+	clock timer.Clock
 	// loggedAt is the time of the last log line in nanoseconds.
 	loggedAt atomic.Int64
 }
 
-// Listen listens on a TCP address. If heads is nil, heads are not limited together.
-func Listen(ctx context.Context, c net.ListenConfig, address string, heads *reserver.Budget) (*Listener, error) {
-	c.Control = setBuffers
-	l, err := c.Listen(ctx, "tcp", address)
+// Listen listens on a TCP address.
+func Listen(ctx context.Context, address string, o Options) (*Listener, error) {
+	o.Config.Control = setBuffers
+	l, err := o.Config.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{TCPListener: l.(*net.TCPListener), heads: heads}, nil
+	return &Listener{TCPListener: l.(*net.TCPListener), heads: o.Heads, clock: o.Clock}, nil
 }
 
 // setBuffers sets the sizes of the buffers of a socket.
@@ -95,7 +106,7 @@
 
 // logRefusal logs a refused head unless one was logged shortly before.
 func (l *Listener) logRefusal(caller net.Addr, counted int64) {
-	now, last := time.Now().UnixNano(), l.loggedAt.Load()
+	now, last := l.clock.Now().UnixNano(), l.loggedAt.Load()
 	if now-last >= int64(logInterval) && l.loggedAt.CompareAndSwap(last, now) {
 		klog.InfoS("head not read", "cause", "no_room", "caller", caller.String(), "counted", counted, "refused", l.heads.Stats().Refused)
 	}
--- a/internal/connection/bounder/bounder_test.go
+++ b/internal/connection/bounder/bounder_test.go
@@ -14,6 +14,7 @@
 
 	"magnoliafront.dev/magnoliafront/internal/process/drainer"
 	"magnoliafront.dev/magnoliafront/internal/process/reserver"
+	"magnoliafront.dev/magnoliafront/pkg/timer"
 )
 
 // waitTimeout is the maximum wait for the server. A test fails when it is reached.
@@ -23,7 +24,7 @@
 // is closed.
 func startServer(t *testing.T, heads *reserver.Budget, release <-chan struct{}) string {
 	t.Helper()
-	l, err := Listen(context.Background(), net.ListenConfig{}, "127.0.0.1:0", heads)
+	l, err := Listen(context.Background(), "127.0.0.1:0", Options{Heads: heads, Clock: timer.System{}})
 	is.New(t).NoErr(err)
 	d := drainer.Serve(&http.Server{MaxHeaderBytes: 64 << 10, Handler: Guard(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))}, l, drainer.Options{})
 	t.Cleanup(func() {
--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -84,11 +84,11 @@
 
 // New listens on both addresses and starts the servers.
 func New(o Options) (*Receiver, error) {
-	callers, err := listen(o.Listen, o.Memory.Heads)
+	callers, err := listen(o.Clock, o.Listen, o.Memory.Heads)
 	if err != nil {
 		return nil, err
 	}
-	readiness, err := listen(o.ReadyListen, nil)
+	readiness, err := listen(o.Clock, o.ReadyListen, nil)
 	if err != nil {
 		_ = callers.Close()
 		return nil, err
@@ -112,8 +112,8 @@
 }
 
 // listen listens on an address. The heads of requests are held within the budget.
-func listen(address string, heads *reserver.Budget) (net.Listener, error) {
-	l, err := bounder.Listen(context.Background(), net.ListenConfig{KeepAliveConfig: carrier.KeepAlive()}, address, heads)
+func listen(c timer.Clock, address string, heads *reserver.Budget) (net.Listener, error) {
+	l, err := bounder.Listen(context.Background(), address, bounder.Options{Config: net.ListenConfig{KeepAliveConfig: carrier.KeepAlive()}, Heads: heads, Clock: c})
 	if err != nil {
 		return nil, &Error{Op: "listen on " + address, Kind: ErrorListen, Err: err}
 	}
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -77,7 +77,7 @@
 
 // New listens on the address in o and starts to serve requests.
 func New(o Options) (*Server, error) {
-	l, err := bounder.Listen(context.Background(), net.ListenConfig{}, o.Listen, o.Memory.Heads)
+	l, err := bounder.Listen(context.Background(), o.Listen, bounder.Options{Heads: o.Memory.Heads, Clock: o.Clock})
 	if err != nil {
 		return nil, &Error{Op: "listen on " + o.Listen, Kind: ErrorListen, Err: err}
 	}
--- a/internal/process/starter/descriptors.go
+++ b/internal/process/starter/descriptors.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"syscall"
@@ -69,7 +68,7 @@
 
 // listenForMetrics serves metrics within their share.
 func listenForMetrics(lc fx.Lifecycle, address string, h http.Handler, c timer.Clock, shares allocator.Shares) error {
-	l, err := bounder.Listen(context.Background(), net.ListenConfig{}, address, nil)
+	l, err := bounder.Listen(context.Background(), address, bounder.Options{Clock: c})
 	if err != nil {
 		return &Error{Op: "listen on " + address, Kind: ErrorListen, Err: err}
 	}
