Tell three other entries of each stream at once

What no entry has begun that replies counts as begun by one that does not. An entry that was killed and started again replies, but has forgotten what it began after its last report, 0.2 s before at most, and its last record, 0.1 s or, in larger fleets, 20 ms for each entry. Beside an entry that stands still, such a stream could go on at that one's version.

While a service has several versions, an entry now tells three others of each stream as soon as its caller has the first event, in turn. All are asked, so that one that lives suffices.

--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -158,7 +158,7 @@
 // Step processes one event and returns the resulting actions.
 func (d *Dispatcher) Step(now time.Time, e Event) []Action {
 	d.updateStrikesLearned(now)
-	return slices.Concat(d.handle(now, e), d.admitHeld(now), d.keepVersions(now))
+	return slices.Concat(d.handle(now, e), d.admitHeld(now), d.shareVersions(), d.keepVersions(now))
 }
 
 func (d *Dispatcher) handle(now time.Time, e Event) []Action {
@@ -181,14 +181,8 @@
 	case EventEntryCount:
 		d.entries = max(1, e.Entries)
 		d.setBudgets()
-	case EventVersionsRecalled:
-		return d.recallVersions(now, e.Recall)
-	case EventVersionsKept:
-		d.resumer.HandleEvent(now, resumer.Event{Kind: resumer.EventKept, Served: e.Record.Served})
-	case EventVersionsReceived:
-		return d.receiveVersions(now, e.Entry, e.Reply)
-	case EventTakeUpDue:
-		return d.judgeTakeUps(now)
+	case EventVersionsRecalled, EventVersionsKept, EventVersionsReceived, EventTakeUpDue:
+		return d.handleVersions(now, e)
 	case EventRetryBudget:
 		d.settings.RetryRatio, d.settings.RetryCapacity = e.RetryRatio, e.RetryCapacity
 		d.setBudgets()
--- a/internal/process/dispatcher/event.go
+++ b/internal/process/dispatcher/event.go
@@ -218,6 +218,8 @@
 	// ActionRecallVersions reads what all entries have kept, in a call that begins after the
 	// action. Its result has the same Ticket.
 	ActionRecallVersions
+	// ActionShareVersions tells a few other entries of the streams Shared.
+	ActionShareVersions
 	// ActionFetchVersions asks all other entries for the versions of Streams.
 	ActionFetchVersions
 )
@@ -259,11 +261,12 @@
 	Separation Separation
 	// RetryAfter is set for ActionUpstreamHeldBack.
 	RetryAfter time.Duration
-	// Record is set for ActionKeepVersions, Ticket for ActionRecallVersions and Streams for
-	// ActionFetchVersions.
+	// Record is set for ActionKeepVersions, Ticket for ActionRecallVersions, Streams for
+	// ActionFetchVersions and Shared for ActionShareVersions.
 	Record  resumer.Record
 	Ticket  uint64
 	Streams []uint64
+	Shared  []resumer.Stream
 	// Summary describes the request for logs and metrics.
 	Summary Summary
 }
--- a/internal/process/dispatcher/take_up.go
+++ b/internal/process/dispatcher/take_up.go
@@ -35,6 +35,21 @@
 	reading bool
 }
 
+// handleVersions handles what is found out of the software versions of streams.
+func (d *Dispatcher) handleVersions(now time.Time, e Event) []Action {
+	switch e.Kind {
+	case EventVersionsRecalled:
+		return d.recallVersions(now, e.Recall)
+	case EventVersionsKept:
+		d.resumer.HandleEvent(now, resumer.Event{Kind: resumer.EventKept, Served: e.Record.Served})
+	case EventVersionsReceived:
+		return d.receiveVersions(now, e.Entry, e.Reply)
+	case EventTakeUpDue:
+		return d.judgeTakeUps(now)
+	}
+	return nil
+}
+
 // holds reports whether the request with an identity waits.
 func (q *takeUpQueue) holds(id string) bool {
 	return slices.ContainsFunc(q.waiting, func(t *takeUp) bool { return t.request.ID == id })
--- a/internal/process/dispatcher/take_up_test.go
+++ b/internal/process/dispatcher/take_up_test.go
@@ -110,4 +110,9 @@
 	is.New(t).Equal(versions, map[string]int{"v1": 9})
 	d.Step(testTime(), Event{Kind: EventVersionsKept, Record: resumer.Record{Served: servedVersions("v1", "v2")}})
 	is.New(t).Equal(begin("z"), "v2")
+	t.Run("other entries are told at once", func(t *testing.T) {
+		all := d.Step(testTime(), Event{Kind: EventProgress, ID: "z", Attempt: 1, First: true, Events: 1, Begun: true, LastEvent: "1"})
+		want := []resumer.Stream{{ID: resumer.Digest("z"), Version: resumer.Digest("v2")}}
+		is.New(t).Equal(assertKind(t, all, ActionShareVersions).Shared, want)
+	})
 }
--- a/internal/process/dispatcher/version.go
+++ b/internal/process/dispatcher/version.go
@@ -108,6 +108,16 @@
 	d.resumer.HandleEvent(now, resumer.Event{Kind: resumer.EventListed, Served: served})
 }
 
+// shareVersions returns the action that tells a few other entries of the streams that this one
+// has just begun, if there are any.
+func (d *Dispatcher) shareVersions() []Action {
+	begun := d.resumer.TakeShared()
+	if len(begun) == 0 || !d.settings.KeepVersions {
+		return nil
+	}
+	return []Action{{Kind: ActionShareVersions, Shared: begun}}
+}
+
 // keepVersions returns the action that keeps the versions of the streams of this entry in the
 // platform, if a record is due.
 func (d *Dispatcher) keepVersions(now time.Time) []Action {
--- a/internal/process/forwarder/carry.go
+++ b/internal/process/forwarder/carry.go
@@ -57,7 +57,7 @@
 			"address", a.Upstream.Address, "request", a.ID, "retry_after", a.RetryAfter)
 	case dispatcher.ActionCountUsage:
 		f.countUsage(a.Organisation)
-	case dispatcher.ActionKeepVersions, dispatcher.ActionRecallVersions, dispatcher.ActionFetchVersions:
+	case dispatcher.ActionKeepVersions, dispatcher.ActionRecallVersions, dispatcher.ActionShareVersions, dispatcher.ActionFetchVersions:
 		f.executeVersions(a)
 	case dispatcher.ActionSendLoad:
 		if f.options.SendLoad != nil {
--- a/internal/process/forwarder/versions.go
+++ b/internal/process/forwarder/versions.go
@@ -16,6 +16,8 @@
 	Keep func(resumer.Record)
 	// Recall reads the records of all entries; see [Forwarder.RecallVersions].
 	Recall func(ticket uint64)
+	// Share tells a few other entries of streams that this one has begun.
+	Share func([]resumer.Stream)
 	// Fetch asks the other entries for streams; see [Forwarder.ReceiveVersions].
 	Fetch func(streams []uint64)
 }
@@ -62,6 +64,8 @@
 		v.Keep(a.Record)
 	case a.Kind == dispatcher.ActionRecallVersions && v.Recall != nil:
 		v.Recall(a.Ticket)
+	case a.Kind == dispatcher.ActionShareVersions && v.Share != nil:
+		v.Share(a.Shared)
 	case a.Kind == dispatcher.ActionFetchVersions && v.Fetch != nil:
 		klog.InfoS("software versions of streams asked for", "streams", len(a.Streams))
 		v.Fetch(a.Streams)
--- a/internal/process/resumer/resumer.go
+++ b/internal/process/resumer/resumer.go
@@ -119,6 +119,8 @@
 	// unreported has the own streams that the other entries have not been told of, and
 	// repeated those of the last report, which may have been lost.
 	unreported, repeated []Stream
+	// unshared has the own streams that no other entry has been told of.
+	unshared []Stream
 	// keptAt is the time of the last record. With unkept, an own stream has begun since, and
 	// with changed, a version has come or gone.
 	keptAt          time.Time
@@ -149,6 +151,9 @@
 	case EventBegun:
 		r.add(now, e.Streams, true)
 		r.unkept = true
+		if r.mixed {
+			r.unshared = append(r.unshared, e.Streams...)
+		}
 		r.unreported = append(r.unreported, e.Streams...)
 		r.unreported = r.unreported[max(0, len(r.unreported)-maxStreams):]
 	case EventEnded:
@@ -306,6 +311,14 @@
 	return ok
 }
 
+// TakeShared returns the own streams that a few other entries must be told of at once. If this
+// entry ends before its next report, these still know them.
+func (r *Resumer) TakeShared() []Stream {
+	out := r.unshared
+	r.unshared = nil
+	return out
+}
+
 // TakeRecord returns the record that this entry must keep, if the last one is out of date. A
 // record of new streams only is not taken before the last one is older than interval.
 func (r *Resumer) TakeRecord(now time.Time, interval time.Duration) (Record, bool) {
--- a/internal/process/starter/gateway.go
+++ b/internal/process/starter/gateway.go
@@ -146,6 +146,12 @@
 	}
 }
 
+func (r *syncerRef) shareVersions(streams []resumer.Stream) {
+	if s := r.syncer.Load(); s != nil {
+		s.ShareVersions(streams)
+	}
+}
+
 func (r *syncerRef) fetchVersions(streams []uint64) {
 	if s := r.syncer.Load(); s != nil {
 		s.FetchVersions(streams)
@@ -172,7 +178,7 @@
 
 func newForwarder(lc fx.Lifecycle, s loader.Gateway, c timer.Clock, ref *syncerRef, receiver *receiverRef, usage *dutiesRef, m *meter.Meter, rec *recoverer.Recoverer, shares allocator.Shares) *forwarder.Forwarder {
 	f := forwarder.New(forwarder.Options{
-		Clock: c, Codec: platform.Codec{}, Recoverer: rec, SendStrikes: ref.sendStrikes, SendLoad: ref.sendLoad, Versions: forwarder.Versions{Keep: ref.keepVersions, Recall: ref.recallVersions, Fetch: ref.fetchVersions}, CountUsage: usage.countUsage,
+		Clock: c, Codec: platform.Codec{}, Recoverer: rec, SendStrikes: ref.sendStrikes, SendLoad: ref.sendLoad, Versions: forwarder.Versions{Keep: ref.keepVersions, Recall: ref.recallVersions, Share: ref.shareVersions, Fetch: ref.fetchVersions}, CountUsage: usage.countUsage,
 		Configured: receiver.refreshLimits, MaxConns: shares.Upstreams,
 		Observe:       func(o forwarder.Observation) { observe(m, o) },
 		ObserveAnswer: func(o forwarder.AnswerObservation) { m.Answer(o.Framing, o.End) },
@@ -228,7 +234,7 @@
 	var err error
 	p.acceptor, err = listenForPeers(s.PeerListen, messenger.Options{Self: self, Secret: []byte(s.SharedSecret), Recoverer: rec}, acceptor.Routes{
 		messenger.MethodFetchState: handle, messenger.MethodStrike: handle, messenger.MethodLoad: handle, messenger.MethodFetchStrikes: handle,
-		messenger.MethodFetchVersions: handle,
+		messenger.MethodFetchVersions: handle, messenger.MethodVersions: handle,
 	}, c, shares)
 	if err != nil {
 		p.recaller.Stop()
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -138,6 +138,9 @@
 	cancel          context.CancelFunc
 	done            chan struct{}
 
+	// shares is the number of messages of ShareVersions, owned by its caller.
+	shares int
+
 	// The fields below are owned by the goroutine.
 	entries map[string]Entry
 	// reachableKinds holds for each kind whether the platform was reachable at the
--- a/internal/process/syncer/versions.go
+++ b/internal/process/syncer/versions.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"maps"
+	"slices"
 
 	"magnoliafront.dev/magnoliafront/internal/connection/messenger"
 	"magnoliafront.dev/magnoliafront/internal/process/resumer"
@@ -30,6 +32,10 @@
 
 const digestSize = 8
 
+// shareCount is the number of entries that are told of a stream at once. A third of the
+// entries may end at the same moment.
+const shareCount = 3
+
 // FetchVersions asks all other entries for the software versions of streams.
 func (s *Syncer) FetchVersions(streams []uint64) {
 	for identity := range s.Members() {
@@ -37,6 +43,17 @@
 	}
 }
 
+// ShareVersions tells the next shareCount other entries, in round-robin order, of streams that
+// this one has begun. It must be called by one goroutine only.
+func (s *Syncer) ShareVersions(streams []resumer.Stream) {
+	members := s.Members()
+	identities := slices.Sorted(maps.Keys(members))
+	for range min(shareCount, len(identities)) {
+		s.shares++
+		s.options.Send(identities[s.shares%len(identities)], messenger.MethodVersions, Versions{Known: packStreams(streams)})
+	}
+}
+
 // sendVersions replies to q once the forwarder knows what to say.
 func (s *Syncer) sendVersions(c *messenger.Conn, q FetchVersions) {
 	s.options.Forwarder.FetchVersions(unpackDigests(q.Streams), func(r resumer.Reply) {
