--- a/internal/process/dispatcher/take_up_test.go
+++ b/internal/process/dispatcher/take_up_test.go
@@ -60,6 +60,16 @@
 		is.Equal(assertKind(t, all, ActionRecallVersions).Ticket, uint64(2))
 		is.Equal(assertKind(t, d.Step(testTime(), recall(2)), ActionFetchVersions).Streams, []uint64{8})
 	})
+	t.Run("the entry stood still in a release", func(t *testing.T) {
+		d := newVersionedDispatcher()
+		all := upstreams()
+		for i := range all {
+			all[i].Version = "v1"
+		}
+		d.Step(testTime(), Event{Kind: EventUpstreams, Upstreams: all})
+		assertKind(t, arrive(d, "a", 7), ActionRecallVersions)
+		assertKind(t, d.Step(testTime(), recall(1)), ActionFetchVersions)
+	})
 	t.Run("a reply tells the version", func(t *testing.T) {
 		d := newVersionedDispatcher()
 		arrive(d, "a", 7)
