Read the records again if the result of a read is lost

One read of the records of all entries runs at a time. If its result never came, as after a panic or before the recaller has started, no other read began, and the entry refused all streams that it did not know until its end.

A read whose result has not come while its requests waited, 0.3 s, counts as lost.

Measured: the case "nothing is heard in time" of TestTakenUpStreamWaitsForItsVersion failed before and passes.

--- a/internal/process/dispatcher/take_up.go
+++ b/internal/process/dispatcher/take_up.go
@@ -29,10 +29,11 @@
 // is empty.
 type takeUpQueue struct {
 	waiting []*takeUp
-	// ticket is the number of the last read of the records, and reading is true until its
-	// result is known. One read runs at a time, for all requests that wait.
+	// ticket is the number of the last read of the records, which began at readAt, and reading
+	// is true until its result is known. One read runs at a time, for all requests that wait.
 	ticket  uint64
 	reading bool
+	readAt  time.Time
 }
 
 // handleVersions handles what is found out of the software versions of streams.
@@ -86,17 +87,19 @@
 		request: f.request, ticket: q.ticket + 1, dueAt: now.Add(takeUpWait),
 		inquiry: resumer.Inquiry{Service: f.admission.Service.Name, Stream: f.request.Stream, Replies: map[string][]resumer.Served{}},
 	})
-	return d.readRecords()
+	return d.readRecords(now)
 }
 
-// readRecords begins a read of the records if a request needs one and none runs.
-func (d *Dispatcher) readRecords() []Action {
+// readRecords begins a read of the records if a request needs one and none runs. One whose
+// result has not come while its requests waited is lost.
+func (d *Dispatcher) readRecords(now time.Time) []Action {
 	q := &d.takeUps
-	if q.reading || !slices.ContainsFunc(q.waiting, func(t *takeUp) bool { return t.ticket > q.ticket }) {
+	isRunning := q.reading && now.Sub(q.readAt) < takeUpWait
+	if isRunning || !slices.ContainsFunc(q.waiting, func(t *takeUp) bool { return t.ticket > q.ticket }) {
 		return nil
 	}
 	q.ticket++
-	q.reading = true
+	q.reading, q.readAt = true, now
 	return []Action{{Kind: ActionRecallVersions, Ticket: q.ticket}}
 }
 
@@ -114,7 +117,7 @@
 			t.inquiry.Read, t.inquiry.Records = state, r.Records
 		}
 	}
-	return append(d.judgeTakeUps(now), d.readRecords()...)
+	return append(d.judgeTakeUps(now), d.readRecords(now)...)
 }
 
 // addRecords adds the streams of records and, after the start, the versions that were in use
--- a/internal/process/dispatcher/take_up_test.go
+++ b/internal/process/dispatcher/take_up_test.go
@@ -90,6 +90,9 @@
 		is.New(t).Equal(due, testTime().Add(takeUpWait))
 		assertFailed(t, d.Step(due, Event{Kind: EventTakeUpDue}), http.StatusServiceUnavailable, false)
 		is.New(t).True(d.TakeUpDueAt().IsZero())
+		// The result of the read was lost. The next request needs another one.
+		next := d.Step(due, Event{Kind: EventArrived, Request: takeUpRequest("b", 8)})
+		is.New(t).Equal(assertKind(t, next, ActionRecallVersions).Ticket, uint64(2))
 	})
 	t.Run("the entry stops", func(t *testing.T) {
 		d := newVersionedDispatcher()
